--- /dev/null
+++ b/crates/cassiafield-core/src/process/endpoint_table.rs
@@ -0,0 +1,233 @@
+use {
+    crate::{
+        ids::{EndpointId, HostId, ModelId, Moment, ServiceId},
+        process::{EndpointHealth, EndpointRecord, EndpointRole, EndpointState},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// What this host knows of all endpoints: the platform's list joined with its own observations
+/// and what peers have said.
+///
+/// "Leaving" wins over "live" whatever its source, for as long as the endpoint keeps its id and
+/// address: the platform's list lags, so a later "live" proves nothing.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    records: BTreeMap<EndpointId, EndpointRecord>,
+    health: BTreeMap<EndpointId, EndpointHealth>,
+    leaving: BTreeMap<EndpointId, LeavingNotice>,
+    in_flight: BTreeMap<EndpointId, u32>,
+    remote: BTreeMap<HostId, RemoteLoad>,
+}
+
+/// What a peer has in flight, as it said last.
+#[derive(Clone, Debug)]
+struct RemoteLoad {
+    heard: Moment,
+    in_flight: BTreeMap<EndpointId, u32>,
+}
+
+/// Since when, and at which address, an endpoint is leaving.
+#[derive(Clone, Debug)]
+struct LeavingNotice {
+    heard: Moment,
+    listed: bool,
+}
+
+impl EndpointTable {
+    /// Time after which a notice about an endpoint that is no longer listed is forgotten.
+    const NOTICE_RETENTION: Duration = Duration::from_secs(120);
+    /// Time after which a peer's load counts for nothing.
+    const REMOTE_RETENTION: Duration = Duration::from_secs(3);
+    /// Largest part of a pool that may be ejected at once, in percent.
+    const MAX_EJECTED_PERCENT: usize = 50;
+
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a new copy of the platform's list.
+    pub fn replace_list(&mut self, list: Vec<EndpointRecord>, now: Moment) {
+        let fresh: BTreeMap<_, _> =
+            list.into_iter().map(|record| (record.endpoint.clone(), record)).collect();
+        for (endpoint, record) in &fresh {
+            let moved = self.records.get(endpoint).is_some_and(|old| old.address != record.address);
+            if moved {
+                self.leaving.remove(endpoint);
+                self.health.remove(endpoint);
+            }
+            if record.state == EndpointState::Leaving {
+                self.note_leaving(endpoint.clone(), now);
+            }
+        }
+        for (endpoint, notice) in &mut self.leaving {
+            notice.listed = fresh.contains_key(endpoint);
+            if notice.listed {
+                notice.heard = now;
+            }
+        }
+        self.leaving.retain(|_, notice| now.since(notice.heard) < Self::NOTICE_RETENTION);
+        self.health.retain(|endpoint, _| fresh.contains_key(endpoint));
+        self.records = fresh;
+    }
+
+    /// Records that an endpoint is leaving, from the list, a peer or the endpoint itself.
+    ///
+    /// Returns whether this was news.
+    pub fn note_leaving(&mut self, endpoint: EndpointId, now: Moment) -> bool {
+        let listed = self.records.contains_key(&endpoint);
+        self.leaving.insert(endpoint, LeavingNotice { heard: now, listed }).is_none()
+    }
+
+    /// Returns the endpoints known to be leaving.
+    #[must_use]
+    pub fn leaving(&self) -> BTreeSet<EndpointId> {
+        self.leaving.keys().cloned().collect()
+    }
+
+    /// Returns every endpoint of the list.
+    pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.records.values()
+    }
+
+    /// Returns one endpoint of the list.
+    #[must_use]
+    pub fn record(&self, endpoint: &EndpointId) -> Option<&EndpointRecord> {
+        self.records.get(endpoint)
+    }
+
+    /// Returns the endpoints that may get new work now.
+    ///
+    /// When more than half of the endpoints with the same role would be ejected, ejection is
+    /// ignored for that role, since a fault that wide is more likely to lie on this side.
+    #[must_use]
+    pub fn usable(&self, now: Moment) -> Vec<&EndpointRecord> {
+        let staying: Vec<_> =
+            self.records.values().filter(|r| !self.leaving.contains_key(&r.endpoint)).collect();
+        let mut pools: BTreeMap<PoolKey<'_>, (usize, usize)> = BTreeMap::new();
+        for record in &staying {
+            let (members, ejected) = pools.entry(PoolKey::of(record)).or_default();
+            *members += 1;
+            *ejected += usize::from(!self.admits(&record.endpoint, now));
+        }
+        staying
+            .into_iter()
+            .filter(|record| {
+                let (members, ejected) = pools[&PoolKey::of(record)];
+                let panicking = ejected * 100 > members * Self::MAX_EJECTED_PERCENT;
+                panicking || self.admits(&record.endpoint, now)
+            })
+            .collect()
+    }
+
+    /// Returns the usable endpoints of a service, the least loaded first.
+    #[must_use]
+    pub fn service_endpoints(&self, service: &ServiceId, now: Moment) -> Vec<EndpointRecord> {
+        let matches = |record: &&EndpointRecord| matches!(&record.role, EndpointRole::Service { service: found } if found == service);
+        let mut records: Vec<_> = self.usable(now).into_iter().filter(matches).cloned().collect();
+        records.sort_by_key(|record| self.in_flight(&record.endpoint));
+        records
+    }
+
+    /// Returns the number of requests that this host has at an endpoint.
+    #[must_use]
+    pub fn in_flight(&self, endpoint: &EndpointId) -> u32 {
+        self.in_flight.get(endpoint).copied().unwrap_or(0)
+    }
+
+    /// Returns what this host has in flight, by endpoint.
+    #[must_use]
+    pub fn load(&self) -> BTreeMap<EndpointId, u32> {
+        self.in_flight.clone()
+    }
+
+    /// Takes a peer's word of what it has in flight.
+    pub fn note_remote(&mut self, host: HostId, in_flight: BTreeMap<EndpointId, u32>, now: Moment) {
+        self.remote.retain(|_, load| now.since(load.heard) < Self::REMOTE_RETENTION);
+        self.remote.insert(host, RemoteLoad { heard: now, in_flight });
+    }
+
+    /// Returns what all hosts together have in flight at an endpoint, as far as known.
+    #[must_use]
+    pub fn total_in_flight(&self, endpoint: &EndpointId) -> u32 {
+        let remote = self.remote.values().filter_map(|load| load.in_flight.get(endpoint));
+        self.in_flight(endpoint) + remote.sum::<u32>()
+    }
+
+    /// Returns the number of requests that a model can run at the same time: the slots of its
+    /// scarcest layer.
+    #[must_use]
+    pub fn model_slots(&self, model: &ModelId, now: Moment) -> u32 {
+        let mut slots: Vec<u32> = Vec::new();
+        for record in self.usable(now) {
+            if let EndpointRole::Stage { model: found, layers, span, .. } = &record.role {
+                if found == model {
+                    slots.resize(usize::from(*layers), 0);
+                    let covered = usize::from(span.start())..usize::from(span.end());
+                    for layer in slots.iter_mut().take(covered.end).skip(covered.start) {
+                        *layer += record.slots;
+                    }
+                }
+            }
+        }
+        slots.into_iter().min().unwrap_or(0)
+    }
+
+    /// Records that a request was sent to an endpoint.
+    pub fn dispatched(&mut self, endpoint: &EndpointId, now: Moment) {
+        *self.in_flight.entry(endpoint.clone()).or_default() += 1;
+        if let Some(health) = self.health.get_mut(endpoint) {
+            health.dispatched(now);
+        }
+    }
+
+    /// Records that a request at an endpoint has ended, well or not.
+    pub fn finished(&mut self, endpoint: &EndpointId) {
+        if let Some(count) = self.in_flight.get_mut(endpoint) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_flight.remove(endpoint);
+            }
+        }
+    }
+
+    /// Records that an endpoint answered as it should.
+    pub fn succeeded(&mut self, endpoint: &EndpointId) {
+        self.health.remove(endpoint);
+    }
+
+    /// Records that an endpoint failed.
+    pub fn failed(&mut self, endpoint: &EndpointId, now: Moment) {
+        self.health.entry(endpoint.clone()).or_default().failed(now);
+    }
+
+    /// Says whether an endpoint is ejected or on trial.
+    #[must_use]
+    pub fn is_suspect(&self, endpoint: &EndpointId) -> bool {
+        self.health.get(endpoint).is_some_and(EndpointHealth::is_suspect)
+    }
+
+    fn admits(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        self.health.get(endpoint).is_none_or(|health| health.admits(now))
+    }
+}
+
+/// Endpoints that can stand in for each other.
+#[derive(Eq, Ord, PartialEq, PartialOrd)]
+struct PoolKey<'a>(&'a str, u16, u16);
+
+impl<'a> PoolKey<'a> {
+    fn of(record: &'a EndpointRecord) -> Self {
+        match &record.role {
+            EndpointRole::Stage { model, span, .. } => {
+                PoolKey(model.as_str(), span.start(), span.end())
+            }
+            EndpointRole::Service { service } => PoolKey(service.as_str(), 0, 0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -0,0 +1,32 @@
+//! What lives as long as the process.
+
+mod allowance_book;
+mod allowance_share;
+mod endpoint_health;
+mod endpoint_record;
+mod endpoint_table;
+mod fair_queue;
+mod ordinal_holder;
+mod rate_bucket;
+mod retry_budget;
+mod route_planner;
+mod slot_share;
+mod usage_record;
+
+pub use self::{
+    allowance_book::{
+        AllowanceBook, AllowanceRefusal, LoanAnswer, LoanAsk, LoanGrant, LoanRef, LoanReturn,
+        LoanWant,
+    },
+    allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
+    endpoint_health::EndpointHealth,
+    endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
+    endpoint_table::EndpointTable,
+    fair_queue::FairQueue,
+    ordinal_holder::{OrdinalHolder, RenewalResult},
+    rate_bucket::RateBucket,
+    retry_budget::RetryBudget,
+    route_planner::{PlanError, RoutePlanner, RouteRequest},
+    slot_share::{SlotDemand, SlotShare},
+    usage_record::{RequestClass, UsageCount, UsageEnd, UsageRecord, LATENCY_BOUNDS_MS},
+};
--- /dev/null
+++ b/crates/cassiafield-core/src/request/call_claim.rs
@@ -0,0 +1,263 @@
+use {
+    crate::request::{RefusalCause, RequestVerdict},
+    compact_str::CompactString,
+};
+
+/// The recorded answer of a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct CallOutcome {
+    /// HTTP status that the endpoint answered.
+    pub status: u16,
+    /// Content type that the endpoint answered.
+    pub content_type: CompactString,
+    /// The answer's body, or `None` if it was too large to record.
+    pub body: Option<Vec<u8>>,
+}
+
+/// How far a claimed call has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum ClaimState {
+    /// An attempt holds the claim and may have sent the call.
+    Claimed,
+    /// The attempt ended without sending a byte; the claim may be taken again.
+    Released,
+    /// The call ran with this outcome.
+    Done(CallOutcome),
+}
+
+/// The value stored under an idempotency key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct ClaimRecord {
+    /// The attempt that wrote the record; unique for each request that reaches a host.
+    pub attempt: u128,
+    /// Digest of the request; a key is never used for two different requests.
+    pub digest: CompactString,
+    /// How far the call has come.
+    pub state: ClaimState,
+}
+
+/// What the driver of a [`CallClaim`] does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimStep {
+    /// Write `record` if the key's revision is `expected`; `None` means that the key is absent.
+    Swap {
+        /// Revision that the key must have.
+        expected: Option<u64>,
+        /// The record to write.
+        record: ClaimRecord,
+    },
+    /// Read the key.
+    Read,
+    /// Send the call, at most once, on a fresh connection.
+    Dispatch,
+    /// Answer the caller with the recorded or fresh outcome.
+    Answer(CallOutcome),
+    /// Refuse the caller.
+    Refuse(RefusalCause, RequestVerdict),
+}
+
+/// What happened to the last step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimEvent {
+    /// The swap took effect at this revision.
+    SwapWon(u64),
+    /// The swap did not take effect because the revision differed.
+    SwapLost,
+    /// The read returned the key's revision and record, or nothing.
+    ReadDone(Option<(u64, ClaimRecord)>),
+    /// The store did not answer; a write may or may not take effect, now or later.
+    StoreUnknown,
+    /// No endpoint received a byte of the call.
+    NotSent,
+    /// The call was sent in part or whole and no whole answer came.
+    AnswerLost,
+    /// The endpoint answered.
+    Answered(CallOutcome),
+}
+
+/// What the claim is waiting for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClaimPhase {
+    Claiming,
+    Reading,
+    Dispatching,
+    Settling,
+    Ended,
+}
+
+/// Runs one call that may not be repeated through claim, dispatch and record.
+///
+/// The claim is written before the first byte goes to an endpoint. A write whose answer is lost
+/// is settled by reading the key back; a write that is repeated carries the same attempt, so it
+/// is recognised however late the first one lands. Once the call has been dispatched it is never
+/// dispatched again by this value.
+#[derive(Clone, Debug)]
+pub struct CallClaim {
+    attempt: u128,
+    digest: CompactString,
+    phase: ClaimPhase,
+    revision: Option<u64>,
+    unknowns: u32,
+    races: u32,
+    finish: Option<ClaimStep>,
+    unsettled: Option<ClaimRecord>,
+}
+
+impl CallClaim {
+    /// Unanswered store calls after which the claim gives up.
+    const MAX_UNKNOWNS: u32 = 4;
+    /// Lost races after which the claim gives up.
+    const MAX_RACES: u32 = 4;
+
+    /// Creates the claim of one request.
+    pub fn new(attempt: u128, digest: impl Into<CompactString>) -> Self {
+        Self {
+            attempt,
+            digest: digest.into(),
+            phase: ClaimPhase::Claiming,
+            revision: None,
+            unknowns: 0,
+            races: 0,
+            finish: None,
+            unsettled: None,
+        }
+    }
+
+    /// Returns the first step.
+    pub fn start(&mut self) -> ClaimStep {
+        self.swap_claim()
+    }
+
+    /// Takes the result of the last step and returns the next one.
+    ///
+    /// An event that does not belong to the last step ends the claim as in doubt.
+    pub fn advance(&mut self, event: ClaimEvent) -> ClaimStep {
+        match (self.phase, event) {
+            (ClaimPhase::Claiming, ClaimEvent::SwapWon(revision)) => self.dispatch(revision),
+            (ClaimPhase::Claiming, ClaimEvent::SwapLost) => self.read_after_race(),
+            (ClaimPhase::Claiming | ClaimPhase::Reading, ClaimEvent::StoreUnknown) => {
+                self.read_after_unknown()
+            }
+            (ClaimPhase::Reading, ClaimEvent::ReadDone(found)) => self.judge(found),
+            (ClaimPhase::Dispatching, ClaimEvent::NotSent) => self.settle(
+                ClaimState::Released,
+                ClaimStep::Refuse(RefusalCause::NoEndpoint, RequestVerdict::NotRun),
+            ),
+            (ClaimPhase::Dispatching, ClaimEvent::AnswerLost) => self
+                .end(ClaimStep::Refuse(RefusalCause::EndpointFailed, RequestVerdict::MayHaveRun)),
+            (ClaimPhase::Dispatching, ClaimEvent::Answered(outcome)) => {
+                self.settle(ClaimState::Done(outcome.clone()), ClaimStep::Answer(outcome))
+            }
+            (ClaimPhase::Settling, ClaimEvent::SwapWon(_)) => self.finish_settled(),
+            (ClaimPhase::Settling, _) => self.finish_unsettled(),
+            _ => self.end(ClaimStep::Refuse(RefusalCause::KeyInDoubt, RequestVerdict::MayHaveRun)),
+        }
+    }
+
+    /// Returns the final record if it may not have reached the store.
+    ///
+    /// The host writes it later with [`CallClaim::resolve`], so that a retry learns the outcome.
+    #[must_use]
+    pub const fn unsettled(&self) -> Option<&ClaimRecord> {
+        self.unsettled.as_ref()
+    }
+
+    /// Returns the swap that settles `record`, given what the key holds now.
+    ///
+    /// Returns `None` if the key does not hold the claim of the same attempt.
+    #[must_use]
+    pub fn resolve(record: &ClaimRecord, found: &(u64, ClaimRecord)) -> Option<ClaimStep> {
+        let (revision, current) = found;
+        let open = current.attempt == record.attempt && current.state == ClaimState::Claimed;
+        open.then(|| ClaimStep::Swap { expected: Some(*revision), record: record.clone() })
+    }
+
+    fn record(&self, state: ClaimState) -> ClaimRecord {
+        ClaimRecord { attempt: self.attempt, digest: self.digest.clone(), state }
+    }
+
+    fn swap_claim(&mut self) -> ClaimStep {
+        self.phase = ClaimPhase::Claiming;
+        ClaimStep::Swap { expected: self.revision, record: self.record(ClaimState::Claimed) }
+    }
+
+    fn dispatch(&mut self, revision: u64) -> ClaimStep {
+        self.revision = Some(revision);
+        self.phase = ClaimPhase::Dispatching;
+        ClaimStep::Dispatch
+    }
+
+    fn read_after_race(&mut self) -> ClaimStep {
+        self.races += 1;
+        if self.races > Self::MAX_RACES {
+            return self.abandon();
+        }
+        self.phase = ClaimPhase::Reading;
+        ClaimStep::Read
+    }
+
+    fn read_after_unknown(&mut self) -> ClaimStep {
+        self.unknowns += 1;
+        if self.unknowns > Self::MAX_UNKNOWNS {
+            return self.abandon();
+        }
+        self.phase = ClaimPhase::Reading;
+        ClaimStep::Read
+    }
+
+    fn judge(&mut self, found: Option<(u64, ClaimRecord)>) -> ClaimStep {
+        let Some((revision, record)) = found else {
+            self.revision = None;
+            return self.swap_claim();
+        };
+        if record.attempt == self.attempt {
+            return self.dispatch(revision);
+        }
+        if record.digest != self.digest {
+            return self.end(ClaimStep::Refuse(RefusalCause::KeyReused, RequestVerdict::NotRun));
+        }
+        match record.state {
+            ClaimState::Done(outcome) => self.end(ClaimStep::Answer(outcome)),
+            ClaimState::Claimed => {
+                self.end(ClaimStep::Refuse(RefusalCause::KeyInDoubt, RequestVerdict::MayHaveRun))
+            }
+            ClaimState::Released => {
+                self.revision = Some(revision);
+                self.swap_claim()
+            }
+        }
+    }
+
+    fn settle(&mut self, state: ClaimState, finish: ClaimStep) -> ClaimStep {
+        self.phase = ClaimPhase::Settling;
+        self.finish = Some(finish);
+        let record = self.record(state);
+        self.unsettled = Some(record.clone());
+        ClaimStep::Swap { expected: self.revision, record }
+    }
+
+    fn finish_settled(&mut self) -> ClaimStep {
+        self.unsettled = None;
+        self.finish_unsettled()
+    }
+
+    fn finish_unsettled(&mut self) -> ClaimStep {
+        let doubt = ClaimStep::Refuse(RefusalCause::KeyInDoubt, RequestVerdict::MayHaveRun);
+        let finish = self.finish.take().unwrap_or(doubt);
+        self.end(finish)
+    }
+
+    /// Gives up before dispatch: a claim that may still land is released later.
+    fn abandon(&mut self) -> ClaimStep {
+        self.unsettled = Some(self.record(ClaimState::Released));
+        self.end(ClaimStep::Refuse(RefusalCause::StoreUnavailable, RequestVerdict::NotRun))
+    }
+
+    fn end(&mut self, step: ClaimStep) -> ClaimStep {
+        self.phase = ClaimPhase::Ended;
+        step
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -0,0 +1,21 @@
+//! What lives as long as one request.
+
+mod answer_assembly;
+mod call_claim;
+mod layer_span;
+mod refusal_cause;
+mod request_verdict;
+mod stage_route;
+mod stream_recovery;
+mod token_frame;
+
+pub use self::{
+    answer_assembly::{AnswerAssembly, DropReason, FrameVerdict},
+    call_claim::{CallClaim, CallOutcome, ClaimEvent, ClaimRecord, ClaimState, ClaimStep},
+    layer_span::{LayerSpan, SpanError},
+    refusal_cause::RefusalCause,
+    request_verdict::RequestVerdict,
+    stage_route::{RouteDraft, RouteError, RouteStage, StageRoute},
+    stream_recovery::{RecoveryStep, StreamRecovery},
+    token_frame::TokenFrame,
+};
--- /dev/null
+++ b/crates/cassiafield-core/src/request/refusal_cause.rs
@@ -0,0 +1,112 @@
+use std::fmt;
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalCause {
+    /// The request is malformed.
+    BadRequest,
+    /// The caller's key is missing or unknown.
+    Unauthorised,
+    /// The plan does not include the model or service.
+    NotInPlan,
+    /// No such path, model or service.
+    NotFound,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The key was used before and its outcome is not known.
+    KeyInDoubt,
+    /// The key was used before with another request.
+    KeyReused,
+    /// The plan's request rate is used up.
+    RequestRate,
+    /// The plan's token rate is used up.
+    TokenRate,
+    /// The plan's number of concurrent requests is in use.
+    Concurrency,
+    /// No endpoint can take the request before its deadline.
+    Overloaded,
+    /// No endpoint is available.
+    NoEndpoint,
+    /// The endpoint failed after the request was sent.
+    EndpointFailed,
+    /// The platform store is out of reach and the call needs it.
+    StoreUnavailable,
+    /// The host is stopping or has no lists yet.
+    NotReady,
+}
+
+impl RefusalCause {
+    /// Every cause, for metrics and documentation.
+    pub const ALL: [RefusalCause; 16] = [
+        RefusalCause::BadRequest,
+        RefusalCause::Unauthorised,
+        RefusalCause::NotInPlan,
+        RefusalCause::NotFound,
+        RefusalCause::MethodNotAllowed,
+        RefusalCause::TooLarge,
+        RefusalCause::KeyInDoubt,
+        RefusalCause::KeyReused,
+        RefusalCause::RequestRate,
+        RefusalCause::TokenRate,
+        RefusalCause::Concurrency,
+        RefusalCause::Overloaded,
+        RefusalCause::NoEndpoint,
+        RefusalCause::EndpointFailed,
+        RefusalCause::StoreUnavailable,
+        RefusalCause::NotReady,
+    ];
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            RefusalCause::BadRequest => 400,
+            RefusalCause::Unauthorised => 401,
+            RefusalCause::NotInPlan => 403,
+            RefusalCause::NotFound => 404,
+            RefusalCause::MethodNotAllowed => 405,
+            RefusalCause::KeyInDoubt => 409,
+            RefusalCause::TooLarge => 413,
+            RefusalCause::KeyReused => 422,
+            RefusalCause::RequestRate | RefusalCause::TokenRate | RefusalCause::Concurrency => 429,
+            RefusalCause::EndpointFailed => 502,
+            RefusalCause::Overloaded
+            | RefusalCause::NoEndpoint
+            | RefusalCause::StoreUnavailable
+            | RefusalCause::NotReady => 503,
+        }
+    }
+
+    /// Returns the name used in documents and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            RefusalCause::BadRequest => "bad-request",
+            RefusalCause::Unauthorised => "unauthorised",
+            RefusalCause::NotInPlan => "not-in-plan",
+            RefusalCause::NotFound => "not-found",
+            RefusalCause::MethodNotAllowed => "method-not-allowed",
+            RefusalCause::TooLarge => "too-large",
+            RefusalCause::KeyInDoubt => "key-in-doubt",
+            RefusalCause::KeyReused => "key-reused",
+            RefusalCause::RequestRate => "request-rate",
+            RefusalCause::TokenRate => "token-rate",
+            RefusalCause::Concurrency => "concurrency",
+            RefusalCause::Overloaded => "overloaded",
+            RefusalCause::NoEndpoint => "no-endpoint",
+            RefusalCause::EndpointFailed => "endpoint-failed",
+            RefusalCause::StoreUnavailable => "store-unavailable",
+            RefusalCause::NotReady => "not-ready",
+        }
+    }
+}
+
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/src/request/stage_route.rs
@@ -0,0 +1,120 @@
+use {
+    crate::{
+        ids::{EndpointId, ModelId},
+        request::LayerSpan,
+    },
+    compact_str::CompactString,
+    std::fmt,
+};
+
+/// One stage of a route: an endpoint and the layers it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct RouteStage {
+    /// The endpoint that runs the stage.
+    pub endpoint: EndpointId,
+    /// The endpoint's `address:port`.
+    pub address: CompactString,
+    /// The layers that the endpoint runs.
+    pub span: LayerSpan,
+}
+
+/// An unchecked route.
+#[derive(Clone, Debug)]
+pub struct RouteDraft {
+    /// The model to run.
+    pub model: ModelId,
+    /// The model's number of layers.
+    pub layers: u16,
+    /// The stages in order.
+    pub stages: Vec<RouteStage>,
+}
+
+/// A checked route: its stages cover layers `0..layers` once each and in order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
+pub struct StageRoute {
+    model: ModelId,
+    layers: u16,
+    stages: Vec<RouteStage>,
+}
+
+/// Says why a draft is not a route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RouteError {
+    /// A stage does not start where the one before it ended.
+    Broken {
+        /// Index of the stage.
+        stage: usize,
+        /// The layer at which it should start.
+        expected: u16,
+        /// The layer at which it starts.
+        found: u16,
+    },
+    /// The last stage does not end at the last layer.
+    Incomplete {
+        /// The model's number of layers.
+        expected: u16,
+        /// Where the stages end.
+        found: u16,
+    },
+}
+
+impl StageRoute {
+    /// Returns the model.
+    #[must_use]
+    pub const fn model(&self) -> &ModelId {
+        &self.model
+    }
+
+    /// Returns the stages in order.
+    #[must_use]
+    pub fn stages(&self) -> &[RouteStage] {
+        &self.stages
+    }
+
+    /// Returns the spans in order.
+    pub fn spans(&self) -> impl Iterator<Item = LayerSpan> + '_ {
+        self.stages.iter().map(|stage| stage.span)
+    }
+
+    /// Says whether the route passes through `endpoint`.
+    #[must_use]
+    pub fn visits(&self, endpoint: &EndpointId) -> bool {
+        self.stages.iter().any(|stage| &stage.endpoint == endpoint)
+    }
+}
+
+impl TryFrom<RouteDraft> for StageRoute {
+    type Error = RouteError;
+
+    fn try_from(draft: RouteDraft) -> Result<Self, RouteError> {
+        let mut expected = 0;
+        for (index, stage) in draft.stages.iter().enumerate() {
+            let found = stage.span.start();
+            if found != expected {
+                return Err(RouteError::Broken { stage: index, expected, found });
+            }
+            expected = stage.span.end();
+        }
+        if expected != draft.layers || draft.layers == 0 {
+            return Err(RouteError::Incomplete { expected: draft.layers, found: expected });
+        }
+        Ok(Self { model: draft.model, layers: draft.layers, stages: draft.stages })
+    }
+}
+
+impl fmt::Display for RouteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RouteError::Broken { stage, expected, found } => {
+                write!(f, "stage {stage} starts at layer {found}, expected {expected}")
+            }
+            RouteError::Incomplete { expected, found } => {
+                write!(f, "the stages end at layer {found} of {expected}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RouteError {}
--- /dev/null
+++ b/crates/cassiafield-core/src/request/stream_recovery.rs
@@ -0,0 +1,71 @@
+use {
+    crate::ids::{EndpointId, Moment},
+    std::time::Duration,
+};
+
+/// Attempts at one stream, the first included.
+pub(super) const MAX_ATTEMPTS: u32 = 4;
+
+/// What to do after a stream's attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecoveryStep {
+    /// Open the next attempt after this pause, from the last delivered position.
+    Resume(Duration),
+    /// Answer the caller now: no attempt or no time is left.
+    GiveUp,
+}
+
+/// Decides whether and when a failed stream is resumed, and which endpoints it avoids.
+#[derive(Clone, Debug)]
+pub struct StreamRecovery {
+    deadline: Moment,
+    failures: u32,
+    avoided: Vec<EndpointId>,
+}
+
+impl StreamRecovery {
+    const BASE_PAUSE: Duration = Duration::from_millis(10);
+    const MAX_PAUSE: Duration = Duration::from_millis(200);
+
+    /// Creates the recovery of a stream that must end by `deadline`.
+    #[must_use]
+    pub const fn new(deadline: Moment) -> Self {
+        Self { deadline, failures: 0, avoided: Vec::new() }
+    }
+
+    /// Returns the endpoints that failed this stream.
+    #[must_use]
+    pub fn avoided(&self) -> &[EndpointId] {
+        &self.avoided
+    }
+
+    /// Returns the number of failed attempts.
+    #[must_use]
+    pub const fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Records a failed attempt.
+    ///
+    /// `culprit` is avoided from now on; `permitted` is the retry budget's word; `jitter` is a
+    /// random number in `0.0..1.0` that spreads the pause over its whole range.
+    pub fn fail(
+        &mut self,
+        now: Moment,
+        culprit: Option<EndpointId>,
+        permitted: bool,
+        jitter: f64,
+    ) -> RecoveryStep {
+        self.failures += 1;
+        self.avoided.extend(culprit);
+        if !permitted || self.failures >= MAX_ATTEMPTS {
+            return RecoveryStep::GiveUp;
+        }
+        let ceiling = (Self::BASE_PAUSE * 2u32.pow(self.failures - 1)).min(Self::MAX_PAUSE);
+        let pause = ceiling.mul_f64(jitter.clamp(0.0, 1.0));
+        if now + pause >= self.deadline {
+            return RecoveryStep::GiveUp;
+        }
+        RecoveryStep::Resume(pause)
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/src/version/fleet_lists.rs
@@ -0,0 +1,249 @@
+use {
+    crate::{
+        ids::{OrganisationId, PlanId},
+        version::{EditOutcome, LimitError, ListChange, ListEdit, PlanLimits, ZoneShare},
+    },
+    compact_str::CompactString,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        fmt,
+    },
+};
+
+/// Number of edits remembered inside the lists.
+pub const EDIT_RING: usize = 128;
+
+/// An organisation: the plan it holds and the hashes of its keys.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationEntry {
+    /// The plan that the organisation holds.
+    pub plan: PlanId,
+    /// SHA-256 hashes of its bearer keys, in lower-case hexadecimal.
+    pub key_hashes: Vec<CompactString>,
+    /// Number of edits that this entry has seen.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// A plan: what it may use.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanEntry {
+    /// The plan's limits.
+    pub limits: PlanLimits,
+    /// Number of edits that this entry has seen.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// A remembered edit.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EditStamp {
+    /// The edit's unique id.
+    pub id: u128,
+    /// Who made the edit.
+    pub author: CompactString,
+    /// What the edit did.
+    pub summary: CompactString,
+}
+
+/// The operators' two lists, kept together so that they are always consistent.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetLists {
+    /// Planned hosts of each availability zone.
+    #[serde(default)]
+    pub zones: Vec<ZoneShare>,
+    /// First list: the organisations and the plans they hold.
+    #[serde(default)]
+    pub organisations: BTreeMap<OrganisationId, OrganisationEntry>,
+    /// Second list: the plans and what each may use.
+    #[serde(default)]
+    pub plans: BTreeMap<PlanId, PlanEntry>,
+    /// The last edits, oldest first.
+    #[serde(default)]
+    pub edits: VecDeque<EditStamp>,
+}
+
+/// Why an edit was refused.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListError {
+    /// Someone else changed the entry since the editor read it.
+    Stale {
+        /// The entry.
+        name: CompactString,
+        /// Version that the editor read.
+        base: u64,
+        /// Version that the entry has.
+        found: u64,
+        /// Who made the last remembered edit to it.
+        author: Option<CompactString>,
+    },
+    /// The plan is still held by this organisation.
+    PlanInUse(PlanId, OrganisationId),
+    /// The organisation names a plan that is not in the list.
+    UnknownPlan(OrganisationId, PlanId),
+    /// There is no such entry.
+    UnknownEntry(CompactString),
+    /// Two organisations have the same key.
+    SharedKey(OrganisationId, OrganisationId),
+    /// A limit is out of range.
+    Limit(PlanId, LimitError),
+}
+
+impl fmt::Display for ListError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ListError::Stale { name, base, found, author } => {
+                write!(f, "{name} was changed")?;
+                if let Some(author) = author {
+                    write!(f, " by {author}")?;
+                }
+                write!(f, " since you read it (version {base}, now {found})")
+            }
+            ListError::PlanInUse(plan, holder) => {
+                write!(f, "plan {plan} is still held by organisation {holder}")
+            }
+            ListError::UnknownPlan(holder, plan) => {
+                write!(f, "organisation {holder} names plan {plan}, which does not exist")
+            }
+            ListError::UnknownEntry(name) => write!(f, "{name} does not exist"),
+            ListError::SharedKey(one, other) => {
+                write!(f, "organisations {one} and {other} have the same key")
+            }
+            ListError::Limit(plan, error) => write!(f, "plan {plan}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ListError {}
+
+impl FleetLists {
+    /// Applies an edit to these lists.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an edit that is stale or would leave the lists inconsistent.
+    pub fn apply(&self, edit: &ListEdit) -> Result<EditOutcome, ListError> {
+        if self.edits.iter().any(|stamp| stamp.id == edit.id) {
+            return Ok(EditOutcome::AlreadyApplied);
+        }
+        let mut lists = self.clone();
+        lists.change(&edit.change)?;
+        lists.check()?;
+        lists.remember(edit);
+        Ok(EditOutcome::Applied(Box::new(lists)))
+    }
+
+    /// Returns the limits of an organisation's plan.
+    #[must_use]
+    pub fn limits_of(&self, organisation: &OrganisationId) -> Option<&PlanLimits> {
+        let entry = self.organisations.get(organisation)?;
+        self.plans.get(&entry.plan).map(|plan| &plan.limits)
+    }
+
+    /// Returns the organisation whose key has this hash.
+    #[must_use]
+    pub fn holder_of(&self, key_hash: &str) -> Option<&OrganisationId> {
+        let mut entries = self.organisations.iter();
+        entries
+            .find(|(_, entry)| entry.key_hashes.iter().any(|hash| hash == key_hash))
+            .map(|(organisation, _)| organisation)
+    }
+
+    fn change(&mut self, change: &ListChange) -> Result<(), ListError> {
+        match change {
+            ListChange::SetPlan { plan, limits, base } => {
+                let found = self.plans.get(plan).map_or(0, |entry| entry.version);
+                self.check_base(plan.as_str(), *base, found)?;
+                let entry = PlanEntry { limits: limits.clone(), version: found + 1 };
+                self.plans.insert(plan.clone(), entry);
+            }
+            ListChange::RemovePlan { plan, base } => {
+                let entry = self.plans.get(plan);
+                let found = entry.ok_or(ListError::UnknownEntry(plan.as_str().into()))?.version;
+                self.check_base(plan.as_str(), *base, found)?;
+                self.check_unused(plan)?;
+                self.plans.remove(plan);
+            }
+            ListChange::SetOrganisation { organisation, plan, key_hashes, base } => {
+                let found = self.organisations.get(organisation).map_or(0, |entry| entry.version);
+                self.check_base(organisation.as_str(), *base, found)?;
+                let entry = OrganisationEntry {
+                    plan: plan.clone(),
+                    key_hashes: key_hashes.clone(),
+                    version: found + 1,
+                };
+                self.organisations.insert(organisation.clone(), entry);
+            }
+            ListChange::RemoveOrganisation { organisation, base } => {
+                let entry = self.organisations.get(organisation);
+                let name = CompactString::from(organisation.as_str());
+                let found = entry.ok_or(ListError::UnknownEntry(name))?.version;
+                self.check_base(organisation.as_str(), *base, found)?;
+                self.organisations.remove(organisation);
+            }
+            ListChange::SetZones(zones) => self.zones.clone_from(zones),
+        }
+        Ok(())
+    }
+
+    fn check_base(&self, name: &str, base: Option<u64>, found: u64) -> Result<(), ListError> {
+        match base {
+            Some(base) if base != found => {
+                let stamp = self.edits.iter().rev().find(|stamp| stamp.touches(name));
+                let author = stamp.map(|stamp| stamp.author.clone());
+                Err(ListError::Stale { name: name.into(), base, found, author })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_unused(&self, plan: &PlanId) -> Result<(), ListError> {
+        let mut entries = self.organisations.iter();
+        match entries.find(|(_, entry)| &entry.plan == plan) {
+            Some((holder, _)) => Err(ListError::PlanInUse(plan.clone(), holder.clone())),
+            None => Ok(()),
+        }
+    }
+
+    fn check(&self) -> Result<(), ListError> {
+        let mut holders = BTreeMap::new();
+        for (organisation, entry) in &self.organisations {
+            if !self.plans.contains_key(&entry.plan) {
+                return Err(ListError::UnknownPlan(organisation.clone(), entry.plan.clone()));
+            }
+            for hash in &entry.key_hashes {
+                match holders.insert(hash, organisation) {
+                    Some(other) if other != organisation => {
+                        return Err(ListError::SharedKey(other.clone(), organisation.clone()));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn remember(&mut self, edit: &ListEdit) {
+        while self.edits.len() >= EDIT_RING {
+            self.edits.pop_front();
+        }
+        self.edits.push_back(EditStamp {
+            id: edit.id,
+            author: edit.author.clone(),
+            summary: edit.change.summary(),
+        });
+    }
+}
+
+impl EditStamp {
+    fn touches(&self, name: &str) -> bool {
+        self.summary.split(' ').any(|word| word == name)
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-entry.rs
@@ -0,0 +1,85 @@
+//! Runs an entry host.
+
+use {
+    anyhow::Context as _,
+    cassiafield::{
+        connection::{EtcdStore, HttpEngineClient, HttpHostList, HttpServiceClient},
+        process::{start_log, EntryBorders, EntryServer, EntrySettings},
+    },
+    getopts::Options,
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{env, fs, process::ExitCode, sync::Arc},
+};
+
+/// Exit code of a fault in the settings or the command line.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file (INI)", "FILE");
+    options.optflag("", "check", "check the settings and exit: 0 in order, 2 with faults");
+    options.optflag("", "print-defaults", "print the default settings and exit");
+    options.optflag("h", "help", "print this help");
+    let matches = match options.parse(env::args().skip(1)) {
+        Ok(matches) if matches.free.is_empty() => matches,
+        Ok(matches) => return usage(&format!("unexpected argument {:?}", matches.free[0])),
+        Err(error) => return usage(&error.to_string()),
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage("Usage: cassiafield-entry --settings FILE [--check]"));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("print-defaults") {
+        print!("{}", EntrySettings::defaults());
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = matches.opt_str("settings") else { return usage("--settings is missing") };
+    let settings = match read_settings(&file) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if matches.opt_present("check") {
+        println!("{file}: in order");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cassiafield-entry: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage(fault: &str) -> ExitCode {
+    eprintln!("cassiafield-entry: {fault}; see --help");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn read_settings(file: &str) -> Result<EntrySettings, ExitCode> {
+    let text = fs::read_to_string(file).map_err(|error| usage(&format!("{file}: {error}")))?;
+    EntrySettings::parse(file, &text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{fault}");
+        }
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    start_log(settings.log_format, settings.log_level);
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("cannot catch signals")?;
+    let borders = EntryBorders {
+        store: Arc::new(EtcdStore::new(settings.store_url.clone())),
+        host_list: Arc::new(HttpHostList::new(settings.hosts_url.clone())),
+        engines: Arc::new(HttpEngineClient::new()),
+        services: Arc::new(HttpServiceClient),
+    };
+    let server = EntryServer::start(settings, borders)?;
+    signals.forever().next();
+    server.close();
+    Ok(())
+}
--- /dev/null
+++ b/crates/cassiafield-standin/src/local_fleet.rs
@@ -0,0 +1,259 @@
+use {
+    crate::{EngineSpec, EngineStandin, PlatformStandin, ServiceSpec, ServiceStandin},
+    cassiafield::{
+        connection::{EntryRecord, EtcdStore, HttpEngineClient, HttpHostList, HttpServiceClient},
+        process::{EntryBorders, EntryServer, EntrySettings},
+        request::hash_key,
+        version::ListEditor,
+    },
+    cassiafield_core::{
+        ids::{EndpointId, ModelId, ServiceId},
+        process::{EndpointRecord, EndpointRole, EndpointState},
+        request::LayerSpan,
+        version::{ListChange, ListEdit, PlanDraft, PlanLimits, ZoneShare},
+    },
+    compact_str::CompactString,
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// What a local fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Replicas of each stage.
+    pub replicas: u16,
+    /// Stages of the model.
+    pub stages: u16,
+    /// Entry hosts.
+    pub entries: u16,
+    /// Address for callers of the first entry host; the others take free ports.
+    pub listen: String,
+    /// Time that a stage takes for a token.
+    pub token_time: Duration,
+    /// Requests that an engine runs at the same time.
+    pub slots: u32,
+    /// Organisations with the SHA-256 hashes of their keys.
+    pub organisations: Vec<(CompactString, CompactString)>,
+    /// The limits of the plan that all of them hold.
+    pub limits: PlanDraft,
+}
+
+impl FleetPlan {
+    /// Layers that each stage runs.
+    pub const LAYERS_PER_STAGE: u16 = 8;
+    /// The key of the organisation `demo`.
+    pub const DEMO_KEY: &'static str = "demo-key";
+
+    /// Returns the plan of a newcomer's first fleet.
+    ///
+    /// # Errors
+    ///
+    /// Never fails; the names are valid.
+    pub fn demo() -> anyhow::Result<Self> {
+        let model: ModelId = "demo-model".parse()?;
+        let service: ServiceId = "permits".parse()?;
+        Ok(Self {
+            replicas: 2,
+            stages: 2,
+            entries: 1,
+            listen: "127.0.0.1:8080".into(),
+            token_time: Duration::from_millis(10),
+            slots: 16,
+            organisations: vec![("demo".into(), hash_key(Self::DEMO_KEY).into())],
+            limits: PlanDraft {
+                request_rate: 100.0,
+                request_burst: 100.0,
+                token_rate: 10_000.0,
+                token_burst: 10_000.0,
+                concurrent: 64,
+                max_tokens: 1_024,
+                weight: 1,
+                models: [model].into(),
+                services: [service].into(),
+            },
+        })
+    }
+}
+
+/// A platform, engines, a service and entry hosts in one process.
+pub struct LocalFleet {
+    platform: PlatformStandin,
+    engines: Vec<EngineStandin>,
+    service: ServiceStandin,
+    entries: Vec<EntryServer>,
+}
+
+impl LocalFleet {
+    const READY_PATIENCE: Duration = Duration::from_secs(10);
+    const FREE_PORT: &'static str = "127.0.0.1:0";
+
+    /// Starts everything and waits until the entry hosts are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns what could not be started.
+    pub fn start(plan: &FleetPlan) -> anyhow::Result<Self> {
+        let platform = PlatformStandin::start(Self::FREE_PORT)?;
+        let base = format!("http://{}", platform.address());
+        write_lists(&base, plan)?;
+        let engines = start_engines(plan)?;
+        for engine in &engines {
+            platform.register(engine.record().clone());
+        }
+        let service = start_service(&base)?;
+        platform.register(service.record().clone());
+        let mut entries = Vec::new();
+        for index in 0..plan.entries {
+            let listen = if index == 0 { plan.listen.as_str() } else { Self::FREE_PORT };
+            let entry = start_entry(index, listen, &base)?;
+            platform.register_entry(EntryRecord {
+                host: format!("entry-{}", index + 1).parse()?,
+                address: entry.peer_address().to_string().into(),
+                zone: "zone-a".parse()?,
+            });
+            entries.push(entry);
+        }
+        let fleet = Self { platform, engines, service, entries };
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// Returns the platform.
+    #[must_use]
+    pub const fn platform(&self) -> &PlatformStandin {
+        &self.platform
+    }
+
+    /// Returns the engines, stage by stage.
+    #[must_use]
+    pub fn engines(&self) -> &[EngineStandin] {
+        &self.engines
+    }
+
+    /// Returns the entry hosts.
+    #[must_use]
+    pub fn entries(&self) -> &[EntryServer] {
+        &self.entries
+    }
+
+    /// Returns the entry hosts' addresses for callers.
+    #[must_use]
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryServer::caller_address).collect()
+    }
+
+    /// Stops everything in order.
+    pub fn close(self) {
+        for entry in self.entries {
+            entry.close();
+        }
+        for engine in self.engines {
+            engine.close();
+        }
+        self.service.close();
+        self.platform.close();
+    }
+
+    fn wait_ready(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + Self::READY_PATIENCE;
+        for entry in &self.entries {
+            while let Err(reason) = entry.host().readiness() {
+                anyhow::ensure!(Instant::now() < deadline, "{reason}");
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_lists(base: &str, plan: &FleetPlan) -> anyhow::Result<()> {
+    let editor = ListEditor::new(Arc::new(EtcdStore::new(base)));
+    let zone = ZoneShare { zone: "zone-a".parse()?, hosts: plan.entries, weight: 1 };
+    let limits = PlanLimits::try_from(plan.limits.clone())?;
+    let mut changes = vec![
+        ListChange::SetZones(vec![zone]),
+        ListChange::SetPlan { plan: "standard".parse()?, limits, base: None },
+    ];
+    for (organisation, hash) in &plan.organisations {
+        changes.push(ListChange::SetOrganisation {
+            organisation: organisation.parse()?,
+            plan: "standard".parse()?,
+            key_hashes: vec![hash.clone()],
+            base: None,
+        });
+    }
+    for change in changes {
+        editor.submit(&ListEdit { id: fastrand::u128(..), author: "local".into(), change })?;
+    }
+    Ok(())
+}
+
+fn start_engines(plan: &FleetPlan) -> anyhow::Result<Vec<EngineStandin>> {
+    let mut engines = Vec::new();
+    for stage in 0..plan.stages {
+        for replica in 0..plan.replicas {
+            let record = stage_record(plan, stage, replica)?;
+            let spec =
+                EngineSpec { record, token_time: plan.token_time, prompt_time: Duration::ZERO };
+            engines.push(EngineStandin::start(LocalFleet::FREE_PORT, spec)?);
+        }
+    }
+    Ok(engines)
+}
+
+fn stage_record(plan: &FleetPlan, stage: u16, replica: u16) -> anyhow::Result<EndpointRecord> {
+    let start = stage * FleetPlan::LAYERS_PER_STAGE;
+    let endpoint: EndpointId = format!("engine-{}-{}", stage + 1, replica + 1).parse()?;
+    Ok(EndpointRecord {
+        endpoint,
+        address: CompactString::default(),
+        zone: "zone-a".parse()?,
+        role: EndpointRole::Stage {
+            model: "demo-model".parse()?,
+            layers: plan.stages * FleetPlan::LAYERS_PER_STAGE,
+            span: LayerSpan::try_from((start, start + FleetPlan::LAYERS_PER_STAGE))?,
+            accelerator: "toy".parse()?,
+        },
+        state: EndpointState::Live,
+        slots: plan.slots,
+        link_micros: 100,
+    })
+}
+
+fn start_service(base: &str) -> anyhow::Result<ServiceStandin> {
+    let record = EndpointRecord {
+        endpoint: "permits-1".parse()?,
+        address: CompactString::default(),
+        zone: "zone-a".parse()?,
+        role: EndpointRole::Service { service: "permits".parse()? },
+        state: EndpointState::Live,
+        slots: 64,
+        link_micros: 100,
+    };
+    let platform = base.to_owned();
+    let spec = ServiceSpec { record, before: Duration::ZERO, after: Duration::ZERO, platform };
+    ServiceStandin::start(LocalFleet::FREE_PORT, spec)
+}
+
+fn start_entry(index: u16, listen: &str, base: &str) -> anyhow::Result<EntryServer> {
+    let text = format!(
+        "[host]\nid = entry-{}\n[platform]\nstore_url = {base}\nhosts_url = {base}/v1/hosts\n\
+         [stop]\nnotice_ms = 0\n",
+        index + 1
+    );
+    let settings = EntrySettings::parse("local fleet", &text)
+        .map_err(|faults| anyhow::anyhow!("{}", faults[0]))?;
+    let borders = EntryBorders {
+        store: Arc::new(EtcdStore::new(base)),
+        host_list: Arc::new(HttpHostList::new(format!("{base}/v1/hosts"))),
+        engines: Arc::new(HttpEngineClient::new()),
+        services: Arc::new(HttpServiceClient),
+    };
+    let callers = TcpListener::bind(listen)?;
+    let peers = TcpListener::bind(LocalFleet::FREE_PORT)?;
+    EntryServer::start_on(settings, borders, callers, peers)
+}
--- /dev/null
+++ b/crates/cassiafield-standin/src/memory_store.rs
@@ -0,0 +1,298 @@
+use {
+    cassiafield::connection::{
+        LeaseId, PlatformStore, StoreEntry, StoreError, StoreSwap, SwapResult,
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Condvar, Mutex, MutexGuard, PoisonError},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Failures of the store, on demand.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct StoreFaults {
+    /// Whether no call is answered.
+    pub outage: bool,
+    /// Part of the calls that take effect and whose answer is lost.
+    pub lose_answers: f64,
+    /// Part of the calls that are lost before they take effect.
+    pub lose_calls: f64,
+    /// Time that each call takes, in milliseconds.
+    pub slow_ms: u64,
+}
+
+/// Calls that the store has taken.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct CallCounts {
+    /// Reads of keys and leases.
+    pub reads: u64,
+    /// Swaps, and grants, renewals and ends of leases.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+/// The platform's key-value service in memory, with revisions, leases, watches and failures.
+#[derive(Default)]
+pub struct MemoryStore {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+struct StoreState {
+    origin: Instant,
+    skipped: Duration,
+    revision: u64,
+    next_lease: i64,
+    entries: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<LeaseId, StoredLease>,
+    faults: StoreFaults,
+    counts: CallCounts,
+    random: fastrand::Rng,
+}
+
+#[derive(Clone)]
+struct StoredValue {
+    entry: StoreEntry,
+    lease: Option<LeaseId>,
+}
+
+struct StoredLease {
+    ttl: Duration,
+    ends: Duration,
+}
+
+impl Default for StoreState {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+            skipped: Duration::ZERO,
+            revision: 0,
+            next_lease: 0,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            faults: StoreFaults::default(),
+            counts: CallCounts::default(),
+            random: fastrand::Rng::new(),
+        }
+    }
+}
+
+/// What a call counts as.
+#[derive(Clone, Copy)]
+enum CallKind {
+    Read,
+    Write,
+    Watch,
+}
+
+impl MemoryStore {
+    /// Largest value, in bytes.
+    pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Seeds the failures.
+    #[must_use]
+    pub fn seed(self, seed: u64) -> Self {
+        self.lock().random = fastrand::Rng::with_seed(seed);
+        self
+    }
+
+    /// Sets the failures.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().faults = faults;
+        self.changed.notify_all();
+    }
+
+    /// Returns the calls taken so far.
+    pub fn counts(&self) -> CallCounts {
+        self.lock().counts
+    }
+
+    /// Lets time pass for leases.
+    pub fn advance(&self, time: Duration) {
+        self.lock().skipped += time;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes one call through the failures.
+    fn call<T>(
+        &self,
+        kind: CallKind,
+        work: impl FnOnce(&mut StoreState) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let slow = self.lock().faults.slow_ms;
+        if slow > 0 {
+            thread::sleep(Duration::from_millis(slow));
+        }
+        let mut state = self.lock();
+        state.count(kind);
+        if state.faults.outage {
+            return Err(StoreError::Unknown("outage".into()));
+        }
+        if state.random.f64() < state.faults.lose_calls {
+            return Err(StoreError::Unknown("the call was lost".into()));
+        }
+        state.end_leases();
+        let result = work(&mut state);
+        let lost = state.random.f64() < state.faults.lose_answers;
+        drop(state);
+        self.changed.notify_all();
+        if lost {
+            return Err(StoreError::Unknown("the answer was lost".into()));
+        }
+        result
+    }
+}
+
+impl StoreState {
+    fn now(&self) -> Duration {
+        self.origin.elapsed() + self.skipped
+    }
+
+    fn count(&mut self, kind: CallKind) {
+        match kind {
+            CallKind::Read => self.counts.reads += 1,
+            CallKind::Write => self.counts.writes += 1,
+            CallKind::Watch => self.counts.watches += 1,
+        }
+    }
+
+    fn end_leases(&mut self) {
+        let now = self.now();
+        let ended: Vec<LeaseId> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let before = self.entries.len();
+        self.entries.retain(|_, value| value.lease != Some(lease));
+        if self.entries.len() < before {
+            self.revision += 1;
+        }
+    }
+
+    fn swap(&mut self, swap: &StoreSwap) -> Result<SwapResult, StoreError> {
+        if swap.value.as_ref().is_some_and(|value| value.len() > MemoryStore::MAX_VALUE_BYTES) {
+            return Err(StoreError::Refused("the value is too large".into()));
+        }
+        if swap.lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(StoreError::Refused("no such lease".into()));
+        }
+        let found = self.entries.get(&swap.key).map(|value| value.entry.revision);
+        if found != swap.expected {
+            return Ok(SwapResult::Lost);
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        match &swap.value {
+            Some(value) => {
+                let entry = StoreEntry { revision, value: value.clone() };
+                self.entries.insert(swap.key.clone(), StoredValue { entry, lease: swap.lease });
+            }
+            None => {
+                self.entries.remove(&swap.key);
+            }
+        }
+        Ok(SwapResult::Won(revision))
+    }
+}
+
+impl PlatformStore for MemoryStore {
+    fn read(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.call(CallKind::Read, |state| {
+            Ok(state.entries.get(key).map(|value| value.entry.clone()))
+        })
+    }
+
+    fn read_newer(&self, key: &str, than: u64) -> Result<Option<StoreEntry>, StoreError> {
+        self.call(CallKind::Read, |state| {
+            let found = state.entries.get(key).map(|value| value.entry.clone());
+            Ok(found.filter(|entry| entry.revision > than))
+        })
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoreEntry)>, StoreError> {
+        self.call(CallKind::Read, |state| {
+            let found = state.entries.range(prefix.to_owned()..);
+            let found = found.take_while(|(key, _)| key.starts_with(prefix));
+            Ok(found.map(|(key, value)| (key.clone(), value.entry.clone())).collect())
+        })
+    }
+
+    fn swap(&self, swap: &StoreSwap) -> Result<SwapResult, StoreError> {
+        self.call(CallKind::Write, |state| state.swap(swap))
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.call(CallKind::Write, |state| {
+            state.next_lease += 1;
+            let lease = LeaseId(state.next_lease);
+            let ends = state.now() + ttl;
+            state.leases.insert(lease, StoredLease { ttl, ends });
+            Ok(lease)
+        })
+    }
+
+    fn keep_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.call(CallKind::Write, |state| {
+            let now = state.now();
+            let found = state.leases.get_mut(&lease);
+            Ok(found.map(|lease| lease.ends = now + lease.ttl).is_some())
+        })
+    }
+
+    fn lease_exists(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.call(CallKind::Read, |state| Ok(state.leases.contains_key(&lease)))
+    }
+
+    fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.call(CallKind::Write, |state| {
+            state.end_lease(lease);
+            Ok(())
+        })
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        from: u64,
+        patience: Duration,
+    ) -> Result<Option<StoreEntry>, StoreError> {
+        let deadline = Instant::now() + patience;
+        self.call(CallKind::Watch, |_| Ok(()))?;
+        let mut state = self.lock();
+        loop {
+            if state.faults.outage {
+                return Err(StoreError::Unknown("outage".into()));
+            }
+            let found = state.entries.get(key).map(|value| value.entry.clone());
+            if let Some(entry) = found.filter(|entry| entry.revision >= from) {
+                return Ok(Some(entry));
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(None);
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-standin/src/standin_http.rs
@@ -0,0 +1,47 @@
+use {
+    anyhow::Context as _,
+    cassiafield::connection::{HttpListener, ListenerLimits, RequestHandler},
+    serde::de::DeserializeOwned,
+    serde_json::Value,
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+    },
+    tiny_http::{Header, Request, Response},
+};
+
+/// Requests that a stand-in answers at the same time.
+const MAX_REQUESTS: usize = 4_096;
+
+/// Binds `address` and serves it; returns the listener and its address.
+pub(crate) fn serve(
+    address: &str,
+    handler: Arc<dyn RequestHandler>,
+) -> anyhow::Result<(HttpListener, SocketAddr)> {
+    let socket = TcpListener::bind(address).with_context(|| format!("cannot bind {address}"))?;
+    let limits = ListenerLimits { requests: MAX_REQUESTS };
+    let listener = HttpListener::open(socket, limits, handler)?;
+    let bound = listener.address()?;
+    Ok((listener, bound))
+}
+
+/// Reads a request's whole body.
+pub(crate) fn read_body(http: &mut Request) -> Vec<u8> {
+    let mut body = Vec::new();
+    let _ = http.as_reader().read_to_end(&mut body);
+    body
+}
+
+/// Reads a request's body as JSON.
+pub(crate) fn read_json<T: DeserializeOwned>(http: &mut Request) -> anyhow::Result<T> {
+    Ok(serde_json::from_slice(&read_body(http))?)
+}
+
+/// Answers with JSON.
+pub(crate) fn reply_json(http: Request, status: u16, body: &Value) {
+    let mut response = Response::from_string(body.to_string()).with_status_code(status);
+    if let Ok(header) = Header::from_bytes("Content-Type", "application/json") {
+        response.add_header(header);
+    }
+    let _ = http.respond(response);
+}
--- /dev/null
+++ b/crates/cassiafield-standin/src/toy_model.rs
@@ -0,0 +1,73 @@
+use compact_str::{format_compact, CompactString};
+
+/// A model whose every token depends on each layer having run once, in order.
+///
+/// ```
+/// use cassiafield_standin::ToyModel;
+/// let model = ToyModel::new(8);
+/// let answer = model.answer("moss", 5);
+/// assert_eq!(answer, model.answer("moss", 5));
+/// assert_ne!(answer, model.answer("clover", 5));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ToyModel {
+    layers: u16,
+}
+
+impl ToyModel {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    /// One token in this many ends the answer.
+    const STOP_MODULUS: u64 = 509;
+    const WORDS: u64 = 4_096;
+
+    /// Creates a model of `layers` layers.
+    #[must_use]
+    pub const fn new(layers: u16) -> Self {
+        Self { layers }
+    }
+
+    /// Returns what goes into the first layer for the token at `position`.
+    #[must_use]
+    pub fn seed(prompt: &str, previous: Option<&str>, position: u32) -> u64 {
+        let hash = |text: &str| {
+            text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+                (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+            })
+        };
+        hash(prompt) ^ hash(previous.unwrap_or("")).rotate_left(17) ^ u64::from(position)
+    }
+
+    /// Runs one layer.
+    #[must_use]
+    pub const fn run_layer(value: u64, layer: u16) -> u64 {
+        (value.rotate_left(7) ^ (layer as u64 + 1)).wrapping_mul(Self::MULTIPLIER)
+    }
+
+    /// Runs layers `start..end`.
+    #[must_use]
+    pub fn run_layers(value: u64, start: u16, end: u16) -> u64 {
+        (start..end).fold(value, Self::run_layer)
+    }
+
+    /// Returns the token of what came out of the last layer; `None` ends the answer.
+    #[must_use]
+    pub fn token(value: u64) -> Option<CompactString> {
+        let mixed = value ^ (value >> 31);
+        (!mixed.is_multiple_of(Self::STOP_MODULUS))
+            .then(|| format_compact!("w{} ", mixed % Self::WORDS))
+    }
+
+    /// Returns the right answer to a prompt, of at most `max_tokens` tokens.
+    #[must_use]
+    pub fn answer(&self, prompt: &str, max_tokens: u32) -> Vec<CompactString> {
+        let mut tokens: Vec<CompactString> = Vec::new();
+        for position in 0..max_tokens {
+            let seed = Self::seed(prompt, tokens.last().map(CompactString::as_str), position);
+            match Self::token(Self::run_layers(seed, 0, self.layers)) {
+                Some(token) => tokens.push(token),
+                None => break,
+            }
+        }
+        tokens
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/connection/chunked_reply.rs
@@ -0,0 +1,51 @@
+use std::io::{Result, Write};
+
+/// A response whose body is sent in chunks, each flushed as it is written.
+pub struct ChunkedReply {
+    writer: Box<dyn Write + Send>,
+    buffer: Vec<u8>,
+}
+
+impl ChunkedReply {
+    /// Writes the head of a `200 OK` response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn begin(mut writer: Box<dyn Write + Send>, content_type: &str) -> Result<Self> {
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nCache-Control: no-cache\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        )?;
+        writer.flush()?;
+        Ok(Self { writer, buffer: Vec::new() })
+    }
+
+    /// Sends one chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn send(&mut self, chunk: &[u8]) -> Result<()> {
+        if chunk.is_empty() {
+            return Ok(());
+        }
+        self.buffer.clear();
+        write!(self.buffer, "{:x}\r\n", chunk.len())?;
+        self.buffer.extend_from_slice(chunk);
+        self.buffer.extend_from_slice(b"\r\n");
+        self.writer.write_all(&self.buffer)?;
+        self.writer.flush()
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn close(mut self) -> Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/connection/http_listener.rs
@@ -0,0 +1,210 @@
+use {
+    crate::process::LogEvent,
+    socket2::{SockRef, TcpKeepalive},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+            Arc, Mutex,
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    tiny_http::{Header, Request, Response, Server},
+};
+
+/// Answers the requests of a listener; called on a thread of its own for each request.
+pub trait RequestHandler: Send + Sync {
+    /// Answers one request.
+    fn handle(&self, request: Request);
+}
+
+impl<F: Fn(Request) + Send + Sync> RequestHandler for F {
+    fn handle(&self, request: Request) {
+        self(request);
+    }
+}
+
+/// Bounds on what a listener takes at once.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Requests answered at the same time.
+    pub requests: usize,
+}
+
+/// An HTTP server that goes on after accept errors.
+///
+/// The HTTP library ends its accept loop for good at the first accept error. The listener keeps
+/// a clone of the socket and builds a new server from it, while the old one goes on serving the
+/// connections that it has.
+pub struct HttpListener {
+    shared: Arc<ListenerState>,
+}
+
+struct ListenerState {
+    socket: TcpListener,
+    handler: Arc<dyn RequestHandler>,
+    limits: ListenerLimits,
+    running: AtomicUsize,
+    closing: AtomicBool,
+    servers: Mutex<Vec<Arc<Server>>>,
+}
+
+impl HttpListener {
+    const REQUEST_STACK_BYTES: usize = 512 << 10;
+    const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+    const SERVER_RETENTION: Duration = Duration::from_secs(600);
+    const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
+    const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+    const UNSENT_TIMEOUT: Duration = Duration::from_secs(10);
+
+    /// Starts to serve `socket`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket or of starting a thread.
+    pub fn open(
+        socket: TcpListener,
+        limits: ListenerLimits,
+        handler: Arc<dyn RequestHandler>,
+    ) -> io::Result<Self> {
+        let keepalive = TcpKeepalive::new()
+            .with_time(Self::KEEPALIVE_IDLE)
+            .with_interval(Self::KEEPALIVE_INTERVAL)
+            .with_retries(3);
+        let options = SockRef::from(&socket);
+        options.set_tcp_keepalive(&keepalive)?;
+        options.set_tcp_user_timeout(Some(Self::UNSENT_TIMEOUT))?;
+        let shared = Arc::new(ListenerState {
+            socket,
+            handler,
+            limits,
+            running: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            servers: Mutex::new(Vec::new()),
+        });
+        start_server(&shared)?;
+        Ok(Self { shared })
+    }
+
+    /// Returns the address that the listener is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.shared.socket.local_addr()
+    }
+
+    /// Returns the number of requests being answered.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.shared.running.load(Ordering::SeqCst)
+    }
+
+    /// Stops accepting and waits for the running requests, for at most `patience`.
+    ///
+    /// Returns the number of requests that were still running.
+    #[must_use]
+    pub fn close(self, patience: Duration) -> usize {
+        let deadline = Instant::now() + patience;
+        while self.running() > 0 && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.shared.closing.store(true, Ordering::SeqCst);
+        for server in lock(&self.shared.servers).iter() {
+            server.unblock();
+        }
+        self.running()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn start_server(shared: &Arc<ListenerState>) -> io::Result<()> {
+    let socket = shared.socket.try_clone()?;
+    let server = Server::from_listener(socket, None).map_err(io::Error::other)?;
+    let server = Arc::new(server);
+    lock(&shared.servers).push(server.clone());
+    let shared = shared.clone();
+    thread::Builder::new().name("listener".into()).spawn(move || serve(&shared, &server))?;
+    Ok(())
+}
+
+/// Takes requests from one server; starts another one when this one can accept no more.
+fn serve(shared: &Arc<ListenerState>, server: &Arc<Server>) {
+    let mut deaf_since: Option<Instant> = None;
+    while !shared.closing.load(Ordering::SeqCst) {
+        match server.recv_timeout(Duration::from_secs(5)) {
+            Ok(Some(request)) => start_request(shared, request),
+            Ok(None) => {
+                if deaf_since.is_some_and(|at| at.elapsed() > HttpListener::SERVER_RETENTION) {
+                    break;
+                }
+            }
+            Err(_) if shared.closing.load(Ordering::SeqCst) => break,
+            Err(error) => {
+                LogEvent::AcceptFailed.log(&error);
+                deaf_since = Some(Instant::now());
+                restart_server(shared);
+            }
+        }
+    }
+    lock(&shared.servers).retain(|other| !Arc::ptr_eq(other, server));
+}
+
+fn restart_server(shared: &Arc<ListenerState>) {
+    loop {
+        thread::sleep(HttpListener::ACCEPT_PAUSE);
+        match start_server(shared) {
+            Ok(()) => return,
+            Err(error) => LogEvent::AcceptFailed.log(&error),
+        }
+    }
+}
+
+fn start_request(shared: &Arc<ListenerState>, request: Request) {
+    if shared.running.fetch_add(1, Ordering::SeqCst) >= shared.limits.requests {
+        shared.running.fetch_sub(1, Ordering::SeqCst);
+        refuse_busy(request);
+        return;
+    }
+    let state = shared.clone();
+    let thread = thread::Builder::new()
+        .name("request".into())
+        .stack_size(HttpListener::REQUEST_STACK_BYTES)
+        .spawn(move || {
+            let _running = RunningGuard(&state.running);
+            state.handler.handle(request);
+        });
+    if let Err(error) = thread {
+        shared.running.fetch_sub(1, Ordering::SeqCst);
+        LogEvent::ThreadFailed.log(&error);
+    }
+}
+
+/// Counts a request as ended also when its handler panics.
+struct RunningGuard<'a>(&'a AtomicUsize);
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn refuse_busy(request: Request) {
+    let mut response = Response::from_string(
+        r#"{"title":"overloaded","status":503,"cause":"overloaded","verdict":"not-run"}"#,
+    )
+    .with_status_code(503);
+    let headers = [("Content-Type", "application/problem+json"), ("Retry-After", "1")];
+    for (name, value) in headers {
+        if let Ok(header) = Header::from_bytes(name, value) {
+            response.add_header(header);
+        }
+    }
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/crates/cassiafield/src/connection/service_client.rs
@@ -0,0 +1,150 @@
+use {
+    cassiafield_core::request::{CallOutcome, RequestVerdict},
+    compact_str::CompactString,
+    std::{io::Read as _, time::Duration},
+    ureq::{Agent, AgentBuilder, ErrorKind},
+};
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path below the service, with the query.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl ServiceCall {
+    /// Says whether HTTP defines the method as idempotent and safe.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
+    }
+}
+
+/// The whole answer of a service.
+#[derive(Clone, Debug)]
+pub struct ServiceReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: CompactString,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl ServiceReply {
+    /// Largest body that is kept in a call's record, in bytes.
+    const MAX_RECORDED_BYTES: usize = 64 << 10;
+
+    /// Returns the answer as it is recorded.
+    #[must_use]
+    pub fn outcome(&self) -> CallOutcome {
+        let small = self.body.len() <= Self::MAX_RECORDED_BYTES;
+        CallOutcome {
+            status: self.status,
+            content_type: self.content_type.clone(),
+            body: small.then(|| self.body.clone()),
+        }
+    }
+}
+
+/// What became of a call.
+#[derive(Clone, Debug)]
+pub enum ServiceResult {
+    /// The service answered.
+    Replied(ServiceReply),
+    /// No whole answer came; the verdict says whether the call may have run.
+    Failed(RequestVerdict, String),
+}
+
+/// The plain services.
+pub trait ServiceClient: Send + Sync {
+    /// Sends a call once, on a fresh connection.
+    fn send(&self, address: &str, call: &ServiceCall, patience: Duration) -> ServiceResult;
+}
+
+/// The plain services over HTTP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpServiceClient;
+
+impl HttpServiceClient {
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+    /// Largest answer that is read, in bytes.
+    const MAX_REPLY_BYTES: u64 = 8 << 20;
+
+    /// Creates an agent without pooled connections: a pooled one may be silently dead, and the
+    /// library repeats some requests that fail on a pooled connection.
+    fn fresh_agent(patience: Duration) -> Agent {
+        AgentBuilder::new()
+            .timeout_connect(Self::CONNECT_TIMEOUT.min(patience))
+            .timeout_read(patience)
+            .timeout_write(patience)
+            .max_idle_connections(0)
+            .redirects(0)
+            .build()
+    }
+}
+
+impl ServiceClient for HttpServiceClient {
+    fn send(&self, address: &str, call: &ServiceCall, patience: Duration) -> ServiceResult {
+        let url = format!("http://{address}{}", call.path);
+        let mut request = Self::fresh_agent(patience).request(&call.method, &url);
+        if let Some(content_type) = &call.content_type {
+            request = request.set("Content-Type", content_type);
+        }
+        if let Some(key) = &call.idempotency_key {
+            request = request.set("Idempotency-Key", key);
+        }
+        let sent = if call.body.is_empty() && call.is_repeatable() {
+            request.call()
+        } else {
+            request.send_bytes(&call.body)
+        };
+        match sent {
+            Ok(response) | Err(ureq::Error::Status(_, response)) => {
+                read_reply(response, &call.method)
+            }
+            Err(ureq::Error::Transport(transport)) => {
+                ServiceResult::Failed(transport_verdict(&transport), transport.to_string())
+            }
+        }
+    }
+}
+
+/// Says whether a failed transport may have carried bytes to the endpoint.
+fn transport_verdict(transport: &ureq::Transport) -> RequestVerdict {
+    match transport.kind() {
+        ErrorKind::Dns
+        | ErrorKind::ConnectionFailed
+        | ErrorKind::InvalidUrl
+        | ErrorKind::UnknownScheme => RequestVerdict::NotRun,
+        _ => RequestVerdict::MayHaveRun,
+    }
+}
+
+fn read_reply(response: ureq::Response, method: &str) -> ServiceResult {
+    let status = response.status();
+    let content_type = CompactString::from(response.content_type());
+    let declared = response.header("Content-Length").and_then(|text| text.parse::<usize>().ok());
+    let declared = declared.filter(|_| method != "HEAD");
+    let mut body = Vec::new();
+    let mut reader = response.into_reader().take(HttpServiceClient::MAX_REPLY_BYTES + 1);
+    if let Err(error) = reader.read_to_end(&mut body) {
+        return ServiceResult::Failed(RequestVerdict::MayHaveRun, error.to_string());
+    }
+    let limit = usize::try_from(HttpServiceClient::MAX_REPLY_BYTES).unwrap_or(usize::MAX);
+    if body.len() > limit {
+        return ServiceResult::Failed(RequestVerdict::MayHaveRun, "the answer is too large".into());
+    }
+    if declared.is_some_and(|length| length != body.len()) {
+        return ServiceResult::Failed(RequestVerdict::MayHaveRun, "the answer is cut off".into());
+    }
+    ServiceResult::Replied(ServiceReply { status, content_type, body })
+}
--- /dev/null
+++ b/crates/cassiafield/src/process/allowance_gate.rs
@@ -0,0 +1,162 @@
+use {
+    crate::{
+        process::{lock, HostClock},
+        version::ListVersion,
+    },
+    cassiafield_core::{
+        ids::{HostId, Moment, OrganisationId, ZoneId},
+        process::{
+            AllowanceBook, AllowanceRefusal, LoanAnswer, LoanAsk, LoanWant, OrdinalHolder,
+            RenewalResult,
+        },
+        version::FloorFraction,
+    },
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+};
+
+/// This host's allowances behind its hold on an ordinal.
+pub struct AllowanceGate {
+    clock: HostClock,
+    zone: ZoneId,
+    state: Mutex<GateState>,
+}
+
+struct GateState {
+    book: AllowanceBook,
+    version: Arc<ListVersion>,
+    holder: Option<OrdinalHolder>,
+    spending: bool,
+    permitting: bool,
+}
+
+impl AllowanceGate {
+    /// Creates a gate without lists and without an ordinal.
+    #[must_use]
+    pub fn new(clock: HostClock, zone: ZoneId, longest_request: Duration) -> Self {
+        let book = AllowanceBook::new(fastrand::u64(..), longest_request);
+        let version = Arc::new(ListVersion::default());
+        let state = GateState { book, version, holder: None, spending: false, permitting: false };
+        Self { clock, zone, state: Mutex::new(state) }
+    }
+
+    /// Sets the lists.
+    pub fn set_lists(&self, version: Arc<ListVersion>) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.version = version;
+        state.set_floors(&self.zone, now);
+    }
+
+    /// Sets the hold on an ordinal; `None` gives the floors up.
+    pub fn set_holder(&self, holder: Option<OrdinalHolder>) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.holder = holder;
+        state.set_floors(&self.zone, now);
+    }
+
+    /// Returns the hold on an ordinal.
+    #[must_use]
+    pub fn holder(&self) -> Option<OrdinalHolder> {
+        lock(&self.state).holder
+    }
+
+    /// Takes the result of a renewal round that began at `sent`; returns whether the hold goes on.
+    pub fn renewal(&self, result: RenewalResult, sent: Moment) -> bool {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if let Some(holder) = &mut state.holder {
+            holder.renewal(result, sent);
+        }
+        state.refresh(&self.zone, now);
+        state.holder.is_some_and(|holder| !holder.is_lost())
+    }
+
+    /// Admits a request or says what is used up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the allowance that is used up and when to come back.
+    pub fn admit(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u32,
+    ) -> Result<(), AllowanceRefusal> {
+        let mut state = lock(&self.state);
+        let now = self.clock.now();
+        state.refresh(&self.zone, now);
+        state.book.admit(organisation, tokens, now)
+    }
+
+    /// Ends an admitted request, of whose tokens `unused` were not generated.
+    pub fn release(&self, organisation: &OrganisationId, unused: u32) {
+        let now = self.clock.now();
+        lock(&self.state).book.release(organisation, unused, now);
+    }
+
+    /// Returns what is missing here.
+    pub fn wants(&self) -> Vec<LoanWant> {
+        let mut state = lock(&self.state);
+        let now = self.clock.now();
+        state.refresh(&self.zone, now);
+        state.book.wants(now)
+    }
+
+    /// Builds the message to a peer and returns it with its time of sending.
+    pub fn ask(&self, peer: &HostId, wants: &[LoanWant]) -> (LoanAsk, Moment) {
+        let now = self.clock.now();
+        (lock(&self.state).book.ask(peer, wants, now), now)
+    }
+
+    /// Answers a peer's message.
+    pub fn answer(&self, peer: &HostId, ask: &LoanAsk) -> LoanAnswer {
+        let mut state = lock(&self.state);
+        let now = self.clock.now();
+        state.refresh(&self.zone, now);
+        state.book.answer(peer, ask, now)
+    }
+
+    /// Takes a peer's answer to a message that was sent at `sent`.
+    pub fn take_answer(&self, peer: &HostId, answer: &LoanAnswer, sent: Moment) {
+        let now = self.clock.now();
+        lock(&self.state).book.take_answer(peer, answer, sent, now);
+    }
+
+    /// Returns the hosts with which loans are open.
+    pub fn loan_peers(&self) -> BTreeSet<HostId> {
+        lock(&self.state).book.loan_peers()
+    }
+
+    /// Returns the time until the last loan given has ended.
+    #[must_use]
+    pub fn lent_for(&self) -> Duration {
+        let now = self.clock.now();
+        let end = lock(&self.state).book.last_lent_end();
+        end.map_or(Duration::ZERO, |end| end.since(now))
+    }
+}
+
+impl GateState {
+    fn set_floors(&mut self, zone: &ZoneId, now: Moment) {
+        let holder = self.holder.filter(|holder| holder.may_spend(now));
+        self.spending = holder.is_some();
+        self.permitting = holder.is_some_and(|holder| holder.may_permit(now));
+        let part = holder.and_then(|holder| {
+            FloorFraction::of(&self.version.lists.zones, zone, holder.ordinal())
+        });
+        self.book.set_floors(&self.version.lists, part.as_ref(), self.permitting, now);
+    }
+
+    /// Takes floors away or gives them back when the right to spend them has changed.
+    fn refresh(&mut self, zone: &ZoneId, now: Moment) {
+        let may_spend = self.holder.is_some_and(|holder| holder.may_spend(now));
+        let may_permit = self.holder.is_some_and(|holder| holder.may_permit(now));
+        if may_spend != self.spending || may_permit != self.permitting {
+            self.set_floors(zone, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/process/entry_metrics.rs
@@ -0,0 +1,152 @@
+use {
+    cassiafield_core::{
+        ids::OrganisationId,
+        process::RequestClass,
+        request::{RefusalCause, RequestVerdict},
+    },
+    prometheus::{
+        Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+        TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// The host's metrics; labels are bounded by the organisations of the lists.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    first_token: HistogramVec,
+    between_tokens: HistogramVec,
+    whole_time: HistogramVec,
+    queue_wait: HistogramVec,
+    refusals: IntCounterVec,
+    in_doubt: IntCounterVec,
+    tokens: IntCounterVec,
+    running: IntGaugeVec,
+    events: IntCounterVec,
+    endpoints: IntGaugeVec,
+}
+
+const LABELS: &[&str] = &["organisation", "class"];
+const BUCKETS: &[f64] =
+    &[0.002, 0.005, 0.01, 0.02, 0.04, 0.064, 0.1, 0.2, 0.4, 0.69, 1.0, 2.0, 5.0, 10.0, 30.0, 120.0];
+
+impl EntryMetrics {
+    /// Creates the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the metrics library.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let histogram = |name: &str, help: &str| -> prometheus::Result<HistogramVec> {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = HistogramVec::new(options, LABELS)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let counter = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<_> {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<_> {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Self {
+            first_token: histogram("cassiafield_first_token_seconds", "Time to first token")?,
+            between_tokens: histogram("cassiafield_between_tokens_seconds", "Time between tokens")?,
+            whole_time: histogram("cassiafield_request_seconds", "Time of a served request")?,
+            queue_wait: histogram("cassiafield_queue_seconds", "Time waiting for an endpoint")?,
+            refusals: counter(
+                "cassiafield_refusals_total",
+                "Refused requests",
+                &["organisation", "class", "cause"],
+            )?,
+            in_doubt: counter("cassiafield_in_doubt_total", "Refusals that may have run", LABELS)?,
+            tokens: counter("cassiafield_tokens_total", "Delivered tokens", LABELS)?,
+            running: gauge("cassiafield_running_requests", "Requests being answered", LABELS)?,
+            events: counter("cassiafield_events_total", "Internal events", &["event"])?,
+            endpoints: gauge("cassiafield_endpoints", "Endpoints by state", &["state"])?,
+            registry,
+        })
+    }
+
+    /// Records the time to the first token.
+    pub fn first_token(&self, organisation: &OrganisationId, time: Duration) {
+        let labels = [organisation.as_str(), RequestClass::Generation.name()];
+        self.first_token.with_label_values(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Records the time between two tokens.
+    pub fn between_tokens(&self, organisation: &OrganisationId, time: Duration) {
+        let labels = [organisation.as_str(), RequestClass::Generation.name()];
+        self.between_tokens.with_label_values(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Records the time that a request waited for an endpoint.
+    pub fn queue_wait(&self, organisation: &OrganisationId, time: Duration) {
+        let labels = [organisation.as_str(), RequestClass::Generation.name()];
+        self.queue_wait.with_label_values(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Records that a request began.
+    pub fn began(&self, organisation: &OrganisationId, class: RequestClass) {
+        self.running.with_label_values(&[organisation.as_str(), class.name()]).inc();
+    }
+
+    /// Records that a request ended, well or not.
+    pub fn ended(&self, organisation: &OrganisationId, class: RequestClass) {
+        self.running.with_label_values(&[organisation.as_str(), class.name()]).dec();
+    }
+
+    /// Records a whole answer.
+    pub fn served(&self, organisation: &OrganisationId, class: RequestClass, time: Duration) {
+        let labels = [organisation.as_str(), class.name()];
+        self.whole_time.with_label_values(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Records delivered tokens.
+    pub fn tokens(&self, organisation: &OrganisationId, class: RequestClass, count: u64) {
+        self.tokens.with_label_values(&[organisation.as_str(), class.name()]).inc_by(count);
+    }
+
+    /// Records a refusal.
+    pub fn refused(
+        &self,
+        organisation: &OrganisationId,
+        class: RequestClass,
+        cause: RefusalCause,
+        verdict: RequestVerdict,
+    ) {
+        let labels = [organisation.as_str(), class.name(), cause.name()];
+        self.refusals.with_label_values(&labels).inc();
+        if verdict == RequestVerdict::MayHaveRun {
+            self.in_doubt.with_label_values(&labels[..2]).inc();
+        }
+    }
+
+    /// Counts an internal event.
+    pub fn event(&self, event: &str) {
+        self.events.with_label_values(&[event]).inc();
+    }
+
+    /// Sets the number of endpoints in a state.
+    pub fn endpoints(&self, state: &str, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.endpoints.with_label_values(&[state]).set(count);
+    }
+
+    /// Returns all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the metrics library.
+    pub fn encode(&self) -> prometheus::Result<String> {
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8_lossy(&buffer).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/process/mod.rs
@@ -0,0 +1,39 @@
+//! What lives as long as the process.
+
+mod admission_gate;
+mod allowance_gate;
+mod entry_host;
+mod entry_metrics;
+mod entry_server;
+mod entry_settings;
+mod host_clock;
+mod log_event;
+mod log_setup;
+mod ordinal_keeper;
+mod peer_agent;
+mod peer_book;
+mod usage_keeper;
+
+pub use self::{
+    admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RouteHold},
+    allowance_gate::AllowanceGate,
+    entry_host::{EntryBorders, EntryHost},
+    entry_metrics::EntryMetrics,
+    entry_server::EntryServer,
+    entry_settings::{EntrySettings, LogFormat, SettingFault},
+    host_clock::HostClock,
+    log_event::{EventLevel, LogEvent},
+    log_setup::start_log,
+    usage_keeper::UsageKeeper,
+};
+
+pub(crate) use self::{
+    ordinal_keeper::OrdinalKeeper,
+    peer_agent::{PeerAgent, PeerApi},
+    peer_book::{PeerBook, PeerRecord},
+};
+
+/// Locks a mutex; a panic elsewhere does not make its data unusable.
+pub(crate) fn lock<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/cassiafield/src/process/ordinal_keeper.rs
@@ -0,0 +1,178 @@
+use {
+    crate::{
+        connection::{
+            LeaseId, LeaseRelay, PlatformStore, StoreEntry, StoreError, StoreSwap, SwapResult,
+        },
+        process::{EntryHost, LogEvent, PeerAgent},
+    },
+    cassiafield_core::{
+        ids::{HostId, Moment},
+        process::{AllowanceBook, OrdinalHolder, RenewalResult},
+    },
+    std::{sync::Arc, thread, time::Duration},
+};
+
+/// What the store says about an ordinal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum OrdinalRecord {
+    /// A host holds it under a lease.
+    Held { host: HostId, lease: LeaseId },
+    /// Its last holder handed it back, with all loans ended.
+    Free,
+}
+
+/// Takes, renews and hands back this host's ordinal in its availability zone.
+pub(crate) struct OrdinalKeeper {
+    host: Arc<EntryHost>,
+    lease: Option<LeaseId>,
+    revision: u64,
+    next_renewal: Moment,
+}
+
+impl OrdinalKeeper {
+    const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+    /// Calls made to hand an ordinal back.
+    const HAND_BACK_TRIES: u32 = 3;
+
+    pub(crate) fn new(host: Arc<EntryHost>) -> Self {
+        Self { host, lease: None, revision: 0, next_renewal: Moment::ORIGIN }
+    }
+
+    /// Takes an ordinal or renews the one that is held, if it is time.
+    pub(crate) fn round(&mut self, agent: &PeerAgent) {
+        if self.host.clock.now() < self.next_renewal {
+            return;
+        }
+        let interval = if self.lease.is_some() { self.renew(agent) } else { self.take() };
+        self.next_renewal = self.host.clock.now() + interval;
+    }
+
+    fn renew(&mut self, agent: &PeerAgent) -> Duration {
+        let Some(lease) = self.lease else { return Self::RETRY_INTERVAL };
+        let sent = self.host.clock.now();
+        let result = match self.host.store.keep_lease(lease) {
+            Ok(true) => RenewalResult::Renewed,
+            Ok(false) => RenewalResult::Gone,
+            Err(_) => agent.relay_renewal(LeaseRelay { lease }),
+        };
+        let held = self.host.allowances.renewal(result, sent);
+        if !held {
+            LogEvent::OrdinalLost.log(lease);
+            self.host.allowances.set_holder(None);
+            self.lease = None;
+            return Duration::ZERO;
+        }
+        match result {
+            RenewalResult::Renewed => OrdinalHolder::RENEWAL_INTERVAL,
+            _ => Self::RETRY_INTERVAL,
+        }
+    }
+
+    fn take(&mut self) -> Duration {
+        match self.try_take() {
+            Ok(true) => OrdinalHolder::RENEWAL_INTERVAL,
+            Ok(false) => {
+                if self.planned_hosts() > 0 {
+                    LogEvent::OrdinalMissing.log(&self.host.settings.zone);
+                }
+                Self::RETRY_INTERVAL
+            }
+            Err(error) => {
+                LogEvent::StoreUnreachable.log(error);
+                Self::RETRY_INTERVAL.mul_f64(1.0 + fastrand::f64())
+            }
+        }
+    }
+
+    fn planned_hosts(&self) -> u16 {
+        let version = self.host.lists.current();
+        let zone = &self.host.settings.zone;
+        let share = version.lists.zones.iter().find(|share| &share.zone == zone);
+        share.map_or(0, |share| share.hosts)
+    }
+
+    fn key(&self, ordinal: u16) -> String {
+        format!("cassiafield/floors/{}/{ordinal:05}", self.host.settings.zone)
+    }
+
+    fn try_take(&mut self) -> Result<bool, StoreError> {
+        let store = self.host.store.clone();
+        let prefix = format!("cassiafield/floors/{}/", self.host.settings.zone);
+        let entries = store.list(&prefix)?;
+        let planned = self.planned_hosts();
+        let start = fastrand::u16(0..planned.max(1));
+        let ordinals = (0..planned).map(|index| (start + index) % planned);
+        for ordinal in ordinals {
+            let key = self.key(ordinal);
+            let entry = entries.iter().find(|(found, _)| found == &key).map(|(_, entry)| entry);
+            let Some(clean) = takeable(store.as_ref(), entry)? else {
+                continue;
+            };
+            if self.claim(store.as_ref(), ordinal, entry, clean)? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    fn claim(
+        &mut self,
+        store: &dyn PlatformStore,
+        ordinal: u16,
+        entry: Option<&StoreEntry>,
+        clean: bool,
+    ) -> Result<bool, StoreError> {
+        let sent = self.host.clock.now();
+        let lease = store.grant_lease(OrdinalHolder::LEASE_TTL)?;
+        let record = OrdinalRecord::Held { host: self.host.settings.host.clone(), lease };
+        let value = serde_json::to_vec(&record).ok();
+        let expected = entry.map(|entry| entry.revision);
+        let swap = StoreSwap { key: self.key(ordinal), expected, value, lease: None };
+        let SwapResult::Won(revision) = store.swap(&swap)? else { return Ok(false) };
+        let now = self.host.clock.now();
+        let mut holder = OrdinalHolder::taken(ordinal, sent, now);
+        if !clean {
+            let loans = AllowanceBook::LOAN_TERM + AllowanceBook::LOAN_MARGIN;
+            holder = holder.quarantine(loans, loans + self.host.settings.request_timeout);
+        }
+        self.lease = Some(lease);
+        self.revision = revision;
+        self.host.allowances.set_holder(Some(holder));
+        LogEvent::OrdinalTaken.log(format_args!("{ordinal}, clean: {clean}"));
+        Ok(true)
+    }
+
+    /// Waits until no loan is out and hands the ordinal back, so that its next holder can spend
+    /// at once.
+    pub(crate) fn close(self) {
+        let holder = self.host.allowances.holder();
+        self.host.allowances.set_holder(None);
+        let (Some(lease), Some(holder)) = (self.lease, holder) else { return };
+        thread::sleep(self.host.allowances.lent_for());
+        let value = serde_json::to_vec(&OrdinalRecord::Free).ok();
+        let key = self.key(holder.ordinal());
+        let swap = StoreSwap { key, expected: Some(self.revision), value, lease: None };
+        for _ in 0..Self::HAND_BACK_TRIES {
+            if self.host.store.swap(&swap).is_ok() {
+                LogEvent::OrdinalHandedBack.log(holder.ordinal());
+                break;
+            }
+        }
+        let _ = self.host.store.revoke_lease(lease);
+    }
+}
+
+/// Says whether an ordinal can be taken, and whether its last holder left it in order.
+fn takeable(
+    store: &dyn PlatformStore,
+    entry: Option<&StoreEntry>,
+) -> Result<Option<bool>, StoreError> {
+    let Some(entry) = entry else { return Ok(Some(true)) };
+    match serde_json::from_slice(&entry.value) {
+        Ok(OrdinalRecord::Free) => Ok(Some(true)),
+        Ok(OrdinalRecord::Held { lease, .. }) => Ok((!store.lease_exists(lease)?).then_some(false)),
+        Err(_) => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/request/http_reply.rs
@@ -0,0 +1,47 @@
+use {
+    crate::request::RequestRefusal,
+    serde_json::Value,
+    tiny_http::{Header, Request, Response, StatusCode},
+};
+
+/// Answers a request with a whole body; a caller that is gone is no error.
+pub(crate) fn respond(
+    request: Request,
+    status: u16,
+    content_type: &str,
+    body: Vec<u8>,
+    headers: &[(&str, &str)],
+) {
+    let mut response = Response::from_data(body).with_status_code(StatusCode(status));
+    for (name, value) in
+        std::iter::once(("Content-Type", content_type)).chain(headers.iter().copied())
+    {
+        if let Ok(header) = Header::from_bytes(name, value) {
+            response.add_header(header);
+        }
+    }
+    let _ = request.respond(response);
+}
+
+/// Answers with a JSON document.
+pub(crate) fn respond_json(request: Request, status: u16, document: &Value) {
+    respond(request, status, "application/json", document.to_string().into_bytes(), &[]);
+}
+
+/// Answers with a problem document.
+pub(crate) fn respond_refusal(request: Request, refusal: &RequestRefusal) {
+    let body = refusal.document().to_string().into_bytes();
+    let verdict = refusal.verdict.to_string();
+    let retry = refusal.retry_seconds().map(|seconds| seconds.to_string());
+    let mut headers = vec![("Cassiafield-Verdict", verdict.as_str())];
+    if let Some(retry) = &retry {
+        headers.push(("Retry-After", retry));
+    }
+    respond(request, refusal.cause.status(), "application/problem+json", body, &headers);
+}
+
+/// Returns a header of a request.
+pub(crate) fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    let found = request.headers().iter().find(|header| header.field.equiv(name));
+    found.map(|header| header.value.as_str())
+}
--- /dev/null
+++ b/crates/cassiafield/src/request/request_refusal.rs
@@ -0,0 +1,73 @@
+use {
+    cassiafield_core::request::{RefusalCause, RequestVerdict},
+    serde_json::{json, Value},
+    std::time::Duration,
+};
+
+/// A refusal as the caller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestRefusal {
+    /// Why the request was refused.
+    pub cause: RefusalCause,
+    /// Whether it may have run.
+    pub verdict: RequestVerdict,
+    /// What the caller can do about it.
+    pub detail: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl RequestRefusal {
+    const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
+    /// Creates a refusal of a request that did not run.
+    pub fn not_run(cause: RefusalCause, detail: impl Into<String>) -> Self {
+        let temporary = matches!(cause.status(), 409 | 429 | 502 | 503);
+        let retry_after = temporary.then_some(Self::DEFAULT_RETRY);
+        Self { cause, verdict: RequestVerdict::NotRun, detail: detail.into(), retry_after }
+    }
+
+    /// Sets the verdict.
+    #[must_use]
+    pub const fn verdict(mut self, verdict: RequestVerdict) -> Self {
+        self.verdict = verdict;
+        self
+    }
+
+    /// Sets when to come back.
+    #[must_use]
+    pub const fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the time to come back in whole seconds, at least 1.
+    #[must_use]
+    pub fn retry_seconds(&self) -> Option<u64> {
+        let after = self.retry_after?;
+        Some((after.as_secs() + u64::from(after.subsec_nanos() > 0)).max(1))
+    }
+
+    /// Returns the problem document, with the member that model clients read as well.
+    #[must_use]
+    pub fn document(&self) -> Value {
+        let status = self.cause.status();
+        let mut document = json!({
+            "type": format!("urn:cassiafield:refusal:{}", self.cause),
+            "title": self.cause.name(),
+            "status": status,
+            "detail": self.detail,
+            "cause": self.cause.name(),
+            "verdict": self.verdict.to_string(),
+            "error": {
+                "message": self.detail,
+                "type": if status < 500 { "invalid_request_error" } else { "server_error" },
+                "code": self.cause.name(),
+            },
+        });
+        if let Some(seconds) = self.retry_seconds() {
+            document["retry_after"] = seconds.into();
+        }
+        document
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -0,0 +1,316 @@
+use {
+    crate::{
+        connection::{
+            EngineClient, EngineEvent, EngineStream, OpenFailure, StreamFailure, StreamOrder,
+        },
+        process::{lock, EntryMetrics, HostClock, LogEvent, RouteHold},
+    },
+    cassiafield_core::{
+        ids::{EndpointId, Moment, StreamId},
+        process::{EndpointTable, RetryBudget},
+        request::{
+            AnswerAssembly, FrameVerdict, RecoveryStep, RefusalCause, RequestVerdict, RouteStage,
+            StreamRecovery, TokenFrame,
+        },
+    },
+    compact_str::CompactString,
+    std::{
+        io,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+};
+
+/// One request for generated text, after admission.
+#[derive(Clone, Debug)]
+pub struct StreamJob {
+    /// The stream.
+    pub stream: StreamId,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens in the answer, at most.
+    pub max_tokens: u32,
+    /// When the request must have ended.
+    pub deadline: Moment,
+}
+
+/// Takes tokens in order.
+pub trait TokenSink {
+    /// Takes the next token.
+    ///
+    /// # Errors
+    ///
+    /// An error says that the caller is gone.
+    fn token(&mut self, text: &str) -> io::Result<()>;
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The whole answer was delivered.
+    Complete,
+    /// The caller hung up.
+    CallerGone,
+    /// The stream was given up.
+    GivenUp(RefusalCause, RequestVerdict),
+}
+
+/// Runs streams over routes and resumes them when endpoints fail.
+pub struct StreamRunner {
+    /// The clock.
+    pub clock: HostClock,
+    /// The engines.
+    pub engines: Arc<dyn EngineClient>,
+    /// The endpoints.
+    pub table: Arc<Mutex<EndpointTable>>,
+    /// Limits retries of streams that have made no progress.
+    pub retries: Arc<Mutex<RetryBudget>>,
+    /// The metrics.
+    pub metrics: EntryMetrics,
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    Complete,
+    CallerGone,
+    Busy(Option<EndpointId>),
+    Failed(Option<EndpointId>),
+}
+
+/// One stream while it runs.
+struct StreamRun<'a> {
+    runner: &'a StreamRunner,
+    job: &'a StreamJob,
+    sink: &'a mut dyn TokenSink,
+    assembly: AnswerAssembly,
+    recovery: StreamRecovery,
+    sent: bool,
+    busy: u32,
+}
+
+impl StreamRunner {
+    /// Time without a token after which an attempt counts as failed, once tokens have come.
+    const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_000);
+    /// Time until the first token of an attempt.
+    const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_millis(5_000);
+    /// Busy answers after which a request is refused.
+    const MAX_BUSY: u32 = 3;
+
+    /// Runs a stream to its end; `hold` is its route and may be exchanged for others.
+    ///
+    /// Returns the end and the number of delivered tokens.
+    pub fn run(
+        &self,
+        job: &StreamJob,
+        hold: &mut RouteHold,
+        sink: &mut dyn TokenSink,
+    ) -> (RunEnd, u32) {
+        lock(&self.retries).request();
+        let mut run = StreamRun {
+            runner: self,
+            job,
+            sink,
+            assembly: AnswerAssembly::new(job.stream),
+            recovery: StreamRecovery::new(job.deadline),
+            sent: false,
+            busy: 0,
+        };
+        let end = run.run(hold);
+        (end, run.delivered())
+    }
+
+    /// Returns the first stage that does not answer a probe, all being probed at once.
+    fn find_culprit(&self, stages: &[RouteStage]) -> Option<EndpointId> {
+        let alive: Vec<bool> = thread::scope(|scope| {
+            let probe = |stage: &RouteStage| {
+                let (engines, address) = (self.engines.clone(), stage.address.clone());
+                scope.spawn(move || engines.probe(&address))
+            };
+            let probes: Vec<_> = stages.iter().map(probe).collect();
+            probes.into_iter().map(|probe| probe.join().unwrap_or(false)).collect()
+        });
+        let dead = alive.iter().position(|alive| !alive)?;
+        Some(stages[dead].endpoint.clone())
+    }
+
+    fn note_failure(&self, culprit: Option<&EndpointId>) {
+        if let Some(endpoint) = culprit {
+            lock(&self.table).failed(endpoint, self.clock.now());
+            self.metrics.event("endpoint-failed");
+            LogEvent::EndpointFailed.log(endpoint);
+        }
+    }
+
+    /// Tells the first stage to stop, without waiting for its answer.
+    fn cancel(&self, stage: &RouteStage, stream: StreamId, attempt: u32) {
+        let (engines, address) = (self.engines.clone(), stage.address.clone());
+        let started = thread::Builder::new()
+            .name("cancel".into())
+            .spawn(move || engines.cancel(&address, stream, attempt));
+        if let Err(error) = started {
+            LogEvent::ThreadFailed.log(error);
+        }
+    }
+}
+
+impl StreamRun<'_> {
+    fn delivered(&self) -> u32 {
+        u32::try_from(self.assembly.tokens().len()).unwrap_or(u32::MAX)
+    }
+
+    fn run(&mut self, hold: &mut RouteHold) -> RunEnd {
+        loop {
+            let before = self.delivered();
+            let attempt = self.assembly.begin_attempt(hold.route());
+            let end = self.attempt(attempt, hold);
+            let culprit = match end {
+                AttemptEnd::Complete => return RunEnd::Complete,
+                AttemptEnd::CallerGone => {
+                    self.cancel_attempt(hold, attempt);
+                    LogEvent::CallerGone.log(self.job.stream);
+                    return RunEnd::CallerGone;
+                }
+                AttemptEnd::Busy(endpoint) => {
+                    self.busy += 1;
+                    if self.busy >= StreamRunner::MAX_BUSY {
+                        return self.give_up(RefusalCause::Overloaded);
+                    }
+                    if hold.reroute(endpoint.as_slice()).is_err() {
+                        return self.give_up(RefusalCause::Overloaded);
+                    }
+                    continue;
+                }
+                AttemptEnd::Failed(culprit) => culprit,
+            };
+            self.cancel_attempt(hold, attempt);
+            self.runner.note_failure(culprit.as_ref());
+            if let Some(end) = self.recover(hold, culprit, before) {
+                return end;
+            }
+        }
+    }
+
+    /// Waits and takes another route, or gives up.
+    fn recover(
+        &mut self,
+        hold: &mut RouteHold,
+        culprit: Option<EndpointId>,
+        before: u32,
+    ) -> Option<RunEnd> {
+        let progressed = self.delivered() > before;
+        let permitted = progressed || lock(&self.runner.retries).take();
+        let now = self.runner.clock.now();
+        match self.recovery.fail(now, culprit, permitted, fastrand::f64()) {
+            RecoveryStep::GiveUp => Some(self.give_up(RefusalCause::EndpointFailed)),
+            RecoveryStep::Resume(pause) => {
+                thread::sleep(pause);
+                if hold.reroute(self.recovery.avoided()).is_err() {
+                    return Some(self.give_up(RefusalCause::NoEndpoint));
+                }
+                self.runner.metrics.event("stream-resumed");
+                LogEvent::StreamResumed.log(self.job.stream);
+                None
+            }
+        }
+    }
+
+    fn give_up(&self, cause: RefusalCause) -> RunEnd {
+        LogEvent::StreamGivenUp.log(format_args!("{} {cause}", self.job.stream));
+        let verdict = if self.sent { RequestVerdict::MayHaveRun } else { RequestVerdict::NotRun };
+        RunEnd::GivenUp(cause, verdict)
+    }
+
+    fn cancel_attempt(&self, hold: &RouteHold, attempt: u32) {
+        if let Some(first) = hold.route().stages().first() {
+            self.runner.cancel(first, self.job.stream, attempt);
+        }
+    }
+
+    fn attempt(&mut self, attempt: u32, hold: &RouteHold) -> AttemptEnd {
+        let route = hold.route();
+        let order = StreamOrder {
+            stream: self.job.stream,
+            attempt,
+            model: route.model().clone(),
+            prompt: self.job.prompt.clone(),
+            generated: self.assembly.tokens().to_vec(),
+            max_tokens: self.job.max_tokens,
+            stages: route.stages().to_vec(),
+        };
+        let first = route.stages().first().map(|stage| stage.endpoint.clone());
+        match self.runner.engines.open(&order) {
+            Ok(mut stream) => {
+                self.sent = true;
+                self.follow(stream.as_mut(), route.stages())
+            }
+            Err(OpenFailure::Unreachable(_)) => AttemptEnd::Failed(first),
+            Err(OpenFailure::Busy) => {
+                self.sent = true;
+                AttemptEnd::Busy(first)
+            }
+            Err(OpenFailure::Unanswered(_) | OpenFailure::Refused(_)) => {
+                self.sent = true;
+                AttemptEnd::Failed(first)
+            }
+        }
+    }
+
+    /// Takes messages until the attempt ends.
+    fn follow(&mut self, stream: &mut dyn EngineStream, stages: &[RouteStage]) -> AttemptEnd {
+        let mut progress = self.runner.clock.now();
+        let mut patience = StreamRunner::FIRST_TOKEN_TIMEOUT;
+        loop {
+            let event = stream.next_event();
+            let now = self.runner.clock.now();
+            match event {
+                Ok(EngineEvent::Frame(frame)) => match self.take_frame(frame) {
+                    FrameStep::Next => {
+                        progress = now;
+                        patience = StreamRunner::TOKEN_TIMEOUT;
+                    }
+                    FrameStep::Ignore => {}
+                    FrameStep::End(end) => return end,
+                },
+                Ok(EngineEvent::Failed { failed }) => return AttemptEnd::Failed(Some(failed)),
+                Ok(EngineEvent::Heartbeat { .. }) => {}
+                Err(StreamFailure::Garbage) => {
+                    return AttemptEnd::Failed(stages.first().map(|stage| stage.endpoint.clone()));
+                }
+                Err(StreamFailure::Silent | StreamFailure::Closed) => {
+                    return AttemptEnd::Failed(self.runner.find_culprit(stages));
+                }
+            }
+            if now.since(progress) > patience || now >= self.job.deadline {
+                return AttemptEnd::Failed(self.runner.find_culprit(stages));
+            }
+        }
+    }
+
+    fn take_frame(&mut self, frame: TokenFrame) -> FrameStep {
+        match self.assembly.accept(frame) {
+            FrameVerdict::Deliver(text) => self.deliver(&text),
+            FrameVerdict::Complete => FrameStep::End(AttemptEnd::Complete),
+            FrameVerdict::Drop(reason) => {
+                self.runner.metrics.event("frame-dropped");
+                LogEvent::FrameDropped.log(format_args!("{} {reason:?}", self.job.stream));
+                FrameStep::Ignore
+            }
+            FrameVerdict::Broken => FrameStep::End(AttemptEnd::Failed(None)),
+        }
+    }
+
+    fn deliver(&mut self, text: &CompactString) -> FrameStep {
+        match self.sink.token(text) {
+            Ok(()) => FrameStep::Next,
+            Err(_) => FrameStep::End(AttemptEnd::CallerGone),
+        }
+    }
+}
+
+/// What a frame means for the attempt.
+enum FrameStep {
+    Next,
+    Ignore,
+    End(AttemptEnd),
+}
--- /dev/null
+++ b/crates/cassiafield/src/version/list_editor.rs
@@ -0,0 +1,174 @@
+use {
+    crate::{
+        connection::{PlatformStore, StoreEntry, StoreError, StoreSwap, SwapResult},
+        version::{ListVersion, LISTS_KEY},
+    },
+    cassiafield_core::{
+        ids::ListRevision,
+        version::{EditOutcome, FleetLists, ListEdit, ListError},
+    },
+    std::{fmt, sync::Arc, thread, time::Duration},
+};
+
+/// An accepted edit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EditReceipt {
+    /// Revision at which the edit is part of the lists.
+    pub revision: ListRevision,
+}
+
+/// Why an edit was not accepted.
+#[derive(Debug)]
+pub enum EditError {
+    /// The lists do not take the edit.
+    Refused(ListError),
+    /// The store was out of reach; the edit has no effect.
+    NotWritten(StoreError),
+    /// It cannot be told whether the edit took effect; running it again with the same id is safe.
+    Unknown(StoreError),
+    /// The stored lists cannot be read.
+    Unreadable(String),
+    /// The lists would be larger than the store holds; the size in bytes is given.
+    TooLarge(usize),
+    /// Other edits kept winning the race; the edit has no effect.
+    Contended,
+}
+
+impl fmt::Display for EditError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EditError::Refused(error) => write!(f, "refused: {error}"),
+            EditError::NotWritten(error) => write!(f, "not written: {error}"),
+            EditError::Unknown(error) => {
+                write!(f, "it is not known whether it was written: {error}")
+            }
+            EditError::Unreadable(error) => write!(f, "the stored lists cannot be read: {error}"),
+            EditError::TooLarge(size) => write!(
+                f,
+                "the lists would have {size} bytes, the store holds {}",
+                ListEditor::MAX_LIST_BYTES
+            ),
+            EditError::Contended => f.write_str("not written: other edits kept coming first"),
+        }
+    }
+}
+
+impl std::error::Error for EditError {}
+
+/// Replays edits onto the newest lists and swaps them in.
+pub struct ListEditor {
+    store: Arc<dyn PlatformStore>,
+    pause: Duration,
+}
+
+impl ListEditor {
+    /// Largest value that the store holds, in bytes.
+    pub const MAX_LIST_BYTES: usize = 1_000_000;
+    /// Lost races after which an edit gives up.
+    const MAX_RACES: u32 = 64;
+    /// Unanswered calls after which an edit gives up.
+    const MAX_UNKNOWNS: u32 = 8;
+
+    /// Creates an editor.
+    #[must_use]
+    pub fn new(store: Arc<dyn PlatformStore>) -> Self {
+        Self { store, pause: Duration::from_millis(20) }
+    }
+
+    /// Sets the longest pause after a lost race or an unanswered call.
+    #[must_use]
+    pub const fn pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+
+    /// Reads the lists; revision 0 means that there are none yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they cannot be read.
+    pub fn read(&self) -> Result<ListVersion, EditError> {
+        let found = self.store.read(LISTS_KEY).map_err(EditError::NotWritten)?;
+        parse(found.as_ref())
+    }
+
+    /// Makes an edit.
+    ///
+    /// The edit's id stays in the lists, so a lost answer is settled by reading them back.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the edit was not accepted, and whether it may have taken effect.
+    pub fn submit(&self, edit: &ListEdit) -> Result<EditReceipt, EditError> {
+        let (mut races, mut unknowns) = (0, 0);
+        let mut doubt = None;
+        loop {
+            match self.attempt(edit) {
+                Ok(Some(receipt)) => return Ok(receipt),
+                Ok(None) => races += 1,
+                Err(EditError::Unknown(error)) => {
+                    unknowns += 1;
+                    doubt = Some(error);
+                }
+                Err(EditError::NotWritten(error)) if unknowns < Self::MAX_UNKNOWNS => {
+                    unknowns += 1;
+                    if unknowns == Self::MAX_UNKNOWNS {
+                        return Err(
+                            doubt.map_or_else(|| EditError::NotWritten(error), EditError::Unknown)
+                        );
+                    }
+                }
+                Err(EditError::Refused(error)) => return Err(EditError::Refused(error)),
+                Err(error) => return Err(error),
+            }
+            if unknowns >= Self::MAX_UNKNOWNS {
+                return Err(doubt.map_or(EditError::Contended, EditError::Unknown));
+            }
+            if races >= Self::MAX_RACES {
+                return Err(EditError::Contended);
+            }
+            thread::sleep(self.pause.mul_f64(fastrand::f64()));
+        }
+    }
+
+    /// Makes one attempt; `None` means that another edit came first.
+    fn attempt(&self, edit: &ListEdit) -> Result<Option<EditReceipt>, EditError> {
+        let found = self.store.read(LISTS_KEY).map_err(EditError::NotWritten)?;
+        let version = parse(found.as_ref())?;
+        let lists = match version.lists.apply(edit).map_err(EditError::Refused)? {
+            EditOutcome::AlreadyApplied => {
+                return Ok(Some(EditReceipt { revision: version.revision }));
+            }
+            EditOutcome::Applied(lists) => lists,
+        };
+        let value = encode(&lists)?;
+        let expected = found.map(|entry| entry.revision);
+        let swap = StoreSwap { key: LISTS_KEY.into(), expected, value: Some(value), lease: None };
+        match self.store.swap(&swap) {
+            Ok(SwapResult::Won(revision)) => {
+                Ok(Some(EditReceipt { revision: ListRevision(revision) }))
+            }
+            Ok(SwapResult::Lost) => Ok(None),
+            Err(StoreError::Unknown(reason)) => {
+                Err(EditError::Unknown(StoreError::Unknown(reason)))
+            }
+            Err(error) => Err(EditError::NotWritten(error)),
+        }
+    }
+}
+
+fn encode(lists: &FleetLists) -> Result<Vec<u8>, EditError> {
+    let value =
+        serde_json::to_vec(lists).map_err(|error| EditError::Unreadable(error.to_string()))?;
+    if value.len() > ListEditor::MAX_LIST_BYTES {
+        return Err(EditError::TooLarge(value.len()));
+    }
+    Ok(value)
+}
+
+fn parse(found: Option<&StoreEntry>) -> Result<ListVersion, EditError> {
+    let Some(entry) = found else { return Ok(ListVersion::default()) };
+    let lists = serde_json::from_slice(&entry.value)
+        .map_err(|error| EditError::Unreadable(error.to_string()))?;
+    Ok(ListVersion { revision: ListRevision(entry.revision), lists })
+}
--- /dev/null
+++ b/crates/cassiafield/src/version/list_watcher.rs
@@ -0,0 +1,81 @@
+use {
+    crate::{
+        connection::{PlatformStore, StoreEntry, StoreError},
+        process::LogEvent,
+        version::{ListHolder, ListVersion, LISTS_KEY},
+    },
+    cassiafield_core::ids::ListRevision,
+    std::{sync::Arc, time::Duration},
+};
+
+/// How a host learns of new revisions from the store; peers tell it in any case.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchRole {
+    /// Keeps a watch on the store.
+    Watcher,
+    /// Asks the store now and then.
+    Poller,
+}
+
+/// Brings new revisions of the lists from the platform store to the holder.
+pub struct ListWatcher {
+    store: Arc<dyn PlatformStore>,
+    holder: Arc<ListHolder>,
+    reachable: bool,
+}
+
+impl ListWatcher {
+    /// Time for which one watch waits.
+    pub const WATCH_PATIENCE: Duration = Duration::from_secs(4);
+    /// Mean time between polls.
+    pub const POLL_INTERVAL: Duration = Duration::from_secs(4);
+
+    /// Creates a watcher.
+    #[must_use]
+    pub fn new(store: Arc<dyn PlatformStore>, holder: Arc<ListHolder>) -> Self {
+        Self { store, holder, reachable: true }
+    }
+
+    /// Makes one round and returns whether the store answered.
+    ///
+    /// A watcher's round waits for a change; a poller's round returns at once.
+    pub fn round(&mut self, role: WatchRole) -> bool {
+        let current = self.holder.revision().0;
+        let mut result = self.store.read_newer(LISTS_KEY, current);
+        if role == WatchRole::Watcher && matches!(result, Ok(None)) && current > 0 {
+            result = self.store.watch(LISTS_KEY, current + 1, Self::WATCH_PATIENCE);
+        }
+        self.report(&result);
+        match result {
+            Ok(found) => {
+                if let Some(entry) = found {
+                    take_entry(&self.holder, &entry);
+                }
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn report(&mut self, result: &Result<Option<StoreEntry>, StoreError>) {
+        match result {
+            Err(error) if self.reachable => LogEvent::StoreUnreachable.log(error),
+            Ok(_) if !self.reachable => LogEvent::StoreBack.log("lists"),
+            _ => {}
+        }
+        self.reachable = result.is_ok();
+    }
+}
+
+/// Reads an entry and takes it if it is newer; what cannot be read is left alone.
+fn take_entry(holder: &ListHolder, entry: &StoreEntry) {
+    match serde_json::from_slice(&entry.value) {
+        Ok(lists) => {
+            let revision = ListRevision(entry.revision);
+            if holder.take(ListVersion { revision, lists }) {
+                LogEvent::ListsTaken.log(revision);
+            }
+        }
+        Err(error) => LogEvent::ListsRejected.log(error),
+    }
+}
