--- a/crates/cassiafield-core/src/request/call_claim.rs
+++ b/crates/cassiafield-core/src/request/call_claim.rs
@@ -1,6 +1,7 @@
 use {
     crate::request::{RefusalCause, RequestVerdict},
     compact_str::CompactString,
+    std::time::Duration,
 };
 
 /// The recorded answer of a call.
@@ -51,6 +52,8 @@
     },
     /// Read the key.
     Read,
+    /// Wait for this time; another attempt holds the claim and may end soon.
+    Pause(Duration),
     /// Send the call, at most once, on a fresh connection.
     Dispatch,
     /// Answer the caller with the recorded or fresh outcome.
@@ -68,6 +71,8 @@
     SwapLost,
     /// The read returned the key's revision and record, or nothing.
     ReadDone(Option<(u64, ClaimRecord)>),
+    /// The pause is over.
+    Paused,
     /// The store did not answer; a write may or may not take effect, now or later.
     StoreUnknown,
     /// No endpoint received a byte of the call.
@@ -83,6 +88,7 @@
 enum ClaimPhase {
     Claiming,
     Reading,
+    Waiting,
     Dispatching,
     Settling,
     Ended,
@@ -102,6 +108,8 @@
     revision: Option<u64>,
     unknowns: u32,
     races: u32,
+    pauses: u32,
+    seen_free: bool,
     finish: Option<ClaimStep>,
     unsettled: Option<ClaimRecord>,
 }
@@ -111,6 +119,9 @@
     const MAX_UNKNOWNS: u32 = 4;
     /// Lost races after which the claim gives up.
     const MAX_RACES: u32 = 4;
+    /// Pauses for another attempt to end; each one is twice as long as the one before.
+    const MAX_PAUSES: u32 = 4;
+    const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
     /// Creates the claim of one request.
     pub fn new(attempt: u128, digest: impl Into<CompactString>) -> Self {
@@ -121,6 +132,8 @@
             revision: None,
             unknowns: 0,
             races: 0,
+            pauses: 0,
+            seen_free: false,
             finish: None,
             unsettled: None,
         }
@@ -142,6 +155,7 @@
                 self.read_after_unknown()
             }
             (ClaimPhase::Reading, ClaimEvent::ReadDone(found)) => self.judge(found),
+            (ClaimPhase::Waiting, ClaimEvent::Paused) => self.read(),
             (ClaimPhase::Dispatching, ClaimEvent::NotSent) => self.settle(
                 ClaimState::Released,
                 ClaimStep::Refuse(RefusalCause::NoEndpoint, RequestVerdict::NotRun),
@@ -195,8 +209,7 @@
         if self.races > Self::MAX_RACES {
             return self.abandon();
         }
-        self.phase = ClaimPhase::Reading;
-        ClaimStep::Read
+        self.read()
     }
 
     fn read_after_unknown(&mut self) -> ClaimStep {
@@ -204,6 +217,10 @@
         if self.unknowns > Self::MAX_UNKNOWNS {
             return self.abandon();
         }
+        self.read()
+    }
+
+    fn read(&mut self) -> ClaimStep {
         self.phase = ClaimPhase::Reading;
         ClaimStep::Read
     }
@@ -211,6 +228,7 @@
     fn judge(&mut self, found: Option<(u64, ClaimRecord)>) -> ClaimStep {
         let Some((revision, record)) = found else {
             self.revision = None;
+            self.seen_free = true;
             return self.swap_claim();
         };
         if record.attempt == self.attempt {
@@ -221,16 +239,27 @@
         }
         match record.state {
             ClaimState::Done(outcome) => self.end(ClaimStep::Answer(outcome)),
-            ClaimState::Claimed => {
-                self.end(ClaimStep::Refuse(RefusalCause::KeyInDoubt, RequestVerdict::MayHaveRun))
-            }
+            ClaimState::Claimed => self.wait(),
             ClaimState::Released => {
+                self.seen_free = true;
                 self.revision = Some(revision);
                 self.swap_claim()
             }
         }
     }
 
+    /// Waits a little for the other attempt's outcome, then refuses.
+    fn wait(&mut self) -> ClaimStep {
+        if self.pauses >= Self::MAX_PAUSES {
+            let cause = RefusalCause::KeyInDoubt;
+            return self.end(ClaimStep::Refuse(cause, RequestVerdict::MayHaveRun));
+        }
+        let pause = Self::FIRST_PAUSE * 2u32.pow(self.pauses);
+        self.pauses += 1;
+        self.phase = ClaimPhase::Waiting;
+        ClaimStep::Pause(pause)
+    }
+
     fn settle(&mut self, state: ClaimState, finish: ClaimStep) -> ClaimStep {
         self.phase = ClaimPhase::Settling;
         self.finish = Some(finish);
@@ -251,9 +280,14 @@
     }
 
     /// Gives up before dispatch: a claim that may still land is released later.
+    ///
+    /// The call is "not run" only if its key was seen free; otherwise an earlier request with the
+    /// key may have run.
     fn abandon(&mut self) -> ClaimStep {
         self.unsettled = Some(self.record(ClaimState::Released));
-        self.end(ClaimStep::Refuse(RefusalCause::StoreUnavailable, RequestVerdict::NotRun))
+        let verdict =
+            if self.seen_free { RequestVerdict::NotRun } else { RequestVerdict::MayHaveRun };
+        self.end(ClaimStep::Refuse(RefusalCause::StoreUnavailable, verdict))
     }
 
     fn end(&mut self, step: ClaimStep) -> ClaimStep {
--- a/crates/cassiafield-core/src/version/fleet_lists.rs
+++ b/crates/cassiafield-core/src/version/fleet_lists.rs
@@ -189,6 +189,11 @@
                 self.organisations.remove(organisation);
             }
             ListChange::SetZones(zones) => self.zones.clone_from(zones),
+            ListChange::Batch(changes) => {
+                for change in changes {
+                    self.change(change)?;
+                }
+            }
         }
         Ok(())
     }
@@ -244,6 +249,6 @@
 
 impl EditStamp {
     fn touches(&self, name: &str) -> bool {
-        self.summary.split(' ').any(|word| word == name)
+        self.summary.split([' ', ',']).any(|word| word == name)
     }
 }
--- a/crates/cassiafield-core/src/version/list_edit.rs
+++ b/crates/cassiafield-core/src/version/list_edit.rs
@@ -45,6 +45,8 @@
     },
     /// Replaces the planned hosts of the availability zones.
     SetZones(Vec<ZoneShare>),
+    /// Makes several changes or none.
+    Batch(Vec<ListChange>),
 }
 
 /// A change with the id by which its writer recognises it.
@@ -81,6 +83,21 @@
                 format_compact!("remove organisation {organisation}")
             }
             ListChange::SetZones(_) => CompactString::const_new("set zones"),
+            ListChange::Batch(changes) => {
+                let parts: Vec<_> = changes.iter().map(ListChange::summary).collect();
+                shorten(parts.join(", "))
+            }
         }
     }
 }
+
+/// Keeps a summary short enough for the ring of edits.
+fn shorten(mut text: String) -> CompactString {
+    const MAX_BYTES: usize = 400;
+    if text.len() > MAX_BYTES {
+        let end = (0..=MAX_BYTES).rev().find(|&end| text.is_char_boundary(end));
+        text.truncate(end.unwrap_or(0));
+        text.push_str(" …");
+    }
+    text.into()
+}
--- /dev/null
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-ctl.rs
@@ -0,0 +1,20 @@
+//! Edits the operators' lists, shows the fleet's state and prints the report.
+
+use {
+    cassiafield_daemons::control::ControlProgram,
+    std::{env, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    match ControlProgram::new().run(&arguments) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("cassiafield-ctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-daemons/src/control/control_program.rs
@@ -0,0 +1,140 @@
+use {
+    crate::control::{list_command, view_command, ControlError},
+    cassiafield::{
+        connection::{EtcdStore, PlatformStore},
+        version::{EditReceipt, ListEditor},
+    },
+    cassiafield_core::version::{ListChange, ListEdit},
+    compact_str::CompactString,
+    getopts::{Matches, Options},
+    serde_json::json,
+    std::{env, sync::Arc},
+};
+
+const USAGE: &str = "\
+Usage: cassiafield-ctl [OPTIONS] COMMAND
+
+Commands:
+  plan list                        list the plans
+  plan set NAME KEY=VALUE...       create a plan or change some of its limits
+  plan remove NAME                 remove a plan that nobody holds
+  organisation list                list the organisations
+  organisation set NAME            set the plan and the keys (--plan, --key-hash)
+  organisation remove NAME         remove an organisation
+  apply FILE                       make both lists what the file says, or change nothing
+  export                           print both lists as a file
+  history                          print the last edits
+  status                           print the state of hosts (--hosts)
+  report                           print who received what (--hours, --format)
+  key-hash                         read a key from standard input and print its hash
+
+Exit codes:
+  0 done   1 out of reach, nothing changed   2 wrong command line or input
+  3 refused, nothing changed   4 it is not known whether the edit took effect";
+
+/// The command line of `cassiafield-ctl`.
+pub struct ControlProgram {
+    options: Options,
+}
+
+/// What a command works with.
+pub(crate) struct ControlContext {
+    pub(crate) matches: Matches,
+    pub(crate) store: Arc<dyn PlatformStore>,
+    pub(crate) editor: ListEditor,
+    pub(crate) json: bool,
+}
+
+impl Default for ControlProgram {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ControlProgram {
+    /// Creates the command line.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut options = Options::new();
+        options.optopt("s", "store", "platform store (or CASSIAFIELD_STORE)", "URL");
+        options.optopt("a", "author", "who makes the edit (default: USER)", "NAME");
+        options.optopt("b", "base", "version of the entry that you read", "N");
+        options.optopt("p", "plan", "plan of an organisation", "NAME");
+        options.optmulti("k", "key-hash", "SHA-256 hash of a key; may be repeated", "HASH");
+        options.optopt("", "hosts", "peer addresses of hosts, with commas", "ADDRESSES");
+        options.optopt("", "hours", "hours of the report (default 24)", "N");
+        options.optopt("f", "format", "report as text, csv or json", "FORMAT");
+        options.optflag("j", "json", "print JSON");
+        options.optflag("h", "help", "print this help");
+        Self { options }
+    }
+
+    /// Runs a command and returns what it prints.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the command did not succeed.
+    pub fn run(&self, arguments: &[String]) -> Result<String, ControlError> {
+        let matches = self.options.parse(arguments);
+        let matches = matches.map_err(|error| ControlError::Usage(error.to_string()))?;
+        let words: Vec<String> = matches.free.clone();
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        if matches.opt_present("help") || words.is_empty() {
+            return Ok(self.options.usage(USAGE));
+        }
+        if words == ["key-hash"] {
+            return view_command::key_hash();
+        }
+        let context = ControlContext::new(matches)?;
+        match words[..] {
+            ["plan", "list"] => list_command::list_plans(&context),
+            ["plan", "set", name, ref values @ ..] => {
+                list_command::set_plan(&context, name, values)
+            }
+            ["plan", "remove", name] => list_command::remove_plan(&context, name),
+            ["organisation", "list"] => list_command::list_organisations(&context),
+            ["organisation", "set", name] => list_command::set_organisation(&context, name),
+            ["organisation", "remove", name] => list_command::remove_organisation(&context, name),
+            ["apply", file] => list_command::apply(&context, file),
+            ["export"] => list_command::export(&context),
+            ["history"] => view_command::history(&context),
+            ["status"] => view_command::status(&context),
+            ["report"] => view_command::report(&context),
+            _ => Err(ControlError::Usage(format!("unknown command {:?}", words.join(" ")))),
+        }
+    }
+}
+
+impl ControlContext {
+    fn new(matches: Matches) -> Result<Self, ControlError> {
+        let url = matches.opt_str("store").or_else(|| env::var("CASSIAFIELD_STORE").ok());
+        let url = url.ok_or_else(|| ControlError::Usage("--store is missing".into()))?;
+        let store: Arc<dyn PlatformStore> = Arc::new(EtcdStore::new(url));
+        let editor = ListEditor::new(store.clone());
+        let json = matches.opt_present("json");
+        Ok(Self { matches, store, editor, json })
+    }
+
+    /// Returns the version that the operator read, if it was given.
+    pub(crate) fn base(&self) -> Result<Option<u64>, ControlError> {
+        let text = self.matches.opt_str("base");
+        let parsed = text.map(|text| {
+            text.parse().map_err(|_| {
+                ControlError::Usage(format!("--base: expected a whole number, found {text:?}"))
+            })
+        });
+        parsed.transpose()
+    }
+
+    /// Makes an edit and returns what to print.
+    pub(crate) fn submit(&self, change: ListChange) -> Result<String, ControlError> {
+        let author = self.matches.opt_str("author").or_else(|| env::var("USER").ok());
+        let author = CompactString::from(author.unwrap_or_else(|| "unknown".into()));
+        let edit = ListEdit { id: fastrand::u128(..), author, change };
+        let EditReceipt { revision } = self.editor.submit(&edit)?;
+        if self.json {
+            return Ok(format!("{}\n", json!({ "revision": revision })));
+        }
+        Ok(format!("accepted at revision {revision}\n"))
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-daemons/src/lib.rs
@@ -0,0 +1,9 @@
+//! The commands behind the cassiafield programs.
+//!
+//! # Map
+//!
+//! | module | program |
+//! |---|---|
+//! | [`control`] | `cassiafield-ctl` |
+
+pub mod control;
--- a/crates/cassiafield/src/process/entry_settings.rs
+++ b/crates/cassiafield/src/process/entry_settings.rs
@@ -30,7 +30,7 @@
 pub struct SettingFault {
     /// The file.
     pub file: String,
-    /// Line number, from 1; 0 if the key is missing.
+    /// Line number, from 1; that of the section if the key is missing, 0 if that is missing too.
     pub line: usize,
     /// Section.
     pub section: String,
@@ -49,13 +49,35 @@
             Some(found) => {
                 write!(f, "{file}:{line}: [{section}] {key}: expected {expected}, found {found:?}")
             }
-            None => write!(f, "{file}: [{section}] {key}: missing, expected {expected}"),
+            None => write!(f, "{file}:{line}: [{section}] {key}: missing, expected {expected}"),
         }
     }
 }
 
 impl std::error::Error for SettingFault {}
 
+impl SettingFault {
+    /// Returns the line of a key, or of its section if the section lacks it; 0 if there is none.
+    #[must_use]
+    pub fn line_of(text: &str, section: &str, key: &str) -> usize {
+        let (mut current, mut section_line) = ("", 0);
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+                current = name.trim();
+                if current == section {
+                    section_line = index + 1;
+                }
+            } else if current == section
+                && line.split(['=', ':']).next().is_some_and(|name| name.trim() == key)
+            {
+                return index + 1;
+            }
+        }
+        section_line
+    }
+}
+
 /// Checked settings of an entry host.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -236,7 +258,7 @@
     fn fault(&mut self, section: &str, key: &str, expected: impl Into<String>, found: String) {
         self.faults.push(SettingFault {
             file: self.file.into(),
-            line: line_of(self.text, section, key),
+            line: SettingFault::line_of(self.text, section, key),
             section: section.into(),
             key: key.into(),
             expected: expected.into(),
@@ -308,19 +330,3 @@
         }
     }
 }
-
-/// Returns the line of a key, from 1, or 0 if the file does not have it.
-fn line_of(text: &str, section: &str, key: &str) -> usize {
-    let mut current = "";
-    for (index, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
-            current = name.trim();
-        } else if current == section
-            && line.split(['=', ':']).next().is_some_and(|name| name.trim() == key)
-        {
-            return index + 1;
-        }
-    }
-    0
-}
--- a/crates/cassiafield/src/process/mod.rs
+++ b/crates/cassiafield/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod peer_agent;
 mod peer_book;
 mod usage_keeper;
+mod usage_report;
 
 pub use self::{
     admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RouteHold},
@@ -25,6 +26,7 @@
     log_event::{EventLevel, LogEvent},
     log_setup::start_log,
     usage_keeper::UsageKeeper,
+    usage_report::{ReportFormat, UsageReport},
 };
 
 pub(crate) use self::{
--- /dev/null
+++ b/crates/cassiafield/src/process/usage_report.rs
@@ -0,0 +1,256 @@
+use {
+    crate::{
+        connection::{PlatformStore, StoreError},
+        process::{usage_keeper::USAGE_PREFIX, HostClock},
+    },
+    cassiafield_core::{
+        ids::{HostId, OrganisationId},
+        process::{RequestClass, UsageCount, UsageRecord, LATENCY_BOUNDS_MS},
+    },
+    serde_json::{json, Value},
+    std::{collections::BTreeMap, fmt::Write as _, str::FromStr},
+};
+
+/// How a report is printed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportFormat {
+    /// A table.
+    Text,
+    /// Comma-separated values.
+    Csv,
+    /// One JSON document.
+    Json,
+}
+
+impl FromStr for ReportFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(ReportFormat::Text),
+            "csv" => Ok(ReportFormat::Csv),
+            "json" => Ok(ReportFormat::Json),
+            other => Err(format!("expected text, csv or json, found {other:?}")),
+        }
+    }
+}
+
+/// A process whose last counts may be missing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReportGap {
+    /// The host.
+    pub host: HostId,
+    /// The hour, in hours since the Unix epoch.
+    pub hour: u64,
+    /// When the process wrote last, in seconds since the Unix epoch.
+    pub written: u64,
+}
+
+/// Who received what, by hour, organisation and class.
+#[derive(Clone, Debug, Default)]
+pub struct UsageReport {
+    rows: BTreeMap<(u64, OrganisationId, RequestClass), UsageCount>,
+    gaps: Vec<ReportGap>,
+}
+
+impl UsageReport {
+    /// Age of a record after which its process counts as dead.
+    const DEAD_AFTER_SECONDS: u64 = 30;
+    const SECONDS_PER_HOUR: u64 = 3_600;
+
+    /// Reads the records of the last `hours` hours.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store gave no answer, or that a record cannot be read.
+    pub fn read(store: &dyn PlatformStore, hours: u64) -> Result<Self, StoreError> {
+        let now = HostClock::unix_seconds();
+        let last = now / Self::SECONDS_PER_HOUR;
+        let mut report = Self::default();
+        for hour in (last + 1).saturating_sub(hours.max(1))..=last {
+            for (key, entry) in store.list(&format!("{USAGE_PREFIX}{hour:08}/"))? {
+                let record: UsageRecord = rmp_serde::from_slice(&entry.value)
+                    .map_err(|error| StoreError::Refused(format!("{key}: {error}")))?;
+                report.add(hour, &key, &record, now);
+            }
+        }
+        Ok(report)
+    }
+
+    /// Returns the counts by hour, organisation and class.
+    #[must_use]
+    pub const fn rows(&self) -> &BTreeMap<(u64, OrganisationId, RequestClass), UsageCount> {
+        &self.rows
+    }
+
+    /// Returns the processes whose last counts may be missing.
+    #[must_use]
+    pub fn gaps(&self) -> &[ReportGap] {
+        &self.gaps
+    }
+
+    /// Prints the report.
+    #[must_use]
+    pub fn render(&self, format: ReportFormat) -> String {
+        match format {
+            ReportFormat::Text => self.text(),
+            ReportFormat::Csv => self.csv(),
+            ReportFormat::Json => format!("{:#}\n", self.json()),
+        }
+    }
+
+    fn add(&mut self, hour: u64, key: &str, record: &UsageRecord, now: u64) {
+        for (organisation, classes) in &record.counts {
+            for (class, count) in classes {
+                let row = (hour, organisation.clone(), *class);
+                self.rows.entry(row).or_default().merge(count);
+            }
+        }
+        let silent = now.saturating_sub(record.written) > Self::DEAD_AFTER_SECONDS;
+        let current = hour == now / Self::SECONDS_PER_HOUR;
+        let ended_early = record.written < (hour + 1) * Self::SECONDS_PER_HOUR;
+        if !record.closed && silent && (current || ended_early) && !record.counts.is_empty() {
+            let host = key.split('/').nth(3).and_then(|host| host.parse().ok());
+            if let Some(host) = host {
+                self.gaps.push(ReportGap { host, hour, written: record.written });
+            }
+        }
+    }
+
+    fn text(&self) -> String {
+        let mut text = format!(
+            "{:<17} {:<20} {:<10} {:>9} {:>9} {:>9} {:>8} {:>9} {:>11} {:>8} {:>8}\n",
+            "hour (UTC)",
+            "organisation",
+            "class",
+            "asked",
+            "served",
+            "refused",
+            "in doubt",
+            "abandoned",
+            "tokens",
+            "p50 ms",
+            "p95 ms"
+        );
+        for ((hour, organisation, class), count) in &self.rows {
+            let _ = writeln!(
+                text,
+                "{:<17} {:<20} {:<10} {:>9} {:>9} {:>9} {:>8} {:>9} {:>11} {:>8} {:>8}",
+                hour_text(*hour),
+                organisation.as_str(),
+                class.name(),
+                count.asked,
+                count.served,
+                count.refusals(),
+                count.in_doubt,
+                count.abandoned,
+                count.tokens,
+                bound_text(latency_bound(count, 0.50)),
+                bound_text(latency_bound(count, 0.95)),
+            );
+        }
+        for gap in &self.gaps {
+            let _ = writeln!(
+                text,
+                "gap: host {} ended without a last checkpoint in hour {}; counts after {} s \
+                 (Unix time) are missing",
+                gap.host,
+                hour_text(gap.hour),
+                gap.written
+            );
+        }
+        text
+    }
+
+    fn csv(&self) -> String {
+        let mut text = String::from(
+            "hour,organisation,class,asked,served,refused,in_doubt,abandoned,tokens,p50_ms,p95_ms\n",
+        );
+        for ((hour, organisation, class), count) in &self.rows {
+            let _ = writeln!(
+                text,
+                "{},{organisation},{class},{},{},{},{},{},{},{},{}",
+                hour_text(*hour),
+                count.asked,
+                count.served,
+                count.refusals(),
+                count.in_doubt,
+                count.abandoned,
+                count.tokens,
+                bound_text(latency_bound(count, 0.50)),
+                bound_text(latency_bound(count, 0.95)),
+            );
+        }
+        text
+    }
+
+    fn json(&self) -> Value {
+        let rows: Vec<Value> = self
+            .rows
+            .iter()
+            .map(|((hour, organisation, class), count)| {
+                let refused: BTreeMap<&str, u64> =
+                    count.refused.iter().map(|(cause, count)| (cause.name(), *count)).collect();
+                json!({
+                    "hour": hour_text(*hour),
+                    "organisation": organisation,
+                    "class": class,
+                    "asked": count.asked,
+                    "served": count.served,
+                    "refused": refused,
+                    "in_doubt": count.in_doubt,
+                    "abandoned": count.abandoned,
+                    "tokens": count.tokens,
+                    "latency_bounds_ms": LATENCY_BOUNDS_MS[..LATENCY_BOUNDS_MS.len() - 1],
+                    "latency_counts": count.latency,
+                })
+            })
+            .collect();
+        let gaps: Vec<Value> = self
+            .gaps
+            .iter()
+            .map(|gap| {
+                json!({ "host": gap.host, "hour": hour_text(gap.hour), "written": gap.written })
+            })
+            .collect();
+        json!({ "rows": rows, "gaps": gaps })
+    }
+}
+
+/// Returns the upper bound of the latency bucket that holds a quantile, in milliseconds.
+fn latency_bound(count: &UsageCount, quantile: f64) -> Option<u64> {
+    let total: u64 = count.latency.iter().sum();
+    let rank = (total as f64 * quantile).ceil().max(1.0) as u64;
+    let mut seen = 0;
+    for (bucket, bound) in count.latency.iter().zip(LATENCY_BOUNDS_MS) {
+        seen += bucket;
+        if seen >= rank {
+            return Some(bound);
+        }
+    }
+    None
+}
+
+fn bound_text(bound: Option<u64>) -> String {
+    match bound {
+        None => "-".into(),
+        Some(u64::MAX) => format!(">{}", LATENCY_BOUNDS_MS[LATENCY_BOUNDS_MS.len() - 2]),
+        Some(bound) => format!("<={bound}"),
+    }
+}
+
+/// Writes an hour as `2026-12-03T22:00Z`, by the proleptic Gregorian calendar.
+fn hour_text(hour: u64) -> String {
+    let (days, hour_of_day) = (hour / 24, hour % 24);
+    let shifted = days + 719_468;
+    let era = shifted / 146_097;
+    let day_of_era = shifted % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_index = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_index + 2) / 5 + 1;
+    let month = if month_index < 10 { month_index + 3 } else { month_index - 9 };
+    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    format!("{year:04}-{month:02}-{day:02}T{hour_of_day:02}:00Z")
+}
--- a/crates/cassiafield/src/request/service_request.rs
+++ b/crates/cassiafield/src/request/service_request.rs
@@ -15,7 +15,7 @@
         version::PlanLimits,
     },
     sha2::{Digest as _, Sha256},
-    std::time::Duration,
+    std::{thread, time::Duration},
     tiny_http::Request,
 };
 
@@ -178,7 +178,7 @@
         let mut claim = CallClaim::new(fastrand::u128(..), self.digest());
         let Some(lease) = self.host.claim_lease() else {
             let cause = RefusalCause::StoreUnavailable;
-            return Err(Self::claim_refusal(cause, RequestVerdict::NotRun));
+            return Err(Self::claim_refusal(cause, RequestVerdict::MayHaveRun));
         };
         let mut step = claim.start();
         let mut reply = None;
@@ -201,6 +201,10 @@
                     ServiceResult::Failed(RequestVerdict::NotRun, _) => ClaimEvent::NotSent,
                     ServiceResult::Failed(..) => ClaimEvent::AnswerLost,
                 },
+                ClaimStep::Pause(pause) => {
+                    thread::sleep(pause.min(self.remaining()));
+                    ClaimEvent::Paused
+                }
                 ref store_step => {
                     store_event(self.host.store.as_ref(), &store_key, Some(lease), store_step)
                 }
@@ -229,7 +233,14 @@
                 "Idempotency-Key: the key was used before with another request",
             ),
             RefusalCause::StoreUnavailable => {
-                RequestRefusal::not_run(cause, "the platform store cannot be reached")
+                let detail = match verdict {
+                    RequestVerdict::NotRun => "the platform store cannot be reached",
+                    _ => {
+                        "the platform store cannot be reached; this request was not sent, but an \
+                         earlier one with the same key may have run"
+                    }
+                };
+                RequestRefusal::not_run(cause, detail).verdict(verdict)
             }
             RefusalCause::EndpointFailed => Self::in_doubt(cause, verdict),
             _ => RequestRefusal::not_run(cause, "no endpoint can be reached").verdict(verdict),
