--- a/crates/cassiafield-core/src/process/allowance_book.rs
+++ b/crates/cassiafield-core/src/process/allowance_book.rs
@@ -104,6 +104,8 @@
     shares: BTreeMap<AllowanceKey, AllowanceShare>,
     next_loan: u64,
     permit_grace: Duration,
+    last_beat: Option<Moment>,
+    woke: Option<Moment>,
 }
 
 impl AllowanceBook {
@@ -111,6 +113,12 @@
     pub const LOAN_TERM: Duration = Duration::from_millis(2_000);
     /// Part of the term by which the borrower ends earlier; covers clock drift.
     pub const LOAN_MARGIN: Duration = Duration::from_millis(50);
+    /// Part of a plan's rate that is given out; covers clocks that run fast by up to 500 ppm.
+    const CLOCK_GUARD: f64 = 0.999_5;
+    /// Time without a beat after which the process counts as frozen.
+    pub const PAUSE_LIMIT: Duration = Duration::from_millis(400);
+    /// Time after a freeze for which nothing is lent.
+    const WAKING_TIME: Duration = Duration::from_millis(300);
     /// Remaining time at which a loan that is needed is renewed.
     const RENEWAL_LEAD: Duration = Duration::from_millis(1_200);
     /// Retry time when only another host's hand-back can help.
@@ -122,7 +130,24 @@
     /// earlier ones; `longest_request` bounds how long a request may hold a borrowed permit.
     #[must_use]
     pub const fn new(first_loan: u64, longest_request: Duration) -> Self {
-        Self { shares: BTreeMap::new(), next_loan: first_loan, permit_grace: longest_request }
+        Self {
+            shares: BTreeMap::new(),
+            next_loan: first_loan,
+            permit_grace: longest_request,
+            last_beat: None,
+            woke: None,
+        }
+    }
+
+    /// Notes that the process runs; to be called several times in [`AllowanceBook::PAUSE_LIMIT`].
+    ///
+    /// A host that was frozen knows neither its demand nor whether the messages that piled up
+    /// are still waited for, so it lends nothing until it has measured anew.
+    pub fn beat(&mut self, now: Moment) {
+        if self.last_beat.is_some_and(|last| now.since(last) > Self::PAUSE_LIMIT) {
+            self.woke = Some(now);
+        }
+        self.last_beat = Some(now);
     }
 
     /// Sets all floors from the lists; `None` takes every floor away.
@@ -249,12 +274,19 @@
                 answer.renewed.push(loan.clone());
             }
         }
-        for want in &ask.wants {
-            answer.grants.extend(self.lend(peer, want, now));
+        if self.is_awake(now) {
+            for want in &ask.wants {
+                answer.grants.extend(self.lend(peer, want, now));
+            }
         }
         answer
     }
 
+    fn is_awake(&self, now: Moment) -> bool {
+        let beats = self.last_beat.is_none_or(|last| now.since(last) <= Self::PAUSE_LIMIT);
+        beats && self.woke.is_none_or(|woke| now.since(woke) >= Self::WAKING_TIME)
+    }
+
     /// Takes a peer's answer to a message that was sent at `sent`.
     pub fn take_answer(&mut self, peer: &HostId, answer: &LoanAnswer, sent: Moment, now: Moment) {
         let ends = sent + (Self::LOAN_TERM - Self::LOAN_MARGIN);
@@ -303,9 +335,10 @@
         let amount = |amount: f64| part.map_or(0.0, |part| part.of_amount(amount));
         let part_of_permits = part.filter(|_| permits);
         let permits = part_of_permits.map_or(0, |part| part.of_permits(limits.concurrent));
+        let guarded = |rate: f64| amount(rate) * Self::CLOCK_GUARD;
         let (request_rate, request_size) =
-            (amount(limits.request_rate), amount(limits.request_burst));
-        let (token_rate, token_size) = (amount(limits.token_rate), amount(limits.token_burst));
+            (guarded(limits.request_rate), amount(limits.request_burst));
+        let (token_rate, token_size) = (guarded(limits.token_rate), amount(limits.token_burst));
         let requests = self.share(organisation, AllowanceKind::Requests, now);
         requests.set_floor(request_rate, request_size, now);
         let tokens = self.share(organisation, AllowanceKind::Tokens, now);
--- a/crates/cassiafield-core/src/process/allowance_share.rs
+++ b/crates/cassiafield-core/src/process/allowance_share.rs
@@ -82,7 +82,7 @@
     const STEP: Duration = Duration::from_millis(100);
     const KEPT_PER_STEP: f64 = 0.6;
     /// Time for which a refusal counts as unmet demand.
-    const REFUSAL_MEMORY: Duration = Duration::from_millis(1_000);
+    const REFUSAL_MEMORY: Duration = Duration::from_millis(300);
 
     const fn new(now: Moment) -> Self {
         Self { average: 0.0, pending: 0.0, updated: now, refused: None }
@@ -120,8 +120,12 @@
 impl AllowanceShare {
     /// Part of its floor that a lender always keeps.
     const KEPT_PART: f64 = 0.02;
-    /// Headroom over the measured demand, as a factor.
+    /// Headroom over the measured demand that a host keeps for itself, as a factor.
     const HEADROOM: f64 = 1.2;
+    /// Headroom over the measured demand that a host asks for, as a factor.
+    ///
+    /// Demand counts refused requests too, so it needs little; more would idle here.
+    const WANTED_HEADROOM: f64 = 1.02;
     /// Smallest loan, as a part of the lender's floor.
     const SMALLEST_PART: f64 = 0.05;
 
@@ -239,7 +243,7 @@
         if !self.demand.is_unmet(now) {
             return 0.0;
         }
-        (self.demand.rate() * Self::HEADROOM - self.rate()).max(0.0)
+        (self.demand.rate() * Self::WANTED_HEADROOM - self.rate()).max(0.0)
     }
 
     /// Returns the permits that are missing here.
@@ -366,7 +370,7 @@
             return Vec::new();
         }
         let used = f64::from(self.running) * Self::HEADROOM;
-        let needed = self.demand.rate() * Self::HEADROOM;
+        let needed = self.demand.rate() * Self::WANTED_HEADROOM;
         let (mut rate, mut size) = (self.rate(), self.size());
         let mut surplus = Vec::new();
         for loan in self.borrowed.iter().rev() {
--- /dev/null
+++ b/crates/cassiafield-core/tests/even_shares.rs
@@ -0,0 +1,288 @@
+//! Organisations get weighted max-min shares of contended endpoints, wherever they arrive.
+
+use {
+    cassiafield_core::{
+        ids::OrganisationId,
+        process::{FairQueue, SlotDemand, SlotShare},
+    },
+    fastrand::Rng,
+    std::collections::{BTreeMap, VecDeque},
+};
+
+const HOSTS: usize = 9;
+const SLOTS: u32 = 60;
+const STEP_SECONDS: f64 = 0.01;
+const STEPS: u32 = 12_000;
+const WARM_STEPS: u32 = 2_000;
+const DIGEST_STEPS: u32 = 50;
+const PATIENCE_STEPS: u32 = 200;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Order {
+    Fair,
+    FirstCome,
+}
+
+#[derive(Clone)]
+struct Flow {
+    organisation: OrganisationId,
+    /// Demand in slots.
+    demand: f64,
+    service_steps: u32,
+    /// The only host where it arrives; `None` for all.
+    host: Option<usize>,
+    weight: u32,
+}
+
+#[derive(Clone, Copy)]
+struct Waiting {
+    flow: usize,
+    arrived: u32,
+}
+
+struct Host {
+    fair: FairQueue<Waiting>,
+    first_come: VecDeque<Waiting>,
+    running: BTreeMap<usize, u32>,
+    ends: Vec<(u32, usize)>,
+    waiting: BTreeMap<usize, u32>,
+    published: BTreeMap<usize, u32>,
+}
+
+impl Host {
+    fn new() -> Self {
+        Self {
+            fair: FairQueue::new(),
+            first_come: VecDeque::new(),
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            waiting: BTreeMap::new(),
+            published: BTreeMap::new(),
+        }
+    }
+
+    fn demand(&self) -> BTreeMap<usize, u32> {
+        let mut demand = self.running.clone();
+        for (flow, count) in &self.waiting {
+            *demand.entry(*flow).or_default() += count;
+        }
+        demand
+    }
+}
+
+struct Pool {
+    rng: Rng,
+    order: Order,
+    flows: Vec<Flow>,
+    hosts: Vec<Host>,
+    busy: u32,
+}
+
+impl Pool {
+    fn new(seed: u64, order: Order, flows: Vec<Flow>) -> Self {
+        let hosts = (0..HOSTS).map(|_| Host::new()).collect();
+        Self { rng: Rng::with_seed(seed), order, flows, hosts, busy: 0 }
+    }
+
+    /// Returns each flow's mean number of slots, and its waits in steps.
+    fn run(mut self) -> Vec<(f64, Vec<u32>)> {
+        let mut used = vec![(0.0, Vec::new()); self.flows.len()];
+        for step in 0..STEPS {
+            self.arrive(step);
+            self.finish(step);
+            if step % DIGEST_STEPS == 0 {
+                for host in &mut self.hosts {
+                    host.published = host.demand();
+                }
+            }
+            let start = self.rng.usize(..HOSTS);
+            for index in 0..HOSTS {
+                self.dispatch((start + index) % HOSTS, step, &mut used);
+            }
+            if step >= WARM_STEPS {
+                for host in &self.hosts {
+                    for (flow, count) in &host.running {
+                        used[*flow].0 += f64::from(*count) / f64::from(STEPS - WARM_STEPS);
+                    }
+                }
+            }
+        }
+        used
+    }
+
+    fn arrive(&mut self, step: u32) {
+        for index in 0..self.flows.len() {
+            let flow = self.flows[index].clone();
+            let mut chance = flow.demand / f64::from(flow.service_steps);
+            while chance > 0.0 {
+                if self.rng.f64() < chance {
+                    let host = flow.host.unwrap_or_else(|| self.rng.usize(..HOSTS));
+                    let host = &mut self.hosts[host];
+                    let waiting = Waiting { flow: index, arrived: step };
+                    let cost = f64::from(flow.service_steps);
+                    host.fair.push(&flow.organisation, flow.weight, cost, waiting);
+                    host.first_come.push_back(waiting);
+                    *host.waiting.entry(index).or_default() += 1;
+                }
+                chance -= 1.0;
+            }
+        }
+    }
+
+    fn finish(&mut self, step: u32) {
+        for host in &mut self.hosts {
+            let running = &mut host.running;
+            let busy = &mut self.busy;
+            host.ends.retain(|(end, flow)| {
+                if *end <= step {
+                    *running.get_mut(flow).unwrap() -= 1;
+                    *busy -= 1;
+                }
+                *end > step
+            });
+            host.running.retain(|_, count| *count > 0);
+        }
+    }
+
+    fn limits(&self, index: usize) -> BTreeMap<OrganisationId, u32> {
+        let mut demands: BTreeMap<OrganisationId, SlotDemand> = BTreeMap::new();
+        for (other, host) in self.hosts.iter().enumerate() {
+            let known = if other == index { host.demand() } else { host.published.clone() };
+            for (flow, count) in known {
+                let flow = &self.flows[flow];
+                let demand = demands.entry(flow.organisation.clone()).or_default();
+                demand.weight = flow.weight;
+                demand.everywhere += count;
+                demand.here += if other == index { count } else { 0 };
+            }
+        }
+        SlotShare::new(SLOTS).local_limits(&demands)
+    }
+
+    fn dispatch(&mut self, index: usize, step: u32, used: &mut [(f64, Vec<u32>)]) {
+        let limits = self.limits(index);
+        let host = &mut self.hosts[index];
+        loop {
+            if self.busy >= SLOTS {
+                return;
+            }
+            let next = match self.order {
+                Order::FirstCome => host.first_come.pop_front(),
+                Order::Fair => {
+                    let (flows, running) = (&self.flows, &host.running);
+                    let eligible = |organisation: &OrganisationId| {
+                        let flow = flows.iter().position(|f| &f.organisation == organisation);
+                        let count = flow.and_then(|flow| running.get(&flow)).copied();
+                        count.unwrap_or(0) < limits.get(organisation).copied().unwrap_or(1)
+                    };
+                    host.fair.pop(eligible).map(|(_, waiting)| waiting)
+                }
+            };
+            let Some(waiting) = next else { return };
+            *host.waiting.get_mut(&waiting.flow).unwrap() -= 1;
+            if step - waiting.arrived > PATIENCE_STEPS {
+                continue;
+            }
+            if step >= WARM_STEPS {
+                used[waiting.flow].1.push(step - waiting.arrived);
+            }
+            self.busy += 1;
+            *host.running.entry(waiting.flow).or_default() += 1;
+            let end = step + self.flows[waiting.flow].service_steps;
+            host.ends.push((end, waiting.flow));
+        }
+    }
+}
+
+fn flow(index: usize, demand: f64, service_steps: u32) -> Flow {
+    Flow {
+        organisation: format!("org-{index}").parse().unwrap(),
+        demand,
+        service_steps,
+        host: None,
+        weight: 1,
+    }
+}
+
+/// Seven small organisations, two large ones and one that floods tenfold, all on unlike hosts.
+fn flooded() -> Vec<Flow> {
+    let mut flows: Vec<Flow> = (0..7).map(|index| flow(index, 3.0, 200)).collect();
+    flows.extend([flow(7, 16.0, 200), flow(8, 16.0, 200), flow(9, 160.0, 200)]);
+    flows[0].host = Some(0);
+    flows[7].host = Some(4);
+    flows[9].host = Some(8);
+    flows
+}
+
+fn jain(shares: &[f64]) -> f64 {
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|share| share * share).sum();
+    sum * sum / (shares.len() as f64 * squares)
+}
+
+/// Returns what each flow got against its max-min share.
+fn ratios(order: Order, seed: u64, flows: &[Flow]) -> Vec<f64> {
+    let demands: BTreeMap<OrganisationId, SlotDemand> = flows
+        .iter()
+        .map(|flow| {
+            let everywhere = flow.demand.round() as u32;
+            (flow.organisation.clone(), SlotDemand { weight: flow.weight, here: 0, everywhere })
+        })
+        .collect();
+    let fair = SlotShare::new(SLOTS).fair_shares(&demands);
+    let used = Pool::new(seed, order, flows.to_vec()).run();
+    flows.iter().zip(used).map(|(flow, (used, _))| used / fair[&flow.organisation]).collect()
+}
+
+#[test]
+fn a_flooding_organisation_takes_nothing_from_the_others() {
+    for seed in 0..5 {
+        let ratios_fair = ratios(Order::Fair, seed, &flooded());
+        let first_come = ratios(Order::FirstCome, seed, &flooded());
+        println!(
+            "seed {seed}: fair {ratios_fair:.3?} Jain {:.4}; first come {first_come:.3?} Jain {:.4}",
+            jain(&ratios_fair),
+            jain(&first_come)
+        );
+        for (index, ratio) in ratios_fair.iter().enumerate() {
+            assert!((0.95..=1.05).contains(ratio), "seed {seed}: org-{index} got {ratio:.3}");
+        }
+        assert!(first_come.iter().any(|ratio| *ratio < 0.95), "the baseline is fair too");
+    }
+}
+
+#[test]
+fn weights_divide_contended_slots() {
+    let mut flows = vec![flow(0, 200.0, 100), flow(1, 200.0, 100), flow(2, 200.0, 100)];
+    flows[2].weight = 4;
+    let used = Pool::new(1, Order::Fair, flows).run();
+    let shares: Vec<f64> = used.iter().map(|(used, _)| used / f64::from(SLOTS)).collect();
+    println!("weights 1, 1, 4: {shares:.3?}");
+    for (share, expected) in shares.iter().zip([1.0 / 6.0, 1.0 / 6.0, 4.0 / 6.0]) {
+        assert!((share / expected - 1.0).abs() <= 0.05, "{shares:?}");
+    }
+}
+
+#[test]
+fn short_requests_do_not_wait_behind_long_ones_of_another() {
+    let flows = vec![flow(0, 200.0, 800), flow(1, 2.0, 10)];
+    let waits = |order| {
+        let mut waits = Pool::new(3, order, flows.clone()).run()[1].1.clone();
+        waits.sort_unstable();
+        waits[waits.len() * 95 / 100]
+    };
+    let (fair, first_come) = (waits(Order::Fair), waits(Order::FirstCome));
+    println!("p95 wait of short requests in steps: fair {fair}, first come {first_come}");
+    assert!(f64::from(fair) * STEP_SECONDS <= 1.0, "{fair}");
+    assert!(fair < first_come);
+}
+
+#[test]
+fn the_name_of_an_organisation_does_not_matter() {
+    let mut queue = FairQueue::new();
+    for (arrival, name) in ["zeta", "alpha", "mid"].into_iter().enumerate() {
+        queue.push(&name.parse().unwrap(), 1, 10.0, arrival);
+    }
+    let order: Vec<usize> = std::iter::from_fn(|| queue.pop(|_| true)).map(|(_, i)| i).collect();
+    assert_eq!(order, [0, 1, 2]);
+}
--- a/crates/cassiafield/src/process/allowance_gate.rs
+++ b/crates/cassiafield/src/process/allowance_gate.rs
@@ -98,6 +98,12 @@
         lock(&self.state).book.release(organisation, unused, now);
     }
 
+    /// Notes that the process runs.
+    pub fn beat(&self) {
+        let now = self.clock.now();
+        lock(&self.state).book.beat(now);
+    }
+
     /// Returns what is missing here.
     pub fn wants(&self) -> Vec<LoanWant> {
         let mut state = lock(&self.state);
--- a/crates/cassiafield/src/process/entry_server.rs
+++ b/crates/cassiafield/src/process/entry_server.rs
@@ -179,6 +179,7 @@
     })?);
     let state = host.clone();
     threads.push(start_loop("pump", closed, EntryServer::PUMP_INTERVAL, move || {
+        state.allowances.beat();
         state.gate.pump();
     })?);
     let state = host.clone();
