feat: share contended endpoints by weighted max-min over organisations and hosts

Cause: an even split of slots over hosts starves an organisation whose traffic arrives on one host, and first come, first served lets a flood take everything.

--- a/crates/cassiafield-core/src/process/fair_queue.rs
+++ b/crates/cassiafield-core/src/process/fair_queue.rs
@@ -68,9 +68,12 @@
     }
 
     /// Returns the next request of an organisation that `eligible` lets pass.
-    pub fn peek(&self, eligible: impl Fn(&OrganisationId) -> bool) -> Option<&T> {
+    pub fn peek(
+        &self,
+        eligible: impl Fn(&OrganisationId) -> bool,
+    ) -> Option<(&OrganisationId, &T)> {
         let organisation = self.next_flow(eligible)?;
-        self.flows[organisation].waiting.front().map(|item| &item.value)
+        self.flows[organisation].waiting.front().map(|item| (organisation, &item.value))
     }
 
     /// Takes the next request of an organisation that `eligible` lets pass.
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -26,7 +26,7 @@
     ordinal_holder::{OrdinalHolder, RenewalResult},
     rate_bucket::RateBucket,
     retry_budget::RetryBudget,
-    route_planner::{PlanError, RoutePlanner, RouteRequest},
-    slot_share::{SlotDemand, SlotShare},
+    route_planner::{PlanError, RoutePlanner, RouteRequest, RouteRoom},
+    slot_share::{LocalLimit, SlotDemand, SlotShare},
     usage_record::{RequestClass, UsageCount, UsageEnd, UsageRecord, LATENCY_BOUNDS_MS},
 };
--- a/crates/cassiafield-core/src/process/route_planner.rs
+++ b/crates/cassiafield-core/src/process/route_planner.rs
@@ -1,12 +1,33 @@
 use {
     crate::{
         ids::{EndpointId, ModelId, Moment, ZoneId},
-        process::{EndpointRecord, EndpointRole, EndpointTable},
+        process::{EndpointRecord, EndpointRole, EndpointTable, SlotShare},
         request::{RouteDraft, RouteError, RouteStage, StageRoute},
     },
     std::{collections::BTreeMap, fmt},
 };
 
+/// Which endpoints have room for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteRoom {
+    /// Those with room for an organisation that has its share.
+    Slots,
+    /// Those with room for an organisation below its share.
+    Headroom,
+    /// All, as for a stream that is resumed.
+    Any,
+}
+
+impl RouteRoom {
+    const fn admits(self, in_flight: u32, slots: u32) -> bool {
+        match self {
+            RouteRoom::Slots => in_flight < SlotShare::capacity(slots, false),
+            RouteRoom::Headroom => in_flight < SlotShare::capacity(slots, true),
+            RouteRoom::Any => true,
+        }
+    }
+}
+
 /// What a route is asked for.
 #[derive(Clone, Debug)]
 pub struct RouteRequest<'a> {
@@ -18,8 +39,8 @@
     pub zone: &'a ZoneId,
     /// Hash of the prompt's prefix; requests with the same hash prefer the same endpoints.
     pub prefix: u64,
-    /// Whether endpoints with all slots taken may be chosen, as for a stream that is resumed.
-    pub over_slots: bool,
+    /// Which endpoints have room.
+    pub room: RouteRoom,
 }
 
 /// Why there is no route.
@@ -85,9 +106,9 @@
         if !covers(&records, layers) {
             return Err(PlanError::NoCover);
         }
-        if !request.over_slots {
-            records.retain(|record| table.total_in_flight(&record.endpoint) < record.slots);
-        }
+        records.retain(|record| {
+            request.room.admits(table.total_in_flight(&record.endpoint), record.slots)
+        });
         records.sort_by_key(|record| (span_start(record), record.endpoint.clone()));
         let best = Self::search(table, request, &records);
         let last = cheapest_end(&records, &best, layers).ok_or(PlanError::Saturated)?;
--- a/crates/cassiafield-core/src/process/slot_share.rs
+++ b/crates/cassiafield-core/src/process/slot_share.rs
@@ -1,14 +1,38 @@
 use {crate::ids::OrganisationId, std::collections::BTreeMap};
 
 /// What one organisation wants of a model's slots.
+///
+/// All hosts must split by the same numbers, so the published averages of a few seconds are used
+/// for every host, this one included; only `now` is fresher.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SlotDemand {
     /// Weight of the organisation's plan.
     pub weight: u32,
+    /// Requests that run or wait on this host at this moment.
+    pub now: f64,
     /// Requests that run or wait on this host.
-    pub here: u32,
+    pub here: f64,
+    /// Requests that run or wait on hosts whose id is smaller than this one's.
+    pub before: f64,
     /// Requests that run or wait on all hosts, this one included.
-    pub everywhere: u32,
+    pub everywhere: f64,
+}
+
+impl SlotDemand {
+    /// What a waiting request counts for against a running one.
+    ///
+    /// Counting it whole would charge an organisation below its share for the time that it waits.
+    pub const WAITING_PART: f64 = 0.25;
+}
+
+/// What one organisation may run on one host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LocalLimit {
+    /// Requests at the same time.
+    pub requests: u32,
+    /// Whether the organisation wants no more than its share; it may then use the headroom of
+    /// endpoints whose slots are taken.
+    pub below_share: bool,
 }
 
 /// Splits a model's slots over organisations and hosts.
@@ -21,6 +45,26 @@
 }
 
 impl SlotShare {
+    /// Headroom over its demand that an organisation below its share has, as a factor.
+    const HEADROOM: f64 = 1.5;
+
+    /// Endpoints take one request more for each of this many slots, so that an organisation below
+    /// its share does not wait until another's long request ends.
+    const SLOTS_PER_HEADROOM: u32 = 16;
+
+    /// Returns the requests up to which an endpoint of `slots` slots takes one of an organisation.
+    ///
+    /// Half of the headroom is kept for organisations below their share.
+    #[must_use]
+    pub const fn capacity(slots: u32, below_share: bool) -> u32 {
+        let headroom = slots.div_ceil(Self::SLOTS_PER_HEADROOM);
+        if below_share {
+            slots + headroom
+        } else {
+            slots + headroom / 2
+        }
+    }
+
     /// Creates a splitter of `slots` slots.
     #[must_use]
     pub const fn new(slots: u32) -> Self {
@@ -34,15 +78,14 @@
         demands: &BTreeMap<OrganisationId, SlotDemand>,
     ) -> BTreeMap<OrganisationId, f64> {
         let mut shares = BTreeMap::new();
-        let mut open: Vec<_> = demands.iter().filter(|(_, d)| d.everywhere > 0).collect();
-        let need =
-            |demand: &SlotDemand| f64::from(demand.everywhere) / f64::from(demand.weight.max(1));
+        let mut open: Vec<_> = demands.iter().filter(|(_, d)| d.everywhere > 0.0).collect();
+        let need = |demand: &SlotDemand| demand.everywhere / f64::from(demand.weight.max(1));
         open.sort_by(|a, b| need(a.1).total_cmp(&need(b.1)));
         let mut left = f64::from(self.slots);
         let mut weights: f64 = open.iter().map(|(_, d)| f64::from(d.weight.max(1))).sum();
         for (organisation, demand) in open {
             let weight = f64::from(demand.weight.max(1));
-            let share = f64::from(demand.everywhere).min(left * weight / weights);
+            let share = demand.everywhere.min(left * weight / weights);
             shares.insert(organisation.clone(), share);
             left -= share;
             weights -= weight;
@@ -52,20 +95,35 @@
 
     /// Returns how many requests of each organisation may run on this host.
     ///
-    /// An organisation that wants anything here may run at least one, so that rounding starves
-    /// nobody.
+    /// An organisation below its share has headroom; one that wants more than its share is held
+    /// to it. The shares of all organisations on all hosts are laid end to end and cut at whole
+    /// numbers, so that the limits of all hosts sum to the slots. `phase`, in `0.0..1.0`, shifts
+    /// the cuts; it is the same on all hosts and changes with time, so that no organisation and
+    /// no host is favoured by rounding. An organisation that wants anything here may run at least
+    /// one.
     #[must_use]
     pub fn local_limits(
         &self,
         demands: &BTreeMap<OrganisationId, SlotDemand>,
-    ) -> BTreeMap<OrganisationId, u32> {
+        phase: f64,
+    ) -> BTreeMap<OrganisationId, LocalLimit> {
         let shares = self.fair_shares(demands);
-        let local = |(organisation, share): (&OrganisationId, &f64)| {
+        let mut laid = phase;
+        let mut limits = BTreeMap::new();
+        for (organisation, share) in &shares {
             let demand = demands[organisation];
-            let part = f64::from(demand.here) / f64::from(demand.everywhere.max(1));
-            let limit = (share * part).round().max(f64::from(u32::from(demand.here > 0)));
-            (organisation.clone(), limit as u32)
-        };
-        shares.iter().map(local).collect()
+            let unit = share / demand.everywhere.max(f64::MIN_POSITIVE);
+            let from = laid + unit * demand.before;
+            let below_share = *share >= demand.everywhere;
+            let limit = if !below_share {
+                (from + unit * demand.here).floor() - from.floor()
+            } else {
+                (demand.here.max(demand.now) * Self::HEADROOM + 1.0).ceil()
+            };
+            let requests = limit.max(1.0) as u32;
+            limits.insert(organisation.clone(), LocalLimit { requests, below_share });
+            laid += share;
+        }
+        limits
     }
 }
--- a/crates/cassiafield-daemons/src/bin/cassiafield-entry.rs
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-entry.rs
@@ -11,7 +11,7 @@
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
     },
-    std::{env, fs, process::ExitCode, sync::Arc},
+    std::{env, fs, io::Write as _, process::ExitCode, sync::Arc},
 };
 
 /// Exit code of a fault in the settings or the command line.
@@ -79,6 +79,8 @@
         services: Arc::new(HttpServiceClient),
     };
     let server = EntryServer::start(settings, borders)?;
+    println!("listening {} {}", server.caller_address(), server.peer_address());
+    std::io::stdout().flush()?;
     signals.forever().next();
     server.close();
     Ok(())
--- a/crates/cassiafield/src/connection/peer_message.rs
+++ b/crates/cassiafield/src/connection/peer_message.rs
@@ -33,8 +33,8 @@
     pub leaving: BTreeSet<EndpointId>,
     /// Requests that it has in flight, by endpoint.
     pub in_flight: BTreeMap<EndpointId, u32>,
-    /// Requests that run or wait, by model and organisation.
-    pub demands: BTreeMap<ModelId, BTreeMap<OrganisationId, u32>>,
+    /// Requests that run or wait, averaged over a few seconds, by model and organisation.
+    pub demands: BTreeMap<ModelId, BTreeMap<OrganisationId, f64>>,
 }
 
 /// The lists as a peer has them.
--- a/crates/cassiafield/src/process/admission_gate.rs
+++ b/crates/cassiafield/src/process/admission_gate.rs
@@ -1,9 +1,10 @@
 use {
     crate::process::{lock, HostClock},
     cassiafield_core::{
-        ids::{EndpointId, HostId, ModelId, Moment, OrganisationId},
+        ids::{EndpointId, HostId, ModelId, Moment, OrganisationId, ZoneId},
         process::{
-            EndpointTable, FairQueue, PlanError, RoutePlanner, RouteRequest, SlotDemand, SlotShare,
+            EndpointTable, FairQueue, LocalLimit, PlanError, RoutePlanner, RouteRequest, RouteRoom,
+            SlotDemand, SlotShare,
         },
         request::StageRoute,
     },
@@ -46,7 +47,8 @@
 /// Shares endpoints over organisations: waiting requests get routes in fair order.
 pub struct AdmissionGate {
     clock: HostClock,
-    zone: cassiafield_core::ids::ZoneId,
+    host: HostId,
+    zone: ZoneId,
     table: Arc<Mutex<EndpointTable>>,
     lines: Mutex<GateLines>,
 }
@@ -55,6 +57,7 @@
 struct GateLines {
     models: BTreeMap<ModelId, ModelLine>,
     remote: BTreeMap<HostId, RemoteDemand>,
+    weights: BTreeMap<OrganisationId, u32>,
     tickets: u64,
 }
 
@@ -63,7 +66,7 @@
 struct ModelLine {
     queue: FairQueue<RouteTicket>,
     running: BTreeMap<OrganisationId, u32>,
-    weights: BTreeMap<OrganisationId, u32>,
+    smoothed: BTreeMap<OrganisationId, f64>,
     service_seconds: f64,
 }
 
@@ -73,8 +76,8 @@
     reply: Sender<Result<StageRoute, PlanError>>,
 }
 
-/// Requests that run or wait on a host, by model and organisation.
-pub(crate) type DemandMap = BTreeMap<ModelId, BTreeMap<OrganisationId, u32>>;
+/// Requests that run or wait on a host, averaged over a few seconds, by model and organisation.
+pub(crate) type DemandMap = BTreeMap<ModelId, BTreeMap<OrganisationId, f64>>;
 
 struct RemoteDemand {
     heard: Moment,
@@ -87,15 +90,22 @@
     /// Part of the old value kept in the average service time.
     const SERVICE_KEPT: f64 = 0.9;
     const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+    /// Part of the old value kept in the average demand at each digest.
+    const DEMAND_KEPT: f64 = 0.85;
+    /// Average demand below which an organisation is forgotten.
+    const SMALLEST_DEMAND: f64 = 0.01;
+    /// Time for which the cuts between hosts' shares stay where they are, in seconds.
+    const PHASE_SECONDS: u64 = 2;
 
     /// Creates a gate to the endpoints of `table`.
     #[must_use]
     pub fn new(
         clock: HostClock,
-        zone: cassiafield_core::ids::ZoneId,
+        host: HostId,
+        zone: ZoneId,
         table: Arc<Mutex<EndpointTable>>,
     ) -> Self {
-        Self { clock, zone, table, lines: Mutex::new(GateLines::default()) }
+        Self { clock, host, zone, table, lines: Mutex::new(GateLines::default()) }
     }
 
     /// Waits for a route.
@@ -131,10 +141,23 @@
         }
     }
 
-    /// Returns this host's demand, for its peers.
+    /// Sets the weights of organisations' plans.
+    pub(crate) fn set_weights(&self, weights: BTreeMap<OrganisationId, u32>) {
+        lock(&self.lines).weights = weights;
+    }
+
+    /// Brings the average demand up to date; to be called once before each round of digests.
+    pub(crate) fn measure_demand(&self) {
+        for line in lock(&self.lines).models.values_mut() {
+            line.smooth();
+        }
+    }
+
+    /// Returns this host's average demand, for its peers.
     pub(crate) fn demands(&self) -> DemandMap {
         let lines = lock(&self.lines);
-        let models = lines.models.iter().map(|(model, line)| (model.clone(), line.demand()));
+        let models =
+            lines.models.iter().map(|(model, line)| (model.clone(), line.smoothed.clone()));
         models.filter(|(_, demand)| !demand.is_empty()).collect()
     }
 
@@ -156,7 +179,6 @@
         let number = lines.tickets;
         let ticket = RouteTicket { number, prefix: request.prefix, reply: sender };
         let line = lines.models.entry(request.model.clone()).or_default();
-        line.weights.insert(request.organisation.clone(), request.weight);
         let cost = f64::from(request.cost.max(1));
         line.queue.push(request.organisation, request.weight, cost, ticket);
         self.pump_model(&mut lines, request.model);
@@ -180,7 +202,7 @@
             return None;
         }
         let limits = self.limits(lines, request.model);
-        let limit = limits.get(request.organisation).copied().unwrap_or(1).max(1);
+        let limit = limits.get(request.organisation).map_or(1, |limit| limit.requests);
         let wait = line.service_seconds * ahead as f64 / f64::from(limit);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
         (wait > request.patience).then(|| (wait - request.patience).max(Self::SHORTEST_RETRY))
@@ -203,24 +225,34 @@
         Err(AdmissionRefusal::Overloaded(Self::SHORTEST_RETRY))
     }
 
-    fn limits(&self, lines: &GateLines, model: &ModelId) -> BTreeMap<OrganisationId, u32> {
+    fn limits(&self, lines: &GateLines, model: &ModelId) -> BTreeMap<OrganisationId, LocalLimit> {
         let now = self.clock.now();
         let slots = lock(&self.table).model_slots(model, now);
         let Some(line) = lines.models.get(model) else { return BTreeMap::new() };
         let mut demands: BTreeMap<OrganisationId, SlotDemand> = BTreeMap::new();
-        for (organisation, here) in line.demand() {
-            let weight = line.weights.get(&organisation).copied().unwrap_or(1);
-            demands.insert(organisation, SlotDemand { weight, here, everywhere: here });
+        for (organisation, current) in line.demand() {
+            demands.entry(organisation).or_default().now = current;
         }
-        let fresh = |remote: &&RemoteDemand| now.since(remote.heard) < Self::REMOTE_RETENTION;
-        for remote in lines.remote.values().filter(fresh) {
-            for (organisation, count) in remote.demands.get(model).into_iter().flatten() {
+        for (organisation, here) in &line.smoothed {
+            let demand = demands.entry(organisation.clone()).or_default();
+            demand.here = *here;
+            demand.everywhere = *here;
+        }
+        let fresh = |(_, remote): &(&HostId, &RemoteDemand)| {
+            now.since(remote.heard) < Self::REMOTE_RETENTION
+        };
+        for (host, remote) in lines.remote.iter().filter(fresh) {
+            for (organisation, amount) in remote.demands.get(model).into_iter().flatten() {
                 let demand = demands.entry(organisation.clone()).or_default();
-                demand.weight = demand.weight.max(1);
-                demand.everywhere += count;
+                demand.everywhere += amount;
+                demand.before += if host < &self.host { *amount } else { 0.0 };
             }
         }
-        SlotShare::new(slots).local_limits(&demands)
+        for (organisation, demand) in &mut demands {
+            demand.weight = lines.weights.get(organisation).copied().unwrap_or(1);
+            demand.everywhere = demand.everywhere.max(f64::MIN_POSITIVE);
+        }
+        SlotShare::new(slots).local_limits(&demands, split_phase())
     }
 
     fn pump_model(&self, lines: &mut GateLines, model: &ModelId) {
@@ -228,15 +260,24 @@
         let Some(line) = lines.models.get_mut(model) else { return };
         let now = self.clock.now();
         let mut table = lock(&self.table);
+        let mut room = RouteRoom::Slots;
         loop {
             let running = &line.running;
             let eligible = |organisation: &OrganisationId| {
                 let count = running.get(organisation).copied().unwrap_or(0);
-                count < limits.get(organisation).copied().unwrap_or(1)
+                limits.get(organisation).is_some_and(|limit| {
+                    count < limit.requests && (limit.below_share || room == RouteRoom::Slots)
+                })
+            };
+            let Some((organisation, ticket)) = line.queue.peek(eligible) else { break };
+            let below_share = limits.get(organisation).is_some_and(|limit| limit.below_share);
+            let request = RouteRequest {
+                model,
+                avoided: &[],
+                zone: &self.zone,
+                prefix: ticket.prefix,
+                room: if below_share { RouteRoom::Headroom } else { RouteRoom::Slots },
             };
-            let Some(prefix) = line.queue.peek(eligible).map(|ticket| ticket.prefix) else { break };
-            let request =
-                RouteRequest { model, avoided: &[], zone: &self.zone, prefix, over_slots: false };
             match RoutePlanner.plan(&table, &request, now) {
                 Ok(route) => {
                     let Some((organisation, ticket)) = line.queue.pop(eligible) else { break };
@@ -247,6 +288,9 @@
                         finish_route(&mut table, unsent.0.ok().as_ref());
                     }
                 }
+                Err(PlanError::Saturated) if !below_share && room == RouteRoom::Slots => {
+                    room = RouteRoom::Headroom;
+                }
                 Err(PlanError::Saturated) => break,
                 Err(error) => {
                     line.fail_all(&error);
@@ -279,14 +323,30 @@
 }
 
 impl ModelLine {
-    fn demand(&self) -> BTreeMap<OrganisationId, u32> {
-        let mut demand = self.running.clone();
+    fn demand(&self) -> BTreeMap<OrganisationId, f64> {
+        let running = self.running.iter();
+        let mut demand: BTreeMap<_, _> = running
+            .map(|(organisation, count)| (organisation.clone(), f64::from(*count)))
+            .collect();
         for (organisation, waiting) in self.queue.backlog() {
-            *demand.entry(organisation).or_default() += u32::try_from(waiting).unwrap_or(u32::MAX);
+            *demand.entry(organisation).or_default() += waiting as f64 * SlotDemand::WAITING_PART;
         }
         demand
     }
 
+    fn smooth(&mut self) {
+        let demand = self.demand();
+        for (organisation, current) in &demand {
+            self.smoothed.entry(organisation.clone()).or_insert(*current);
+        }
+        for (organisation, smoothed) in &mut self.smoothed {
+            let current = demand.get(organisation).copied().unwrap_or(0.0);
+            *smoothed = AdmissionGate::DEMAND_KEPT * *smoothed
+                + (1.0 - AdmissionGate::DEMAND_KEPT) * current;
+        }
+        self.smoothed.retain(|_, smoothed| *smoothed > AdmissionGate::SMALLEST_DEMAND);
+    }
+
     fn end(&mut self, organisation: &OrganisationId) {
         if let Some(count) = self.running.get_mut(organisation) {
             *count = count.saturating_sub(1);
@@ -309,6 +369,14 @@
     }
 }
 
+/// Returns a number in `0.0..1.0` that is the same on all hosts and changes with time.
+fn split_phase() -> f64 {
+    const STEPS: u64 = 1 << 16;
+    let period = HostClock::unix_seconds() / AdmissionGate::PHASE_SECONDS;
+    let mixed = period.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    (mixed % STEPS) as f64 / STEPS as f64
+}
+
 fn dispatch_route(table: &mut EndpointTable, route: &StageRoute, now: Moment) {
     for stage in route.stages() {
         table.dispatched(&stage.endpoint, now);
@@ -355,7 +423,7 @@
             avoided,
             zone: &self.gate.zone,
             prefix: self.prefix,
-            over_slots: true,
+            room: RouteRoom::Any,
         };
         let route = RoutePlanner.plan(&table, &request, now)?;
         dispatch_route(&mut table, &route, now);
--- a/crates/cassiafield/src/process/entry_host.rs
+++ b/crates/cassiafield/src/process/entry_host.rs
@@ -94,7 +94,7 @@
         let (host, zone) = (settings.host.clone(), settings.zone.clone());
         Ok(Self {
             allowances: AllowanceGate::new(clock, zone.clone(), settings.request_timeout),
-            gate: Arc::new(AdmissionGate::new(clock, zone.clone(), table.clone())),
+            gate: Arc::new(AdmissionGate::new(clock, host.clone(), zone.clone(), table.clone())),
             usage: UsageKeeper::new(host.clone(), fastrand::u64(..)),
             peers: PeerBook::new(host, zone, settings.peer_seeds.clone()),
             lists: Arc::new(ListHolder::new()),
@@ -162,7 +162,13 @@
 
     /// Puts the lists in force into the allowances.
     pub(crate) fn apply_lists(&self) {
-        self.allowances.set_lists(self.lists.current());
+        let version = self.lists.current();
+        let weights = version.lists.organisations.keys().filter_map(|organisation| {
+            let limits = version.lists.limits_of(organisation)?;
+            Some((organisation.clone(), limits.weight))
+        });
+        self.gate.set_weights(weights.collect());
+        self.allowances.set_lists(version.clone());
     }
 
     /// Reads the platform's list of hosts.
--- a/crates/cassiafield/src/process/peer_agent.rs
+++ b/crates/cassiafield/src/process/peer_agent.rs
@@ -33,6 +33,7 @@
 
     /// Exchanges digests with peers, all at once.
     pub(crate) fn digest_round(&self) {
+        self.host.gate.measure_demand();
         let digest = self.host.digest();
         thread::scope(|scope| {
             for address in self.host.peers.digest_addresses() {
