--- a/crates/cassiafield-core/src/process/retry_budget.rs
+++ b/crates/cassiafield-core/src/process/retry_budget.rs
@@ -10,10 +10,10 @@
     /// Retries that may come at once.
     const MAX_CREDIT: f64 = 10.0;
 
-    /// Creates a budget with no credit.
+    /// Creates a budget with the credit of a quiet host.
     #[must_use]
     pub const fn new() -> Self {
-        Self { credit: 0.0 }
+        Self { credit: Self::MAX_CREDIT }
     }
 
     /// Records a first attempt.
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -16,6 +16,6 @@
     refusal_cause::RefusalCause,
     request_verdict::RequestVerdict,
     stage_route::{RouteDraft, RouteError, RouteStage, StageRoute},
-    stream_recovery::{RecoveryStep, StreamRecovery},
+    stream_recovery::{AttemptBlame, RecoveryStep, StreamRecovery},
     token_frame::TokenFrame,
 };
--- a/crates/cassiafield-core/src/request/stream_recovery.rs
+++ b/crates/cassiafield-core/src/request/stream_recovery.rs
@@ -6,6 +6,17 @@
 /// Attempts at one stream, the first included.
 pub(super) const MAX_ATTEMPTS: u32 = 4;
 
+/// Who is to blame for a failed attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AttemptBlame {
+    /// The endpoint failed; no attempt of this stream goes there again.
+    Endpoint(EndpointId),
+    /// The endpoint's stream failed though it answers; the next attempt goes elsewhere if it can.
+    Doubtful(EndpointId),
+    /// Nobody can be named.
+    Nobody,
+}
+
 /// What to do after a stream's attempt failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RecoveryStep {
@@ -21,6 +32,7 @@
     deadline: Moment,
     failures: u32,
     avoided: Vec<EndpointId>,
+    doubtful: Option<EndpointId>,
 }
 
 impl StreamRecovery {
@@ -30,7 +42,7 @@
     /// Creates the recovery of a stream that must end by `deadline`.
     #[must_use]
     pub const fn new(deadline: Moment) -> Self {
-        Self { deadline, failures: 0, avoided: Vec::new() }
+        Self { deadline, failures: 0, avoided: Vec::new(), doubtful: None }
     }
 
     /// Returns the endpoints that failed this stream.
@@ -39,6 +51,12 @@
         &self.avoided
     }
 
+    /// Returns the endpoint that the next attempt should avoid if it can.
+    #[must_use]
+    pub const fn doubtful(&self) -> Option<&EndpointId> {
+        self.doubtful.as_ref()
+    }
+
     /// Returns the number of failed attempts.
     #[must_use]
     pub const fn failures(&self) -> u32 {
@@ -47,17 +65,22 @@
 
     /// Records a failed attempt.
     ///
-    /// `culprit` is avoided from now on; `permitted` is the retry budget's word; `jitter` is a
+    /// `permitted` is the retry budget's word; `jitter` is a
     /// random number in `0.0..1.0` that spreads the pause over its whole range.
     pub fn fail(
         &mut self,
         now: Moment,
-        culprit: Option<EndpointId>,
+        blame: AttemptBlame,
         permitted: bool,
         jitter: f64,
     ) -> RecoveryStep {
         self.failures += 1;
-        self.avoided.extend(culprit);
+        self.doubtful = None;
+        match blame {
+            AttemptBlame::Endpoint(endpoint) => self.avoided.push(endpoint),
+            AttemptBlame::Doubtful(endpoint) => self.doubtful = Some(endpoint),
+            AttemptBlame::Nobody => {}
+        }
         if !permitted || self.failures >= MAX_ATTEMPTS {
             return RecoveryStep::GiveUp;
         }
--- /dev/null
+++ b/crates/cassiafield-standin/tests/local/caller_api.rs
@@ -0,0 +1,167 @@
+//! What callers see: shapes, statuses, verdicts and idempotency keys.
+
+use {
+    crate::support::{complete, expected, plan, post, read, start, stream},
+    expect_test::expect,
+    serde_json::{json, Value},
+};
+
+#[test]
+fn a_whole_answer_is_the_models_answer() {
+    let (fleet, address) = start(&plan());
+    let reply = complete(address, "when to feed", 20);
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.body["choices"][0]["text"], expected("when to feed", 20));
+    assert_eq!(reply.body["usage"]["completion_tokens"], 20);
+    assert_eq!(reply.body["choices"][0]["finish_reason"], "length");
+    fleet.close();
+}
+
+#[test]
+fn a_streamed_chat_has_the_shape_that_client_libraries_read() {
+    let (fleet, address) = start(&plan());
+    let body = json!({
+        "model": "demo-model", "max_tokens": 4,
+        "stream_options": { "include_usage": true },
+        "messages": [{ "role": "user", "content": [{ "type": "text", "text": "moss" }] }],
+    });
+    let events = stream(address, "/v1/chat/completions", body);
+    assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+    let parsed: Vec<Value> = events[..events.len() - 1]
+        .iter()
+        .map(|event| serde_json::from_str(event).unwrap())
+        .collect();
+    let text: String = parsed
+        .iter()
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str())
+        .collect();
+    assert_eq!(text, expected("user: moss\n", 4));
+    let shapes: Vec<String> = parsed
+        .iter()
+        .map(|event| {
+            let choice = &event["choices"][0];
+            format!(
+                "{} {} {}",
+                event["object"],
+                if choice["delta"]["role"].is_string() { "role" } else { "-" },
+                choice["finish_reason"]
+            )
+        })
+        .collect();
+    expect![[r#"
+        "chat.completion.chunk" role null
+        "chat.completion.chunk" - null
+        "chat.completion.chunk" - null
+        "chat.completion.chunk" - null
+        "chat.completion.chunk" - null
+        "chat.completion.chunk" - "length"
+        "chat.completion.chunk" - null"#]]
+    .assert_eq(&shapes.join("\n"));
+    assert_eq!(parsed.last().unwrap()["usage"]["completion_tokens"], 4);
+    fleet.close();
+}
+
+#[test]
+fn refusals_have_their_status_cause_and_verdict() {
+    let mut plan = plan();
+    plan.limits.max_tokens = 50;
+    let (fleet, address) = start(&plan);
+    let url = |path: &str| format!("http://{address}{path}");
+    let key = "Bearer demo-key";
+    let replies = [
+        ("no key", read(ureq::get(&url("/v1/models")).call())),
+        ("wrong key", read(ureq::get(&url("/v1/models")).set("Authorization", "Bearer x").call())),
+        ("no path", read(ureq::get(&url("/v1/nothing")).set("Authorization", key).call())),
+        ("method", read(ureq::get(&url("/v1/completions")).set("Authorization", key).call())),
+        (
+            "no json",
+            read(ureq::post(&url("/v1/completions")).set("Authorization", key).send_string("{")),
+        ),
+        ("model", post(address, "/v1/completions", &json!({ "model": "other", "prompt": "x" }))),
+        ("service", post(address, "/v1/services/other/x", &json!({}))),
+        ("tokens", complete(address, "x", 51)),
+        (
+            "n",
+            post(
+                address,
+                "/v1/completions",
+                &json!({ "model": "demo-model", "prompt": "x", "n": 2 }),
+            ),
+        ),
+        ("large", post(address, "/v1/completions", &json!("x".repeat(2 << 20)))),
+    ];
+    let lines: Vec<String> = replies
+        .iter()
+        .map(|(name, reply)| {
+            assert_eq!(reply.header("Content-Type"), Some("application/problem+json"), "{name}");
+            let body = &reply.body;
+            format!(
+                "{name}: {} {} {} {}",
+                reply.status, body["cause"], body["verdict"], body["detail"]
+            )
+        })
+        .collect();
+    expect![[r#"
+        no key: 401 "unauthorised" "not-run" "Authorization: expected a bearer key of an organisation"
+        wrong key: 401 "unauthorised" "not-run" "Authorization: expected a bearer key of an organisation"
+        no path: 404 "not-found" "not-run" "no such path: /v1/nothing"
+        method: 405 "method-not-allowed" "not-run" "/v1/completions takes POST"
+        no json: 400 "bad-request" "not-run" "body, line 1 column 1: expected a JSON object"
+        model: 403 "not-in-plan" "not-run" "the plan does not include model other"
+        service: 403 "not-in-plan" "not-run" "the plan does not include service other"
+        tokens: 400 "bad-request" "not-run" "max_tokens: the plan allows at most 50"
+        n: 400 "bad-request" "not-run" "n: expected 1, the only value served"
+        large: 413 "too-large" "not-run" "the body has more than 1048576 bytes""#]]
+    .assert_eq(&lines.join("\n"));
+    fleet.close();
+}
+
+#[test]
+fn a_used_up_plan_is_refused_with_a_time_to_come_back() {
+    let mut plan = plan();
+    plan.limits.request_rate = 0.5;
+    plan.limits.request_burst = 2.0;
+    let (fleet, address) = start(&plan);
+    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    let replies: Vec<_> = (0..8).map(|_| complete(address, "x", 1)).collect();
+    let refused = replies.iter().find(|reply| reply.status == 429).unwrap();
+    assert_eq!(refused.body["cause"], "request-rate");
+    assert!(refused.header("Retry-After").unwrap().parse::<u64>().unwrap() >= 1);
+    fleet.close();
+}
+
+#[test]
+fn a_key_runs_once_and_its_outcome_is_replayed() {
+    let (fleet, address) = start(&plan());
+    let file = |body: &str| {
+        let request = ureq::post(&format!("http://{address}/v1/services/permits/file?calf=7"));
+        let request = request.set("Authorization", "Bearer demo-key");
+        let request = request.set("Content-Type", "text/x-permit").set("Idempotency-Key", "k");
+        read(request.send_string(body))
+    };
+    let (first, second, other) = (file("a"), file("a"), file("b"));
+    assert_eq!(first.body["path"], "/file?calf=7");
+    assert_eq!(first.body["content_type"], "text/x-permit");
+    assert_eq!(first.body, second.body);
+    assert_eq!(second.header("Cassiafield-Verdict"), Some("ran"));
+    assert_eq!((other.status, other.body["cause"].as_str()), (422, Some("key-reused")));
+    assert_eq!(fleet.platform().runs().get("k"), Some(&1));
+    fleet.close();
+}
+
+#[test]
+fn a_keyed_call_without_the_store_is_refused_at_once() {
+    let (fleet, address) = start(&plan());
+    fleet
+        .platform()
+        .store()
+        .set_faults(cassiafield_standin::StoreFaults { outage: true, ..Default::default() });
+    let request = ureq::post(&format!("http://{address}/v1/services/permits/file"));
+    let request = request.set("Authorization", "Bearer demo-key").set("Idempotency-Key", "k2");
+    let reply = read(request.send_string("a"));
+    assert_eq!((reply.status, reply.body["cause"].as_str()), (503, Some("store-unavailable")));
+    assert!(reply.header("Retry-After").is_some());
+    assert_eq!(complete(address, "still served", 3).status, 200);
+    assert_eq!(fleet.platform().runs().get("k2"), None);
+    fleet.close();
+}
--- /dev/null
+++ b/crates/cassiafield-standin/tests/local/support/mod.rs
@@ -0,0 +1,79 @@
+//! Calls to a local fleet.
+
+use {
+    cassiafield_standin::{FleetPlan, LocalFleet, ToyModel},
+    serde_json::{json, Value},
+    std::{net::SocketAddr, thread, time::Duration},
+};
+
+pub(crate) fn plan() -> FleetPlan {
+    let mut plan = FleetPlan::demo().unwrap();
+    plan.listen = "127.0.0.1:0".into();
+    plan.token_time = Duration::from_millis(2);
+    plan
+}
+
+pub(crate) fn start(plan: &FleetPlan) -> (LocalFleet, SocketAddr) {
+    let fleet = LocalFleet::start(plan).unwrap();
+    let address = fleet.caller_addresses()[0];
+    while complete(address, "until the first allowance has accrued", 1).status == 429 {
+        thread::sleep(Duration::from_millis(50));
+    }
+    (fleet, address)
+}
+
+pub(crate) fn expected(prompt: &str, max_tokens: u32) -> String {
+    ToyModel::new(16).answer(prompt, max_tokens).concat()
+}
+
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Value,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+pub(crate) fn read(result: Result<ureq::Response, ureq::Error>) -> Reply {
+    let response = match result {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+        Err(error) => panic!("{error}"),
+    };
+    let names = response.headers_names();
+    let headers = names
+        .into_iter()
+        .map(|name| {
+            let value = response.header(&name).unwrap_or("").to_owned();
+            (name, value)
+        })
+        .collect();
+    let status = response.status();
+    let text = response.into_string().unwrap();
+    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    Reply { status, headers, body }
+}
+
+pub(crate) fn post(address: SocketAddr, path: &str, body: &Value) -> Reply {
+    let request = ureq::post(&format!("http://{address}{path}"));
+    let request = request.set("Authorization", &format!("Bearer {}", FleetPlan::DEMO_KEY));
+    read(request.set("Content-Type", "application/json").send_string(&body.to_string()))
+}
+
+pub(crate) fn complete(address: SocketAddr, prompt: &str, max_tokens: u32) -> Reply {
+    let body = json!({ "model": "demo-model", "prompt": prompt, "max_tokens": max_tokens });
+    post(address, "/v1/completions", &body)
+}
+
+/// Returns the events of a stream as they stand on the wire.
+pub(crate) fn stream(address: SocketAddr, path: &str, mut body: Value) -> Vec<String> {
+    body["stream"] = true.into();
+    let request = ureq::post(&format!("http://{address}{path}"));
+    let request = request.set("Authorization", &format!("Bearer {}", FleetPlan::DEMO_KEY));
+    let text = request.send_string(&body.to_string()).unwrap().into_string().unwrap();
+    text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")).map(str::to_owned).collect()
+}
--- a/crates/cassiafield/src/process/entry_host.rs
+++ b/crates/cassiafield/src/process/entry_host.rs
@@ -56,6 +56,7 @@
     unsettled: Mutex<Vec<UnsettledClaim>>,
     claim_lease: Mutex<Option<(LeaseId, Moment)>>,
     listed: AtomicBool,
+    ordinal_tried: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -104,6 +105,7 @@
             unsettled: Mutex::new(Vec::new()),
             claim_lease: Mutex::new(None),
             listed: AtomicBool::new(false),
+            ordinal_tried: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             settings,
             clock,
@@ -129,6 +131,9 @@
         if !self.listed.load(Ordering::SeqCst) {
             return Err("the host has no list of endpoints yet");
         }
+        if !self.ordinal_tried.load(Ordering::SeqCst) {
+            return Err("the host has not asked for an ordinal yet");
+        }
         Ok(())
     }
 
@@ -138,6 +143,11 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Notes that the host holds an ordinal, or found none free, or has no store to ask.
+    pub(crate) fn note_ordinal_tried(&self) {
+        self.ordinal_tried.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
     }
--- a/crates/cassiafield/src/process/ordinal_keeper.rs
+++ b/crates/cassiafield/src/process/ordinal_keeper.rs
@@ -33,6 +33,8 @@
 
 impl OrdinalKeeper {
     const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+    /// Time between looks for the first lists.
+    const LISTS_INTERVAL: Duration = Duration::from_millis(50);
     /// Calls made to hand an ordinal back.
     const HAND_BACK_TRIES: u32 = 3;
 
@@ -71,12 +73,15 @@
     }
 
     fn take(&mut self) -> Duration {
-        match self.try_take() {
+        if self.host.lists.revision().0 == 0 {
+            return Self::LISTS_INTERVAL;
+        }
+        let taken = self.try_take();
+        self.host.note_ordinal_tried();
+        match taken {
             Ok(true) => OrdinalHolder::RENEWAL_INTERVAL,
             Ok(false) => {
-                if self.planned_hosts() > 0 {
-                    LogEvent::OrdinalMissing.log(&self.host.settings.zone);
-                }
+                LogEvent::OrdinalMissing.log(&self.host.settings.zone);
                 Self::RETRY_INTERVAL
             }
             Err(error) => {
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -9,8 +9,8 @@
         ids::{EndpointId, Moment, StreamId},
         process::{EndpointTable, RetryBudget},
         request::{
-            AnswerAssembly, FrameVerdict, RecoveryStep, RefusalCause, RequestVerdict, RouteStage,
-            StreamRecovery, TokenFrame,
+            AnswerAssembly, AttemptBlame, FrameVerdict, RecoveryStep, RefusalCause, RequestVerdict,
+            RouteStage, StreamRecovery, TokenFrame,
         },
     },
     compact_str::CompactString,
@@ -75,7 +75,7 @@
     Complete,
     CallerGone,
     Busy(Option<EndpointId>),
-    Failed(Option<EndpointId>),
+    Failed(AttemptBlame),
 }
 
 /// One stream while it runs.
@@ -120,8 +120,8 @@
         (end, run.delivered())
     }
 
-    /// Returns the first stage that does not answer a probe, all being probed at once.
-    fn find_culprit(&self, stages: &[RouteStage]) -> Option<EndpointId> {
+    /// Blames the first stage that does not answer a probe, all being probed at once.
+    fn find_culprit(&self, stages: &[RouteStage]) -> AttemptBlame {
         let alive: Vec<bool> = thread::scope(|scope| {
             let probe = |stage: &RouteStage| {
                 let (engines, address) = (self.engines.clone(), stage.address.clone());
@@ -130,12 +130,14 @@
             let probes: Vec<_> = stages.iter().map(probe).collect();
             probes.into_iter().map(|probe| probe.join().unwrap_or(false)).collect()
         });
-        let dead = alive.iter().position(|alive| !alive)?;
-        Some(stages[dead].endpoint.clone())
+        match alive.iter().position(|alive| !alive) {
+            Some(dead) => AttemptBlame::Endpoint(stages[dead].endpoint.clone()),
+            None => doubt_first(stages),
+        }
     }
 
-    fn note_failure(&self, culprit: Option<&EndpointId>) {
-        if let Some(endpoint) = culprit {
+    fn note_failure(&self, blame: &AttemptBlame) {
+        if let AttemptBlame::Endpoint(endpoint) = blame {
             lock(&self.table).failed(endpoint, self.clock.now());
             self.metrics.event("endpoint-failed");
             LogEvent::EndpointFailed.log(endpoint);
@@ -164,7 +166,7 @@
             let before = self.delivered();
             let attempt = self.assembly.begin_attempt(hold.route());
             let end = self.attempt(attempt, hold);
-            let culprit = match end {
+            let blame = match end {
                 AttemptEnd::Complete => return RunEnd::Complete,
                 AttemptEnd::CallerGone => {
                     self.cancel_attempt(hold, attempt);
@@ -181,11 +183,11 @@
                     }
                     continue;
                 }
-                AttemptEnd::Failed(culprit) => culprit,
+                AttemptEnd::Failed(blame) => blame,
             };
             self.cancel_attempt(hold, attempt);
-            self.runner.note_failure(culprit.as_ref());
-            if let Some(end) = self.recover(hold, culprit, before) {
+            self.runner.note_failure(&blame);
+            if let Some(end) = self.recover(hold, blame, before) {
                 return end;
             }
         }
@@ -195,18 +197,23 @@
     fn recover(
         &mut self,
         hold: &mut RouteHold,
-        culprit: Option<EndpointId>,
+        blame: AttemptBlame,
         before: u32,
     ) -> Option<RunEnd> {
         let progressed = self.delivered() > before;
         let permitted = progressed || lock(&self.runner.retries).take();
         let now = self.runner.clock.now();
-        match self.recovery.fail(now, culprit, permitted, fastrand::f64()) {
+        match self.recovery.fail(now, blame, permitted, fastrand::f64()) {
             RecoveryStep::GiveUp => Some(self.give_up(RefusalCause::EndpointFailed)),
             RecoveryStep::Resume(pause) => {
                 thread::sleep(pause);
-                if hold.reroute(self.recovery.avoided()).is_err() {
-                    return Some(self.give_up(RefusalCause::NoEndpoint));
+                if !self.reroute(hold) {
+                    let cause = if self.sent {
+                        RefusalCause::EndpointFailed
+                    } else {
+                        RefusalCause::NoEndpoint
+                    };
+                    return Some(self.give_up(cause));
                 }
                 self.runner.metrics.event("stream-resumed");
                 LogEvent::StreamResumed.log(self.job.stream);
@@ -215,6 +222,20 @@
         }
     }
 
+    /// Takes a route without the endpoints that failed and, if there is one, without the doubtful
+    /// one.
+    fn reroute(&self, hold: &mut RouteHold) -> bool {
+        let mut avoided = self.recovery.avoided().to_vec();
+        if let Some(doubtful) = self.recovery.doubtful() {
+            avoided.push(doubtful.clone());
+            if hold.reroute(&avoided).is_ok() {
+                return true;
+            }
+            avoided.pop();
+        }
+        hold.reroute(&avoided).is_ok()
+    }
+
     fn give_up(&self, cause: RefusalCause) -> RunEnd {
         LogEvent::StreamGivenUp.log(format_args!("{} {cause}", self.job.stream));
         let verdict = if self.sent { RequestVerdict::MayHaveRun } else { RequestVerdict::NotRun };
@@ -244,14 +265,14 @@
                 self.sent = true;
                 self.follow(stream.as_mut(), route.stages())
             }
-            Err(OpenFailure::Unreachable(_)) => AttemptEnd::Failed(first),
+            Err(OpenFailure::Unreachable(_)) => AttemptEnd::Failed(blame_first(route.stages())),
             Err(OpenFailure::Busy) => {
                 self.sent = true;
                 AttemptEnd::Busy(first)
             }
             Err(OpenFailure::Unanswered(_) | OpenFailure::Refused(_)) => {
                 self.sent = true;
-                AttemptEnd::Failed(first)
+                AttemptEnd::Failed(blame_first(route.stages()))
             }
         }
     }
@@ -270,13 +291,14 @@
                         patience = StreamRunner::TOKEN_TIMEOUT;
                     }
                     FrameStep::Ignore => {}
+                    FrameStep::Broken => return AttemptEnd::Failed(blame_first(stages)),
                     FrameStep::End(end) => return end,
                 },
-                Ok(EngineEvent::Failed { failed }) => return AttemptEnd::Failed(Some(failed)),
-                Ok(EngineEvent::Heartbeat { .. }) => {}
-                Err(StreamFailure::Garbage) => {
-                    return AttemptEnd::Failed(stages.first().map(|stage| stage.endpoint.clone()));
+                Ok(EngineEvent::Failed { failed }) => {
+                    return AttemptEnd::Failed(AttemptBlame::Endpoint(failed));
                 }
+                Ok(EngineEvent::Heartbeat { .. }) => {}
+                Err(StreamFailure::Garbage) => return AttemptEnd::Failed(blame_first(stages)),
                 Err(StreamFailure::Silent | StreamFailure::Closed) => {
                     return AttemptEnd::Failed(self.runner.find_culprit(stages));
                 }
@@ -296,7 +318,7 @@
                 LogEvent::FrameDropped.log(format_args!("{} {reason:?}", self.job.stream));
                 FrameStep::Ignore
             }
-            FrameVerdict::Broken => FrameStep::End(AttemptEnd::Failed(None)),
+            FrameVerdict::Broken => FrameStep::Broken,
         }
     }
 
@@ -312,5 +334,17 @@
 enum FrameStep {
     Next,
     Ignore,
+    Broken,
     End(AttemptEnd),
 }
+
+/// Blames the stage that sends the frames.
+fn blame_first(stages: &[RouteStage]) -> AttemptBlame {
+    let first = stages.first().map(|stage| stage.endpoint.clone());
+    first.map_or(AttemptBlame::Nobody, AttemptBlame::Endpoint)
+}
+
+fn doubt_first(stages: &[RouteStage]) -> AttemptBlame {
+    let first = stages.first().map(|stage| stage.endpoint.clone());
+    first.map_or(AttemptBlame::Nobody, AttemptBlame::Doubtful)
+}
