test: give test fleets allowances that accrue at once

Cause: a floor starts empty and took a second to fill at 100 requests/s, so that what a test saw depended on the machine's pace.

--- a/crates/cassiafield-standin/tests/local/caller_api.rs
+++ b/crates/cassiafield-standin/tests/local/caller_api.rs
@@ -122,7 +122,6 @@
     plan.limits.request_rate = 0.5;
     plan.limits.request_burst = 2.0;
     let (fleet, address) = start(&plan);
-    std::thread::sleep(std::time::Duration::from_millis(2_500));
     let replies: Vec<_> = (0..8).map(|_| complete(address, "x", 1)).collect();
     let refused = replies.iter().find(|reply| reply.status == 429).unwrap();
     assert_eq!(refused.body["cause"], "request-rate");
--- a/crates/cassiafield-standin/tests/local/support/mod.rs
+++ b/crates/cassiafield-standin/tests/local/support/mod.rs
@@ -10,6 +10,10 @@
     let mut plan = FleetPlan::demo().unwrap();
     plan.listen = "127.0.0.1:0".into();
     plan.token_time = Duration::from_millis(2);
+    plan.limits.request_rate = 1e6;
+    plan.limits.request_burst = 1e6;
+    plan.limits.token_rate = 1e8;
+    plan.limits.token_burst = 1e8;
     plan
 }
 
