--- /dev/null
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-load.rs
@@ -0,0 +1,176 @@
+//! Sends load, checks its history, and measures edits and slopes; for development only.
+
+use {
+    anyhow::{bail, Context as _},
+    cassiafield_load::{
+        CallKind, CallRecord, CoreSlopes, EditMeter, HistoryCheck, LoadPlan, LoadSummary,
+        ProcessMeter,
+    },
+    getopts::{Matches, Options},
+    std::{
+        collections::BTreeMap, env, fs, io::Write as _, process::ExitCode, str::FromStr,
+        time::Duration,
+    },
+};
+
+/// Exit code of a fault in the command line.
+const EXIT_USAGE: u8 = 2;
+/// Exit code of a history that must not happen.
+const EXIT_VIOLATION: u8 = 3;
+const USAGE: &str = "\
+Usage: cassiafield-load run|check|edits|slopes [OPTIONS]
+
+  run     send requests to --targets, print latencies, check the history
+  check   check the history in --history again
+  edits   time from an edit until it is in force at all --hosts
+  slopes  costs of decisions against the size of the fleet
+
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 the history has violations";
+
+fn main() -> ExitCode {
+    let options = options();
+    let matches = match options.parse(env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("cassiafield-load: {error}; see --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let command = matches.free.first().map_or("", String::as_str);
+    if matches.opt_present("help") || command.is_empty() {
+        print!("{}", options.usage(USAGE));
+        return ExitCode::SUCCESS;
+    }
+    let result = match command {
+        "run" => run(&matches),
+        "check" => check(&matches),
+        "edits" => edits(&matches).map(|()| ExitCode::SUCCESS),
+        "slopes" => slopes().map(|()| ExitCode::SUCCESS),
+        other => Err(anyhow::anyhow!("unknown command {other:?}")),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("cassiafield-load: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("t", "targets", "entry hosts, with commas", "ADDRESSES");
+    options.optopt("k", "key", "bearer key (default demo-key)", "KEY");
+    options.optopt("", "kind", "stream, filing or lookup (default stream)", "KIND");
+    options.optopt("r", "rate", "requests a second (default 10)", "N");
+    options.optopt("s", "seconds", "for how long (default 10)", "N");
+    options.optopt("n", "tokens", "tokens of a stream (default 50)", "N");
+    options.optopt("", "pids", "processes whose use is measured, with commas", "PIDS");
+    options.optopt("", "history", "file of the history (JSON lines)", "FILE");
+    options.optopt("", "platform", "platform stand-in that counts runs", "URL");
+    options.optopt("", "hosts", "peer addresses of hosts, with commas", "ADDRESSES");
+    options.optopt("", "edits", "number of edits (default 50)", "N");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn value<T: FromStr>(matches: &Matches, name: &str, default: &str) -> anyhow::Result<T> {
+    let text = matches.opt_str(name).unwrap_or_else(|| default.to_owned());
+    text.parse().map_err(|_| anyhow::anyhow!("--{name}: not valid: {text:?}"))
+}
+
+fn list(matches: &Matches, name: &str) -> Vec<String> {
+    let text = matches.opt_str(name).unwrap_or_default();
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(str::to_owned).collect()
+}
+
+fn run(matches: &Matches) -> anyhow::Result<ExitCode> {
+    let targets = list(matches, "targets");
+    if targets.is_empty() {
+        bail!("--targets is missing");
+    }
+    let kind: CallKind = value(matches, "kind", "stream")?;
+    let seconds: f64 = value(matches, "seconds", "10")?;
+    let plan = LoadPlan::new(targets, value::<String>(matches, "key", "demo-key")?)
+        .kind(kind)
+        .rate(value(matches, "rate", "10")?)
+        .duration(Duration::from_secs_f64(seconds))
+        .tokens(value(matches, "tokens", "50")?);
+    let processes =
+        list(matches, "pids").iter().map(|pid| pid.parse()).collect::<Result<Vec<u32>, _>>()?;
+    let meter = ProcessMeter::start(processes)?;
+    let records = plan.run();
+    let used = meter.read()?;
+    let summary = LoadSummary::of(&records)?;
+    print!("{summary}");
+    if used.threads > 0 {
+        println!(
+            "measured processes: {:.2} s CPU in {:.1} s, {:.3} s CPU a thousand tokens, {:.3} ms \
+             CPU a request, {:.1} MB resident, {} threads",
+            used.cpu_seconds,
+            used.wall_seconds,
+            used.cpu_seconds * 1e3 / summary.tokens().max(1) as f64,
+            used.cpu_seconds * 1e3 / records.len().max(1) as f64,
+            used.resident_bytes as f64 / 1e6,
+            used.threads
+        );
+    }
+    if let Some(file) = matches.opt_str("history") {
+        write_history(&file, &records)?;
+    }
+    verdict(matches, &records)
+}
+
+fn write_history(file: &str, records: &[CallRecord]) -> anyhow::Result<()> {
+    let mut out = std::io::BufWriter::new(fs::File::create(file)?);
+    for record in records {
+        serde_json::to_writer(&mut out, record)?;
+        out.write_all(b"\n")?;
+    }
+    out.flush()?;
+    Ok(())
+}
+
+fn check(matches: &Matches) -> anyhow::Result<ExitCode> {
+    let file = matches.opt_str("history").context("--history is missing")?;
+    let text = fs::read_to_string(&file).with_context(|| file.clone())?;
+    let mut records = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let record = serde_json::from_str(line);
+        records.push(record.with_context(|| format!("{file}:{}", index + 1))?);
+    }
+    verdict(matches, &records)
+}
+
+fn verdict(matches: &Matches, records: &[CallRecord]) -> anyhow::Result<ExitCode> {
+    let runs: BTreeMap<String, u64> = match matches.opt_str("platform") {
+        Some(url) => ureq::get(&format!("{url}/standin/runs")).call()?.into_json()?,
+        None if records.iter().any(|record| record.kind == CallKind::Filing) => {
+            println!("history: not checked, since --platform is missing");
+            return Ok(ExitCode::SUCCESS);
+        }
+        None => BTreeMap::new(),
+    };
+    let check = HistoryCheck::of(records, &runs);
+    print!("history: {check}");
+    let sound = check.violations().is_empty();
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(EXIT_VIOLATION) })
+}
+
+fn edits(matches: &Matches) -> anyhow::Result<()> {
+    let store = matches.opt_str("platform").context("--platform is missing")?;
+    let times =
+        EditMeter::new(store, list(matches, "hosts")).run(value(matches, "edits", "50")?)?;
+    let value = |quantile| times.value_at_quantile(quantile) as f64 / 1e3;
+    println!(
+        "{} edits in force everywhere: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        times.len(),
+        value(0.5),
+        value(0.99),
+        times.max() as f64 / 1e3
+    );
+    Ok(())
+}
+
+fn slopes() -> anyhow::Result<()> {
+    print!("{}", CoreSlopes.run()?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cassiafield-load/src/core_slopes.rs
@@ -0,0 +1,321 @@
+use {
+    crate::LineFit,
+    cassiafield::connection::{PeerDigest, PeerEnvelope},
+    cassiafield_core::{
+        ids::{EndpointId, HostId, ListRevision, ModelId, Moment, OrganisationId, ZoneId},
+        process::{
+            AllowanceBook, EndpointRecord, EndpointRole, EndpointState, EndpointTable,
+            RequestClass, RoutePlanner, RouteRequest, RouteRoom, SlotDemand, SlotShare, UsageEnd,
+            UsageRecord,
+        },
+        request::LayerSpan,
+        version::{
+            EditOutcome, EditStamp, FleetLists, FloorFraction, ListChange, ListEdit, PlanDraft,
+            PlanLimits, ZoneShare, EDIT_RING,
+        },
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write as _,
+        hint::black_box,
+        time::{Duration, Instant},
+    },
+};
+
+/// Costs of decisions and sizes of messages against the size of the fleet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CoreSlopes;
+
+const ORGANISATIONS: [usize; 5] = [25, 50, 100, 200, 400];
+const ENDPOINTS: [usize; 5] = [16, 32, 64, 128, 256];
+const ZONE_HOSTS: u16 = 20;
+const MODELS: usize = 4;
+const MIN_MEASURE: Duration = Duration::from_millis(40);
+
+impl CoreSlopes {
+    /// Measures everything and returns a table with a fit for each row.
+    ///
+    /// # Errors
+    ///
+    /// Returns that sample data is not valid.
+    pub fn run(self) -> anyhow::Result<String> {
+        let mut table = String::new();
+        type Measure = fn(usize) -> anyhow::Result<f64>;
+        let by_organisations: [(&str, Measure); 9] = [
+            ("lists value, bytes", lists_bytes),
+            ("lists parse, us", lists_parse),
+            ("floors of a new version, us", set_floors),
+            ("admission of a request, us", admit),
+            ("loan round without wants, us", idle_loan_round),
+            ("loan ask and answer for all, us", loan_exchange),
+            ("split of a model's slots, us", slot_split),
+            ("digest, bytes", digest_bytes_by_organisations),
+            ("usage record of an hour, bytes", usage_bytes),
+        ];
+        for (name, measure) in by_organisations {
+            write_row(&mut table, name, "organisations", &ORGANISATIONS, measure)?;
+        }
+        let by_endpoints: [(&str, Measure); 3] = [
+            ("route of a request, us", plan_route),
+            ("taking the list of hosts, us", take_list),
+            ("digest, bytes", digest_bytes_by_endpoints),
+        ];
+        for (name, measure) in by_endpoints {
+            write_row(&mut table, name, "endpoints of a model", &ENDPOINTS, measure)?;
+        }
+        Ok(table)
+    }
+}
+
+fn write_row(
+    table: &mut String,
+    name: &str,
+    variable: &str,
+    values: &[usize],
+    measure: impl Fn(usize) -> anyhow::Result<f64>,
+) -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for &value in values {
+        points.push((value as f64, measure(value)?));
+    }
+    let shown: Vec<String> = points.iter().map(|(x, y)| format!("{x:.0}: {y:.2}")).collect();
+    let fit = LineFit::of(&points);
+    let fit = fit.map_or_else(|| "no fit".to_owned(), |fit| fit.to_string());
+    writeln!(table, "{name} by {variable}: {} | {fit}", shown.join(", "))?;
+    Ok(())
+}
+
+/// Returns the mean time of `work` in microseconds.
+fn time(mut work: impl FnMut()) -> f64 {
+    work();
+    let begin = Instant::now();
+    let mut rounds = 0_u32;
+    while begin.elapsed() < MIN_MEASURE {
+        work();
+        rounds += 1;
+    }
+    begin.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn organisation(index: usize) -> anyhow::Result<OrganisationId> {
+    Ok(format!("organisation-{index}").parse()?)
+}
+
+fn limits() -> anyhow::Result<PlanLimits> {
+    let model = |index: usize| format!("model-{index}").parse::<ModelId>();
+    Ok(PlanLimits::try_from(PlanDraft {
+        request_rate: 100.0,
+        request_burst: 400.0,
+        token_rate: 20_000.0,
+        token_burst: 200_000.0,
+        concurrent: 1_000,
+        max_tokens: 2_000,
+        weight: 1,
+        models: (0..MODELS).map(model).collect::<Result<_, _>>()?,
+        services: ["permits".parse()?, "lookups".parse()?].into(),
+    })?)
+}
+
+/// Builds lists in which every organisation has a plan of its own and the ring is full.
+fn lists(organisations: usize) -> anyhow::Result<FleetLists> {
+    let zone = ZoneShare { zone: "zone-a".parse()?, hosts: ZONE_HOSTS, weight: 1 };
+    let mut changes = vec![ListChange::SetZones(vec![zone])];
+    for index in 0..organisations {
+        let plan: cassiafield_core::ids::PlanId = format!("plan-{index}").parse()?;
+        changes.push(ListChange::SetPlan { plan: plan.clone(), limits: limits()?, base: None });
+        changes.push(ListChange::SetOrganisation {
+            organisation: organisation(index)?,
+            plan,
+            key_hashes: vec![format!("{index:064x}").into(), format!("a{index:063x}").into()],
+            base: None,
+        });
+    }
+    let edit = ListEdit { id: 1, author: "load".into(), change: ListChange::Batch(changes) };
+    let EditOutcome::Applied(mut lists) = FleetLists::default().apply(&edit)? else {
+        anyhow::bail!("the edit was applied before")
+    };
+    lists.edits = (0..EDIT_RING)
+        .map(|index| EditStamp {
+            id: fastrand::u128(..),
+            author: "operator-name".into(),
+            summary: format!("set organisation organisation-{index}").into(),
+        })
+        .collect();
+    Ok(*lists)
+}
+
+fn lists_bytes(organisations: usize) -> anyhow::Result<f64> {
+    Ok(serde_json::to_vec(&lists(organisations)?)?.len() as f64)
+}
+
+fn lists_parse(organisations: usize) -> anyhow::Result<f64> {
+    let value = serde_json::to_vec(&lists(organisations)?)?;
+    Ok(time(|| {
+        black_box(serde_json::from_slice::<FleetLists>(&value).is_ok());
+    }))
+}
+
+fn book(organisations: usize) -> anyhow::Result<(AllowanceBook, FleetLists, FloorFraction)> {
+    let lists = lists(organisations)?;
+    let part = FloorFraction::of(&lists.zones, &lists.zones[0].zone, 0);
+    let part = part.ok_or_else(|| anyhow::anyhow!("no such ordinal"))?;
+    let mut book = AllowanceBook::new(1, Duration::from_secs(120));
+    book.set_floors(&lists, Some(&part), true, Moment::ORIGIN);
+    Ok((book, lists, part))
+}
+
+fn set_floors(organisations: usize) -> anyhow::Result<f64> {
+    let (mut book, lists, part) = book(organisations)?;
+    let mut now = Moment::ORIGIN;
+    Ok(time(|| {
+        now = now + Duration::from_millis(1);
+        book.set_floors(&lists, Some(&part), true, now);
+    }))
+}
+
+fn admit(organisations: usize) -> anyhow::Result<f64> {
+    let (mut book, _, _) = book(organisations)?;
+    let callers = (0..organisations).map(organisation).collect::<Result<Vec<_>, _>>()?;
+    let (mut now, mut next) = (Moment::from_millis(60_000), 0);
+    Ok(time(|| {
+        now = now + Duration::from_micros(500);
+        next = (next + 1) % callers.len();
+        if book.admit(&callers[next], 100, now).is_ok() {
+            book.release(&callers[next], 50, now);
+        }
+    }))
+}
+
+fn idle_loan_round(organisations: usize) -> anyhow::Result<f64> {
+    let (mut book, _, _) = book(organisations)?;
+    let mut now = Moment::ORIGIN;
+    Ok(time(|| {
+        now = now + Duration::from_millis(50);
+        black_box(book.wants(now).len());
+        black_box(book.loan_peers().len());
+    }))
+}
+
+/// Measures an ask of one host for all organisations and its answer by another one.
+fn loan_exchange(organisations: usize) -> anyhow::Result<f64> {
+    let (lender, lists, part) = book(organisations)?;
+    let mut borrower = AllowanceBook::new(2, Duration::from_secs(120));
+    borrower.set_floors(&lists, Some(&part), true, Moment::ORIGIN);
+    let now = Moment::from_millis(1_000);
+    for index in 0..organisations {
+        let organisation = organisation(index)?;
+        while borrower.admit(&organisation, 2_000, now).is_ok() {}
+    }
+    let now = now + Duration::from_millis(150);
+    let wants = borrower.wants(now);
+    let host: HostId = "host-a".parse()?;
+    Ok(time(|| {
+        let (mut borrower, mut lender) = (borrower.clone(), lender.clone());
+        let ask = borrower.ask(&host, &wants, now);
+        let answer = lender.answer(&host, &ask, now);
+        borrower.take_answer(&host, &answer, now, now);
+        black_box(answer.grants.len());
+    }))
+}
+
+fn slot_split(organisations: usize) -> anyhow::Result<f64> {
+    let mut demands = BTreeMap::new();
+    for index in 0..organisations {
+        let demand = SlotDemand { weight: 1, now: 2.0, here: 1.7, before: 4.0, everywhere: 30.0 };
+        demands.insert(organisation(index)?, demand);
+    }
+    Ok(time(|| {
+        black_box(SlotShare::new(2_000).local_limits(&demands, 0.4).len());
+    }))
+}
+
+fn digest(organisations: usize, endpoints: usize) -> anyhow::Result<f64> {
+    let mut demands = BTreeMap::new();
+    for model in 0..MODELS {
+        let mut demand = BTreeMap::new();
+        for index in (0..organisations).filter(|index| index % MODELS == model) {
+            demand.insert(organisation(index)?, 1.25);
+        }
+        demands.insert(format!("model-{model}").parse()?, demand);
+    }
+    let mut in_flight = BTreeMap::new();
+    for index in 0..endpoints {
+        in_flight.insert(format!("engine-{index}").parse::<EndpointId>()?, 17);
+    }
+    let message = PeerDigest {
+        address: "10.100.100.100:8081".into(),
+        zone: "region-1-zone-a".parse::<ZoneId>()?,
+        revision: ListRevision(123_456),
+        stopping: false,
+        leaving: BTreeSet::new(),
+        in_flight,
+        demands,
+    };
+    let envelope = PeerEnvelope { sender: "host-123".parse()?, message };
+    Ok(rmp_serde::to_vec_named(&envelope)?.len() as f64)
+}
+
+fn digest_bytes_by_organisations(organisations: usize) -> anyhow::Result<f64> {
+    digest(organisations, 0)
+}
+
+fn digest_bytes_by_endpoints(endpoints: usize) -> anyhow::Result<f64> {
+    digest(0, endpoints)
+}
+
+fn usage_bytes(organisations: usize) -> anyhow::Result<f64> {
+    let mut record = UsageRecord::default();
+    for index in 0..organisations {
+        let organisation = organisation(index)?;
+        for class in [RequestClass::Generation, RequestClass::Lookup, RequestClass::Filing] {
+            record.arrived(&organisation, class);
+            let end = UsageEnd::Served(100_000, Duration::from_millis(600));
+            record.ended(&organisation, class, end);
+        }
+    }
+    Ok(rmp_serde::to_vec_named(&record)?.len() as f64)
+}
+
+fn records(endpoints: usize) -> anyhow::Result<Vec<EndpointRecord>> {
+    const STAGES: usize = 4;
+    const LAYERS_PER_STAGE: u16 = 16;
+    (0..endpoints)
+        .map(|index| {
+            let start = (index % STAGES) as u16 * LAYERS_PER_STAGE;
+            let role = EndpointRole::Stage {
+                model: "model-0".parse()?,
+                layers: STAGES as u16 * LAYERS_PER_STAGE,
+                span: LayerSpan::try_from((start, start + LAYERS_PER_STAGE))?,
+                accelerator: "kind-a".parse()?,
+            };
+            Ok(EndpointRecord {
+                endpoint: format!("engine-{index}").parse()?,
+                address: format!("10.0.0.{}:9000", index % 250).into(),
+                zone: format!("zone-{}", index % 3).parse()?,
+                role,
+                state: EndpointState::Live,
+                slots: 32,
+                link_micros: 100,
+            })
+        })
+        .collect()
+}
+
+fn plan_route(endpoints: usize) -> anyhow::Result<f64> {
+    let mut table = EndpointTable::new();
+    table.replace_list(records(endpoints)?, Moment::ORIGIN);
+    let (model, zone): (ModelId, ZoneId) = ("model-0".parse()?, "zone-0".parse()?);
+    let mut prefix = 0;
+    Ok(time(|| {
+        prefix += 1;
+        let room = RouteRoom::Slots;
+        let request = RouteRequest { model: &model, avoided: &[], zone: &zone, prefix, room };
+        black_box(RoutePlanner.plan(&table, &request, Moment::ORIGIN).is_ok());
+    }))
+}
+
+fn take_list(endpoints: usize) -> anyhow::Result<f64> {
+    let records = records(endpoints)?;
+    let mut table = EndpointTable::new();
+    Ok(time(|| table.replace_list(records.clone(), Moment::ORIGIN)))
+}
--- a/crates/cassiafield-load/src/lib.rs
+++ b/crates/cassiafield-load/src/lib.rs
@@ -1,1 +1,41 @@
-//! Placeholder.
+//! Open-loop load, its history, and measured slopes.
+//!
+//! # Quick start
+//!
+//! ```
+//! use cassiafield_load::LineFit;
+//!
+//! let fit = LineFit::of(&[(1.0, 12.0), (2.0, 14.0), (4.0, 18.0)]).unwrap();
+//! assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 10.0).abs() < 1e-9);
+//! ```
+//!
+//! # Map
+//!
+//! | type | what it does |
+//! |---|---|
+//! | [`LoadPlan`] | sends requests at their scheduled times, whatever the answers |
+//! | [`CallRecord`] | one request of a history |
+//! | [`HistoryCheck`] | checks a history against what may be told |
+//! | [`EditMeter`] | measures when an edit is in force everywhere |
+//! | [`CoreSlopes`] | costs of decisions against fleet size |
+//! | [`ProcessMeter`] | processor time and memory of processes |
+
+mod call_record;
+mod core_slopes;
+mod edit_meter;
+mod history_check;
+mod line_fit;
+mod load_plan;
+mod load_summary;
+mod process_meter;
+
+pub use self::{
+    call_record::{CallKind, CallRecord},
+    core_slopes::CoreSlopes,
+    edit_meter::EditMeter,
+    history_check::HistoryCheck,
+    line_fit::LineFit,
+    load_plan::LoadPlan,
+    load_summary::LoadSummary,
+    process_meter::{ProcessMeter, ProcessUse},
+};
--- /dev/null
+++ b/crates/cassiafield-load/src/load_summary.rs
@@ -0,0 +1,130 @@
+use {
+    crate::CallRecord,
+    hdrhistogram::Histogram,
+    std::{collections::BTreeMap, fmt},
+};
+
+/// What a history says about speed.
+#[derive(Clone, Debug)]
+pub struct LoadSummary {
+    requests: usize,
+    whole: usize,
+    wrong: usize,
+    tokens: usize,
+    seconds: f64,
+    statuses: BTreeMap<u16, usize>,
+    first_token: Histogram<u64>,
+    between_tokens: Histogram<u64>,
+    longest_gap: Histogram<u64>,
+    whole_time: Histogram<u64>,
+    refusal_time: Histogram<u64>,
+}
+
+impl LoadSummary {
+    /// Summarises a history.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the histogram library.
+    pub fn of(records: &[CallRecord]) -> anyhow::Result<Self> {
+        let empty = || Histogram::<u64>::new(3);
+        let last = records.iter().map(|record| record.ended).max().unwrap_or(0);
+        let mut summary = Self {
+            requests: records.len(),
+            whole: 0,
+            wrong: 0,
+            tokens: 0,
+            seconds: last as f64 / 1e6,
+            statuses: BTreeMap::new(),
+            first_token: empty()?,
+            between_tokens: empty()?,
+            longest_gap: empty()?,
+            whole_time: empty()?,
+            refusal_time: empty()?,
+        };
+        for record in records {
+            summary.add(record)?;
+        }
+        Ok(summary)
+    }
+
+    /// Returns whole and right answers a second.
+    #[must_use]
+    pub fn goodput(&self) -> f64 {
+        self.whole as f64 / self.seconds.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns delivered tokens a second.
+    #[must_use]
+    pub fn token_rate(&self) -> f64 {
+        self.tokens as f64 / self.seconds.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the number of delivered tokens.
+    #[must_use]
+    pub const fn tokens(&self) -> usize {
+        self.tokens
+    }
+
+    fn add(&mut self, record: &CallRecord) -> anyhow::Result<()> {
+        *self.statuses.entry(record.status).or_default() += 1;
+        self.whole += usize::from(record.whole);
+        self.wrong += usize::from(record.wrong);
+        self.tokens += record.tokens.len();
+        let time = record.ended.saturating_sub(record.scheduled);
+        if record.whole {
+            self.whole_time.record(time)?;
+        } else {
+            self.refusal_time.record(time)?;
+        }
+        if let Some(first) = record.tokens.first() {
+            self.first_token.record(first.saturating_sub(record.scheduled))?;
+        }
+        for pair in record.tokens.windows(2) {
+            self.between_tokens.record(pair[1] - pair[0])?;
+        }
+        if record.tokens.len() > 1 {
+            self.longest_gap.record(record.longest_gap())?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for LoadSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} requests, {} whole, {} wrong, statuses {:?}",
+            self.requests, self.whole, self.wrong, self.statuses
+        )?;
+        writeln!(
+            f,
+            "{:.1} whole answers/s, {:.0} tokens/s over {:.1} s",
+            self.goodput(),
+            self.token_rate(),
+            self.seconds
+        )?;
+        let rows = [
+            ("first token", &self.first_token),
+            ("between tokens", &self.between_tokens),
+            ("longest gap of a stream", &self.longest_gap),
+            ("whole answer", &self.whole_time),
+            ("refusal", &self.refusal_time),
+        ];
+        for (name, histogram) in rows {
+            if histogram.is_empty() {
+                continue;
+            }
+            let value = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+            writeln!(
+                f,
+                "{name:<24} p50 {:>9.2} ms  p95 {:>9.2} ms  p99 {:>9.2} ms  max {:>9.2} ms",
+                value(0.5),
+                value(0.95),
+                value(0.99),
+                histogram.max() as f64 / 1e3
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/bench_fleet.rs
@@ -0,0 +1,224 @@
+use {
+    anyhow::Context as _,
+    std::{
+        env, fs,
+        io::{BufRead as _, BufReader},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        thread,
+        time::Duration,
+    },
+};
+
+/// A process of a measured fleet; it ends with the value.
+pub(crate) struct BenchProcess {
+    child: Child,
+    words: Vec<String>,
+}
+
+/// What a measured fleet consists of.
+#[derive(Clone, Debug)]
+pub(crate) struct BenchShape {
+    pub(crate) replicas: usize,
+    pub(crate) entries: usize,
+    pub(crate) slots: u32,
+    pub(crate) token_ms: u32,
+}
+
+/// A fleet of release builds on free ports of the loopback.
+pub(crate) struct BenchFleet {
+    pub(crate) platform: BenchProcess,
+    pub(crate) engines: Vec<BenchProcess>,
+    pub(crate) entries: Vec<BenchProcess>,
+    _service: BenchProcess,
+    directory: PathBuf,
+}
+
+const LISTS: &str = "\
+[plan standard]
+request_rate = 100000
+request_burst = 100000
+token_rate = 100000000
+token_burst = 100000000
+concurrent = 30000
+max_tokens = 4000
+weight = 1
+models = demo-model
+services = permits
+";
+
+impl BenchProcess {
+    fn start(program: &str, arguments: &[&str]) -> anyhow::Result<Self> {
+        let mut child = Command::new(Path::new("target/release").join(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .with_context(|| format!("cannot start {program}"))?;
+        let mut line = String::new();
+        let stdout = child.stdout.take().context("no standard output")?;
+        BufReader::new(stdout).read_line(&mut line)?;
+        let words: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+        anyhow::ensure!(words.len() > 1, "{program} did not start: {line:?}");
+        Ok(Self { child, words })
+    }
+
+    pub(crate) fn address(&self) -> &str {
+        &self.words[1]
+    }
+
+    pub(crate) fn peer_address(&self) -> &str {
+        &self.words[2]
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub(crate) fn signal(&self, name: &str) -> anyhow::Result<()> {
+        let pid = self.id().to_string();
+        Command::new("kill").args([&format!("-{name}"), &pid]).status()?;
+        Ok(())
+    }
+}
+
+impl Drop for BenchProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl BenchFleet {
+    const SETTLING: Duration = Duration::from_secs(2);
+    const LAYERS: usize = 16;
+
+    /// Starts the fleet and waits until it serves.
+    pub(crate) fn start(shape: &BenchShape) -> anyhow::Result<Self> {
+        let directory = env::temp_dir().join(format!("cassiafield-bench-{}", std::process::id()));
+        fs::create_dir_all(&directory)?;
+        let platform = BenchProcess::start("cassiafield-standin", &["platform"])?;
+        let url = format!("http://{}", platform.address());
+        write_lists(&directory, &url, shape.entries)?;
+        let mut engines = Vec::new();
+        for stage in 0..2 {
+            for replica in 0..shape.replicas {
+                engines.push(start_engine(&url, shape, stage, replica)?);
+            }
+        }
+        let service = BenchProcess::start(
+            "cassiafield-standin",
+            &["service", "--platform", &url, "--endpoint", "permits-0"],
+        )?;
+        let mut entries = Vec::new();
+        for index in 0..shape.entries {
+            entries.push(start_entry(&directory, &url, index)?);
+        }
+        thread::sleep(Self::SETTLING);
+        Ok(Self { platform, engines, entries, _service: service, directory })
+    }
+
+    pub(crate) fn targets(&self) -> String {
+        join(self.entries.iter().map(|entry| entry.address().to_owned()))
+    }
+
+    pub(crate) fn hosts(&self) -> String {
+        join(self.entries.iter().map(|entry| entry.peer_address().to_owned()))
+    }
+
+    pub(crate) fn entry_ids(&self) -> String {
+        join(self.entries.iter().map(|entry| entry.id().to_string()))
+    }
+
+    pub(crate) fn platform_url(&self) -> String {
+        format!("http://{}", self.platform.address())
+    }
+}
+
+impl Drop for BenchFleet {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn join(parts: impl Iterator<Item = String>) -> String {
+    parts.collect::<Vec<_>>().join(",")
+}
+
+fn write_lists(directory: &Path, url: &str, entries: usize) -> anyhow::Result<()> {
+    let key_hash =
+        "[organisation demo]\nplan = standard\nkey_hashes = ".to_owned() + &demo_key_hash()? + "\n";
+    let text = format!("[zone zone-a]\nhosts = {entries}\nweight = 1\n{LISTS}{key_hash}");
+    let file = directory.join("lists.ini");
+    fs::write(&file, text)?;
+    let status = Command::new("target/release/cassiafield-ctl")
+        .args(["--store", url, "--author", "bench", "apply"])
+        .arg(&file)
+        .stdout(Stdio::null())
+        .status()?;
+    anyhow::ensure!(status.success(), "the lists were not accepted");
+    Ok(())
+}
+
+fn demo_key_hash() -> anyhow::Result<String> {
+    let mut child = Command::new("target/release/cassiafield-ctl")
+        .arg("key-hash")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut stdin = child.stdin.take().context("no standard input")?;
+    std::io::Write::write_all(&mut stdin, b"demo-key")?;
+    drop(stdin);
+    Ok(String::from_utf8(child.wait_with_output()?.stdout)?.trim().to_owned())
+}
+
+fn start_engine(
+    url: &str,
+    shape: &BenchShape,
+    stage: usize,
+    replica: usize,
+) -> anyhow::Result<BenchProcess> {
+    let half = BenchFleet::LAYERS / 2;
+    let span = format!("{}..{}", stage * half, (stage + 1) * half);
+    let endpoint = format!("engine-{stage}-{replica}");
+    let (slots, token_ms) = (shape.slots.to_string(), shape.token_ms.to_string());
+    BenchProcess::start(
+        "cassiafield-standin",
+        &[
+            "engine",
+            "--platform",
+            url,
+            "--endpoint",
+            &endpoint,
+            "--span",
+            &span,
+            "--slots",
+            &slots,
+            "--token-ms",
+            &token_ms,
+        ],
+    )
+}
+
+fn start_entry(directory: &Path, url: &str, index: usize) -> anyhow::Result<BenchProcess> {
+    let file = directory.join(format!("entry-{index}.ini"));
+    let text = format!(
+        "[host]\nid = entry-{index}\nlisten = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n[platform]\n\
+         store_url = {url}\nhosts_url = {url}/v1/hosts\n[limits]\nmax_requests = 4000\n[log]\n\
+         level = error\n"
+    );
+    fs::write(&file, text)?;
+    let path = file.to_str().context("the path is no text")?;
+    let entry = BenchProcess::start("cassiafield-entry", &["--settings", path])?;
+    let record = format!(
+        "{{\"host\":\"entry-{index}\",\"address\":\"{}\",\"zone\":\"zone-a\"}}",
+        entry.peer_address()
+    );
+    ureq::post(&format!("{url}/standin/entry")).send_string(&record)?;
+    Ok(entry)
+}
--- /dev/null
+++ b/crates/xtask/src/bench_suite.rs
@@ -0,0 +1,183 @@
+use {
+    crate::{
+        bench_fleet::{BenchFleet, BenchShape},
+        cargo,
+    },
+    anyhow::{bail, Context as _},
+    std::{process::Command, thread, time::Duration},
+};
+
+/// A measurement by name.
+type Bench = (&'static str, fn() -> anyhow::Result<()>);
+
+const BENCHES: [Bench; 6] = [
+    ("load", load),
+    ("streams", streams),
+    ("recovery", recovery),
+    ("overload", overload),
+    ("edits", edits),
+    ("slopes", slopes),
+];
+
+/// Runs one measurement, or all of them.
+pub(crate) fn run(name: Option<&str>) -> anyhow::Result<()> {
+    if name.is_some_and(|name| BENCHES.iter().all(|(known, _)| *known != name)) {
+        bail!("unknown measurement {:?}", name.unwrap_or(""));
+    }
+    cargo(&["build", "--release", "--workspace", "--locked", "--quiet"])?;
+    for (known, bench) in BENCHES {
+        if name.is_none_or(|name| name == known) {
+            println!("== {known}");
+            bench()?;
+        }
+    }
+    Ok(())
+}
+
+fn load_tool(arguments: &[&str]) -> anyhow::Result<()> {
+    println!("-- cassiafield-load {}", arguments.join(" "));
+    let status = Command::new("target/release/cassiafield-load")
+        .args(arguments)
+        .status()
+        .context("cannot start cassiafield-load")?;
+    if !status.success() {
+        println!("cassiafield-load: {status}");
+    }
+    Ok(())
+}
+
+/// Streams, filings and lookups against three entry hosts.
+fn load() -> anyhow::Result<()> {
+    let shape = BenchShape { replicas: 2, entries: 3, slots: 200, token_ms: 10 };
+    let fleet = BenchFleet::start(&shape)?;
+    let (targets, pids, platform) = (fleet.targets(), fleet.entry_ids(), fleet.platform_url());
+    let runs = [("stream", "40", "20"), ("filing", "100", "1"), ("lookup", "300", "1")];
+    for (kind, rate, tokens) in runs {
+        load_tool(&[
+            "run",
+            "--targets",
+            &targets,
+            "--pids",
+            &pids,
+            "--platform",
+            &platform,
+            "--kind",
+            kind,
+            "--rate",
+            rate,
+            "--tokens",
+            tokens,
+            "--seconds",
+            "10",
+        ])?;
+    }
+    Ok(())
+}
+
+/// One entry host under more and more streams, for slopes of processor time and memory.
+fn streams() -> anyhow::Result<()> {
+    let shape = BenchShape { replicas: 2, entries: 1, slots: 400, token_ms: 30 };
+    let fleet = BenchFleet::start(&shape)?;
+    let (targets, pids) = (fleet.targets(), fleet.entry_ids());
+    load_tool(&[
+        "run",
+        "--targets",
+        &targets,
+        "--pids",
+        &pids,
+        "--rate",
+        "0.2",
+        "--seconds",
+        "10",
+    ])?;
+    for rate in ["5", "10", "20", "40"] {
+        load_tool(&[
+            "run",
+            "--targets",
+            &targets,
+            "--pids",
+            &pids,
+            "--rate",
+            rate,
+            "--tokens",
+            "60",
+            "--seconds",
+            "10",
+        ])?;
+    }
+    Ok(())
+}
+
+/// Gaps in streams while a stage is killed or frozen, against none.
+fn recovery() -> anyhow::Result<()> {
+    type Failure = fn(&mut BenchFleet) -> anyhow::Result<()>;
+    let failures: [(&str, Failure); 5] = [
+        ("no failure", |_| Ok(())),
+        ("first stage killed", |fleet| {
+            fleet.engines[0].kill();
+            Ok(())
+        }),
+        ("last stage killed", |fleet| {
+            fleet.engines[2].kill();
+            Ok(())
+        }),
+        ("first stage frozen", |fleet| fleet.engines[0].signal("STOP")),
+        ("last stage frozen", |fleet| fleet.engines[2].signal("STOP")),
+    ];
+    for (name, fail) in failures {
+        println!("-- {name} after 3 s");
+        let shape = BenchShape { replicas: 2, entries: 3, slots: 100, token_ms: 10 };
+        let mut fleet = BenchFleet::start(&shape)?;
+        let targets = fleet.targets();
+        let load = thread::spawn(move || {
+            load_tool(&[
+                "run",
+                "--targets",
+                &targets,
+                "--rate",
+                "20",
+                "--tokens",
+                "100",
+                "--seconds",
+                "6",
+            ])
+        });
+        thread::sleep(Duration::from_secs(3));
+        fail(&mut fleet)?;
+        load.join().map_err(|_| anyhow::anyhow!("the load ended early"))??;
+    }
+    Ok(())
+}
+
+/// Whole answers a second below, at and above what the engines can do.
+fn overload() -> anyhow::Result<()> {
+    for rate in ["20", "40", "80", "200"] {
+        let shape = BenchShape { replicas: 2, entries: 3, slots: 16, token_ms: 10 };
+        let fleet = BenchFleet::start(&shape)?;
+        let targets = fleet.targets();
+        load_tool(&[
+            "run",
+            "--targets",
+            &targets,
+            "--rate",
+            rate,
+            "--tokens",
+            "40",
+            "--seconds",
+            "15",
+        ])?;
+    }
+    Ok(())
+}
+
+/// Time until an edit is in force on nine hosts.
+fn edits() -> anyhow::Result<()> {
+    let shape = BenchShape { replicas: 1, entries: 9, slots: 16, token_ms: 10 };
+    let fleet = BenchFleet::start(&shape)?;
+    let (platform, hosts) = (fleet.platform_url(), fleet.hosts());
+    load_tool(&["edits", "--platform", &platform, "--hosts", &hosts, "--edits", "60"])
+}
+
+fn slopes() -> anyhow::Result<()> {
+    load_tool(&["slopes"])
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,10 +1,19 @@
-//! Chores of the workspace: `cargo run -p xtask -- check`.
+//! Chores of the workspace.
+
+mod bench_fleet;
+mod bench_suite;
 
 use {
     anyhow::{bail, Context as _},
     std::{env, process::Command},
 };
 
+const USAGE: &str = "\
+usage: cargo run -p xtask -- COMMAND
+
+  check           tests, formatter and linter, as CI runs them
+  bench [NAME]    measurements with release builds: load, recovery, overload, edits, slopes";
+
 /// One step of the check: a name and the arguments to cargo.
 const STEPS: &[(&str, &[&str])] = &[
     ("tests", &["test", "--workspace", "--locked"]),
@@ -13,19 +22,27 @@
 ];
 
 fn main() -> anyhow::Result<()> {
-    match env::args().nth(1).as_deref() {
-        Some("check") => check(),
-        _ => bail!("usage: xtask check"),
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match words[..] {
+        ["check"] => check(),
+        ["bench"] => bench_suite::run(None),
+        ["bench", name] => bench_suite::run(Some(name)),
+        _ => bail!(USAGE),
     }
 }
 
 fn check() -> anyhow::Result<()> {
     for (name, arguments) in STEPS {
         println!("xtask: {name}");
-        let status = Command::new("cargo").args(*arguments).status().context("cannot run cargo")?;
-        if !status.success() {
-            bail!("{name} failed");
-        }
+        cargo(arguments).with_context(|| format!("{name} failed"))?;
     }
     Ok(())
 }
+
+/// Runs cargo and fails if it fails.
+fn cargo(arguments: &[&str]) -> anyhow::Result<()> {
+    let status = Command::new("cargo").args(arguments).status().context("cannot run cargo")?;
+    anyhow::ensure!(status.success(), "cargo {} failed", arguments.join(" "));
+    Ok(())
+}
