feat: leave slow links; tell edits to peers at once

Cause: a link that degrades a hundredfold was not noticed, since tokens still came within the silence limit.

--- a/crates/cassiafield-core/src/process/endpoint_table.rs
+++ b/crates/cassiafield-core/src/process/endpoint_table.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, HostId, ModelId, Moment, ServiceId},
-        process::{EndpointHealth, EndpointRecord, EndpointRole, EndpointState},
+        process::{EndpointHealth, EndpointPace, EndpointRecord, EndpointRole, EndpointState},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -21,6 +21,7 @@
     leaving: BTreeMap<EndpointId, LeavingNotice>,
     in_flight: BTreeMap<EndpointId, u32>,
     remote: BTreeMap<HostId, RemoteLoad>,
+    pace: BTreeMap<EndpointId, EndpointPace>,
 }
 
 /// What a peer has in flight, as it said last.
@@ -73,6 +74,7 @@
         }
         self.leaving.retain(|_, notice| now.since(notice.heard) < Self::NOTICE_RETENTION);
         self.health.retain(|endpoint, _| fresh.contains_key(endpoint));
+        self.pace.retain(|endpoint, _| fresh.contains_key(endpoint));
         self.records = fresh;
     }
 
@@ -125,6 +127,17 @@
             .collect()
     }
 
+    /// Returns the other usable endpoints that can stand in for one.
+    #[must_use]
+    pub fn substitutes(&self, endpoint: &EndpointId, now: Moment) -> Vec<EndpointId> {
+        let Some(record) = self.records.get(endpoint) else { return Vec::new() };
+        let pool = PoolKey::of(record);
+        let usable = self.usable(now).into_iter();
+        let others =
+            usable.filter(|other| &other.endpoint != endpoint && PoolKey::of(other) == pool);
+        others.map(|other| other.endpoint.clone()).collect()
+    }
+
     /// Returns the usable endpoints of a service, the least loaded first.
     #[must_use]
     pub fn service_endpoints(&self, service: &ServiceId, now: Moment) -> Vec<EndpointRecord> {
@@ -140,6 +153,18 @@
         self.in_flight.get(endpoint).copied().unwrap_or(0)
     }
 
+    /// Records the time between tokens of streams that an endpoint took part in.
+    pub fn note_pace(&mut self, endpoint: &EndpointId, between_tokens: Duration, now: Moment) {
+        let pace = self.pace.entry(endpoint.clone()).or_insert_with(|| EndpointPace::new(now));
+        pace.measured(between_tokens, now);
+    }
+
+    /// Returns the time between tokens that an endpoint is expected to cause; zero if unknown.
+    #[must_use]
+    pub fn pace(&self, endpoint: &EndpointId, now: Moment) -> Duration {
+        self.pace.get(endpoint).map_or(Duration::ZERO, |pace| pace.expected(now))
+    }
+
     /// Returns what this host has in flight, by endpoint.
     #[must_use]
     pub fn load(&self) -> BTreeMap<EndpointId, u32> {
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod allowance_book;
 mod allowance_share;
 mod endpoint_health;
+mod endpoint_pace;
 mod endpoint_record;
 mod endpoint_table;
 mod fair_queue;
@@ -20,6 +21,7 @@
     },
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
     endpoint_health::EndpointHealth,
+    endpoint_pace::EndpointPace,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
     fair_queue::FairQueue,
--- a/crates/cassiafield-core/src/process/route_planner.rs
+++ b/crates/cassiafield-core/src/process/route_planner.rs
@@ -110,7 +110,7 @@
             request.room.admits(table.total_in_flight(&record.endpoint), record.slots)
         });
         records.sort_by_key(|record| (span_start(record), record.endpoint.clone()));
-        let best = Self::search(table, request, &records);
+        let best = Self::search(table, request, &records, now);
         let last = cheapest_end(&records, &best, layers).ok_or(PlanError::Saturated)?;
         let stages = trace(&records, &best, last);
         let draft = RouteDraft { model: request.model.clone(), layers, stages };
@@ -122,11 +122,12 @@
         table: &EndpointTable,
         request: &RouteRequest<'_>,
         records: &[&EndpointRecord],
+        now: Moment,
     ) -> Vec<Option<PartialRoute>> {
         let mut best: Vec<Option<PartialRoute>> = Vec::with_capacity(records.len());
         let mut ending: BTreeMap<u16, Vec<usize>> = BTreeMap::new();
         for (index, record) in records.iter().enumerate() {
-            let own = Self::stage_cost(table, request, record);
+            let own = Self::stage_cost(table, request, record, now);
             let found = if span_start(record) == 0 {
                 let entry = zone_cost(request.zone, &record.zone);
                 Some(PartialRoute { cost: entry + own, previous: None })
@@ -149,12 +150,14 @@
         table: &EndpointTable,
         request: &RouteRequest<'_>,
         record: &EndpointRecord,
+        now: Moment,
     ) -> u64 {
         let running = u64::from(table.total_in_flight(&record.endpoint));
         let load = running * Self::LOAD_MICROS / u64::from(record.slots.max(1));
         let affinity = mix(request.prefix, record.endpoint.as_str()) % Self::COLD_PREFIX_MICROS;
         let suspicion = if table.is_suspect(&record.endpoint) { Self::SUSPECT_MICROS } else { 0 };
-        load + affinity + suspicion
+        let pace = u64::try_from(table.pace(&record.endpoint, now).as_micros());
+        load + affinity + suspicion + pace.unwrap_or(u64::MAX / 1_024)
     }
 }
 
--- a/crates/cassiafield-standin/tests/local/main.rs
+++ b/crates/cassiafield-standin/tests/local/main.rs
@@ -5,3 +5,4 @@
 mod engine_faults;
 mod silent_paths;
 mod support;
+mod usage_gaps;
--- a/crates/cassiafield-standin/tests/local/silent_paths.rs
+++ b/crates/cassiafield-standin/tests/local/silent_paths.rs
@@ -64,6 +64,33 @@
     fleet.close();
 }
 
+/// A link that becomes a hundred times slower: streams move to the other replica, later ones go
+/// there at once, and every answer is right.
+#[test]
+fn streams_leave_a_link_that_has_become_slow() {
+    let (fleet, address) = start(&plan());
+    let relays = relay_first_stages(&fleet);
+    for request in 0..8 {
+        assert_eq!(complete(address, &format!("measure both {request}"), 40).status, 200);
+    }
+    relays[0].set_delay(Duration::from_millis(200));
+    for request in 0..6 {
+        let prompt = format!("slow link {request}");
+        let reply = complete(address, &prompt, 60);
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        assert_eq!(reply.body["choices"][0]["text"], expected(&prompt, 60));
+    }
+    let opened = fleet.engines()[0].opened();
+    for request in 0..10 {
+        assert_eq!(complete(address, &format!("later {request}"), 4).status, 200);
+    }
+    assert_eq!(fleet.engines()[0].opened(), opened, "new streams still take the slow link");
+    for relay in relays {
+        relay.close();
+    }
+    fleet.close();
+}
+
 #[test]
 fn a_cut_path_is_refused_or_avoided_and_used_again_when_healed() {
     let (fleet, address) = start(&plan());
--- /dev/null
+++ b/crates/cassiafield-standin/tests/local/usage_gaps.rs
@@ -0,0 +1,37 @@
+//! The report names processes that ended without a last checkpoint.
+
+use {
+    cassiafield::{
+        connection::{PlatformStore as _, StoreSwap},
+        process::{HostClock, ReportFormat, UsageReport},
+    },
+    cassiafield_core::process::{RequestClass, UsageRecord},
+    cassiafield_standin::MemoryStore,
+};
+
+fn write(store: &MemoryStore, host: &str, age: u64, closed: bool) {
+    let now = HostClock::unix_seconds();
+    let mut record = UsageRecord { closed, written: now - age, ..UsageRecord::default() };
+    record.arrived(&"traders".parse().unwrap(), RequestClass::Filing);
+    let swap = StoreSwap {
+        key: format!("cassiafield/usage/{:08}/{host}/0000000000000001", now / 3_600),
+        expected: None,
+        value: Some(rmp_serde::to_vec_named(&record).unwrap()),
+        lease: None,
+    };
+    store.swap(&swap).unwrap();
+}
+
+#[test]
+fn a_process_that_is_silent_and_not_closed_is_a_gap() {
+    let store = MemoryStore::new();
+    write(&store, "dead", 100, false);
+    write(&store, "alive", 3, false);
+    write(&store, "stopped", 100, true);
+    let report = UsageReport::read(&store, 1).unwrap();
+    let gaps: Vec<&str> = report.gaps().iter().map(|gap| gap.host.as_str()).collect();
+    assert_eq!(gaps, ["dead"]);
+    let text = report.render(ReportFormat::Text);
+    assert!(text.contains("gap: host dead"), "{text}");
+    assert_eq!(report.rows().values().map(|count| count.asked).sum::<u64>(), 3);
+}
--- a/crates/cassiafield/src/process/entry_host.rs
+++ b/crates/cassiafield/src/process/entry_host.rs
@@ -16,6 +16,7 @@
         process::{AllowanceRefusal, EndpointTable, RetryBudget},
         request::ClaimRecord,
     },
+    compact_str::CompactString,
     serde_json::{json, Value},
     std::{
         sync::{
@@ -59,6 +60,7 @@
     listed: AtomicBool,
     ordinal_tried: AtomicBool,
     news: AtomicBool,
+    newer_lists: Mutex<Option<CompactString>>,
     stopping: AtomicBool,
 }
 
@@ -109,6 +111,7 @@
             listed: AtomicBool::new(false),
             ordinal_tried: AtomicBool::new(false),
             news: AtomicBool::new(false),
+            newer_lists: Mutex::new(None),
             stopping: AtomicBool::new(false),
             settings,
             clock,
@@ -153,7 +156,7 @@
 
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
-        self.news.store(true, Ordering::SeqCst);
+        self.note_news();
     }
 
     /// Admits a request under the organisation's plan.
@@ -204,7 +207,7 @@
         let before = table.leaving().len();
         table.replace_list(listing.endpoints, now);
         if table.leaving().len() > before {
-            self.news.store(true, Ordering::SeqCst);
+            self.note_news();
         }
         let usable = table.usable(now).len();
         let known = table.records().count();
@@ -237,10 +240,13 @@
     pub(crate) fn take_digest(&self, sender: &HostId, digest: &PeerDigest) {
         let now = self.clock.now();
         self.peers.heard(sender, digest, now);
+        if digest.revision > self.lists.revision() {
+            *lock(&self.newer_lists) = Some(digest.address.clone());
+        }
         let mut table = lock(&self.table);
         for endpoint in &digest.leaving {
             if table.note_leaving(endpoint.clone(), now) {
-                self.news.store(true, Ordering::SeqCst);
+                self.note_news();
                 LogEvent::EndpointLeaving.log(endpoint);
             }
         }
@@ -255,6 +261,16 @@
         }
     }
 
+    /// Returns a peer that has newer lists than this host, once.
+    pub(crate) fn take_newer_lists(&self) -> Option<CompactString> {
+        lock(&self.newer_lists).take()
+    }
+
+    /// Notes news that peers should hear at once.
+    pub(crate) fn note_news(&self) {
+        self.news.store(true, Ordering::SeqCst);
+    }
+
     /// Says whether there is news that peers should hear at once.
     pub(crate) fn has_news(&self) -> bool {
         self.news.load(Ordering::SeqCst)
--- a/crates/cassiafield/src/process/entry_server.rs
+++ b/crates/cassiafield/src/process/entry_server.rs
@@ -199,7 +199,9 @@
     let (host, agent, closed) = (host.clone(), agent.clone(), closed.clone());
     let thread = thread::Builder::new().name("digests".into()).spawn(move || loop {
         let end = Instant::now() + agent.digest_round();
+        agent.fetch_lists();
         while Instant::now() < end && !host.has_news() {
+            agent.fetch_lists();
             if !pause(&closed, EntryServer::SLEEP_STEP) {
                 return;
             }
@@ -222,6 +224,7 @@
             let answered = watcher.round(role);
             if host.lists.revision() > before {
                 host.apply_lists();
+                host.note_news();
             }
             if !announced && host.readiness().is_ok() {
                 announced = true;
--- a/crates/cassiafield/src/process/peer_agent.rs
+++ b/crates/cassiafield/src/process/peer_agent.rs
@@ -73,9 +73,6 @@
         match self.client.digest(address, digest) {
             Ok(envelope) => {
                 self.host.take_digest(&envelope.sender, &envelope.message);
-                if envelope.message.revision > self.host.lists.revision() {
-                    self.fetch_lists(address);
-                }
             }
             Err(failure) => {
                 self.host.peers.failed(address, self.host.clock.now());
@@ -85,8 +82,10 @@
         }
     }
 
-    fn fetch_lists(&self, address: &str) {
-        if let Ok(found) = self.client.lists(address, self.host.lists.revision()) {
+    /// Fetches the lists from a peer that has newer ones, if one is known.
+    pub(crate) fn fetch_lists(&self) {
+        let Some(address) = self.host.take_newer_lists() else { return };
+        if let Ok(found) = self.client.lists(&address, self.host.lists.revision()) {
             self.host.take_lists(ListVersion { revision: found.revision, lists: found.lists });
         }
     }
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -94,6 +94,12 @@
     const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_000);
     /// Time until the first token of an attempt.
     const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_millis(5_000);
+    /// Tokens over which the pace of a stream is measured.
+    const PACE_TOKENS: u32 = 6;
+    /// Time between tokens above which a stream looks for a faster route.
+    const SLOW_PACE: Duration = Duration::from_millis(128);
+    /// How many times faster another route must be expected to be.
+    const SLOW_FACTOR: u32 = 4;
     /// Busy answers after which a request is refused.
     const MAX_BUSY: u32 = 3;
 
@@ -136,6 +142,26 @@
         }
     }
 
+    /// Records a stream's pace; returns the slowest stage if another one of its kind is expected
+    /// to be much faster.
+    fn judge_pace(&self, stages: &[RouteStage], found: Duration) -> Option<EndpointId> {
+        let now = self.clock.now();
+        let mut table = lock(&self.table);
+        for stage in stages {
+            table.note_pace(&stage.endpoint, found, now);
+        }
+        if found < Self::SLOW_PACE {
+            return None;
+        }
+        let slowest = stages.iter().max_by_key(|stage| table.pace(&stage.endpoint, now))?;
+        let bound = found / Self::SLOW_FACTOR;
+        let faster = table.substitutes(&slowest.endpoint, now).into_iter().any(|endpoint| {
+            let pace = table.pace(&endpoint, now);
+            pace > Duration::ZERO && pace < bound
+        });
+        faster.then(|| slowest.endpoint.clone())
+    }
+
     fn note_failure(&self, blame: &AttemptBlame) {
         if let AttemptBlame::Endpoint(endpoint) = blame {
             lock(&self.table).failed(endpoint, self.clock.now());
@@ -281,6 +307,7 @@
     fn follow(&mut self, stream: &mut dyn EngineStream, stages: &[RouteStage]) -> AttemptEnd {
         let mut progress = self.runner.clock.now();
         let mut patience = StreamRunner::FIRST_TOKEN_TIMEOUT;
+        let mut pace = PaceMeter::default();
         loop {
             let event = stream.next_event();
             let now = self.runner.clock.now();
@@ -289,6 +316,11 @@
                     FrameStep::Next => {
                         progress = now;
                         patience = StreamRunner::TOKEN_TIMEOUT;
+                        if let Some(found) = pace.token(now) {
+                            if let Some(slowest) = self.runner.judge_pace(stages, found) {
+                                return AttemptEnd::Failed(AttemptBlame::Doubtful(slowest));
+                            }
+                        }
                     }
                     FrameStep::Ignore => {}
                     FrameStep::Broken => return AttemptEnd::Failed(blame_first(stages)),
@@ -330,6 +362,30 @@
     }
 }
 
+/// Measures the time between tokens over a few tokens.
+#[derive(Default)]
+struct PaceMeter {
+    begun: Option<Moment>,
+    tokens: u32,
+}
+
+impl PaceMeter {
+    /// Takes a token; returns the mean time between tokens when enough have come.
+    fn token(&mut self, now: Moment) -> Option<Duration> {
+        let Some(begun) = self.begun else {
+            self.begun = Some(now);
+            return None;
+        };
+        self.tokens += 1;
+        if self.tokens < StreamRunner::PACE_TOKENS {
+            return None;
+        }
+        let pace = now.since(begun) / self.tokens;
+        *self = Self { begun: Some(now), tokens: 0 };
+        Some(pace)
+    }
+}
+
 /// What a frame means for the attempt.
 enum FrameStep {
     Next,
--- a/crates/xtask/src/bench_fleet.rs
+++ b/crates/xtask/src/bench_fleet.rs
@@ -23,6 +23,14 @@
     pub(crate) entries: usize,
     pub(crate) slots: u32,
     pub(crate) token_ms: u32,
+    /// Requests a second of the plan, and requests at once.
+    pub(crate) request_rate: u32,
+}
+
+impl Default for BenchShape {
+    fn default() -> Self {
+        Self { replicas: 2, entries: 3, slots: 100, token_ms: 10, request_rate: 100_000 }
+    }
 }
 
 /// A fleet of release builds on free ports of the loopback.
@@ -36,8 +44,6 @@
 
 const LISTS: &str = "\
 [plan standard]
-request_rate = 100000
-request_burst = 100000
 token_rate = 100000000
 token_burst = 100000000
 concurrent = 30000
@@ -104,7 +110,7 @@
         fs::create_dir_all(&directory)?;
         let platform = BenchProcess::start("cassiafield-standin", &["platform"])?;
         let url = format!("http://{}", platform.address());
-        write_lists(&directory, &url, shape.entries)?;
+        write_lists(&directory, &url, shape)?;
         let mut engines = Vec::new();
         for stage in 0..2 {
             for replica in 0..shape.replicas {
@@ -150,10 +156,14 @@
     parts.collect::<Vec<_>>().join(",")
 }
 
-fn write_lists(directory: &Path, url: &str, entries: usize) -> anyhow::Result<()> {
+fn write_lists(directory: &Path, url: &str, shape: &BenchShape) -> anyhow::Result<()> {
     let key_hash =
         "[organisation demo]\nplan = standard\nkey_hashes = ".to_owned() + &demo_key_hash()? + "\n";
-    let text = format!("[zone zone-a]\nhosts = {entries}\nweight = 1\n{LISTS}{key_hash}");
+    let (entries, rate) = (shape.entries, shape.request_rate);
+    let text = format!(
+        "[zone zone-a]\nhosts = {entries}\nweight = 1\n{LISTS}request_rate = {rate}\n\
+         request_burst = {rate}\n{key_hash}"
+    );
     let file = directory.join("lists.ini");
     fs::write(&file, text)?;
     let status = Command::new("target/release/cassiafield-ctl")
--- a/crates/xtask/src/bench_suite.rs
+++ b/crates/xtask/src/bench_suite.rs
@@ -10,11 +10,12 @@
 /// A measurement by name.
 type Bench = (&'static str, fn() -> anyhow::Result<()>);
 
-const BENCHES: [Bench; 7] = [
+const BENCHES: [Bench; 8] = [
     ("load", load),
     ("streams", streams),
     ("recovery", recovery),
     ("overload", overload),
+    ("allowance", allowance),
     ("edits", edits),
     ("store", store),
     ("slopes", slopes),
@@ -49,7 +50,7 @@
 
 /// Streams, filings and lookups against three entry hosts.
 fn load() -> anyhow::Result<()> {
-    let shape = BenchShape { replicas: 2, entries: 3, slots: 200, token_ms: 10 };
+    let shape = BenchShape { slots: 200, ..BenchShape::default() };
     let fleet = BenchFleet::start(&shape)?;
     let (targets, pids, platform) = (fleet.targets(), fleet.entry_ids(), fleet.platform_url());
     let direct = format!(
@@ -83,7 +84,7 @@
 
 /// One entry host under more and more streams, for slopes of processor time and memory.
 fn streams() -> anyhow::Result<()> {
-    let shape = BenchShape { replicas: 2, entries: 1, slots: 400, token_ms: 30 };
+    let shape = BenchShape { entries: 1, slots: 400, token_ms: 30, ..BenchShape::default() };
     let fleet = BenchFleet::start(&shape)?;
     let (targets, pids) = (fleet.targets(), fleet.entry_ids());
     load_tool(&[
@@ -133,7 +134,7 @@
     ];
     for (name, fail) in failures {
         println!("-- {name} after 3 s");
-        let shape = BenchShape { replicas: 2, entries: 3, slots: 100, token_ms: 10 };
+        let shape = BenchShape::default();
         let mut fleet = BenchFleet::start(&shape)?;
         let targets = fleet.targets();
         let load = thread::spawn(move || {
@@ -159,7 +160,7 @@
 /// Whole answers a second below, at and above what the engines can do.
 fn overload() -> anyhow::Result<()> {
     for rate in ["20", "40", "80", "200"] {
-        let shape = BenchShape { replicas: 2, entries: 3, slots: 16, token_ms: 10 };
+        let shape = BenchShape { slots: 16, ..BenchShape::default() };
         let fleet = BenchFleet::start(&shape)?;
         let targets = fleet.targets();
         load_tool(&[
@@ -177,9 +178,33 @@
     Ok(())
 }
 
+/// Whole answers a second against a plan of 90, asked for at 150, on one of nine hosts and on all.
+fn allowance() -> anyhow::Result<()> {
+    for hosts in [1, 9] {
+        let shape =
+            BenchShape { replicas: 1, entries: 9, request_rate: 90, ..BenchShape::default() };
+        let fleet = BenchFleet::start(&shape)?;
+        let targets: Vec<&str> =
+            fleet.entries[..hosts].iter().map(crate::bench_fleet::BenchProcess::address).collect();
+        println!("-- all requests at {hosts} of 9 hosts");
+        load_tool(&[
+            "run",
+            "--targets",
+            &targets.join(","),
+            "--kind",
+            "lookup",
+            "--rate",
+            "150",
+            "--seconds",
+            "20",
+        ])?;
+    }
+    Ok(())
+}
+
 /// Time until an edit is in force on nine hosts.
 fn edits() -> anyhow::Result<()> {
-    let shape = BenchShape { replicas: 1, entries: 9, slots: 16, token_ms: 10 };
+    let shape = BenchShape { replicas: 1, entries: 9, ..BenchShape::default() };
     let fleet = BenchFleet::start(&shape)?;
     let (platform, hosts) = (fleet.platform_url(), fleet.hosts());
     load_tool(&["edits", "--platform", &platform, "--hosts", &hosts, "--edits", "60"])
@@ -189,7 +214,7 @@
 /// number of hosts.
 fn store() -> anyhow::Result<()> {
     for entries in [3, 6, 12, 24] {
-        let shape = BenchShape { replicas: 1, entries, slots: 16, token_ms: 10 };
+        let shape = BenchShape { replicas: 1, entries, ..BenchShape::default() };
         let fleet = BenchFleet::start(&shape)?;
         let url = format!("{}/standin/counts", fleet.platform_url());
         let before = ureq::get(&url).call()?.into_string()?;
