test: make two checks able to fail

Cause: with the mechanism taken out, the test of a slow link and that of a caller that hangs up still passed: the relay delayed whole batches, so the mean time between tokens stayed small, and the answer ended by itself within the test's patience. The slow link lies between two stages now, and the answer is longer than the patience; with the route's pace cost or the hang-up ignored they fail.

--- a/crates/cassiafield-standin/src/engine_standin.rs
+++ b/crates/cassiafield-standin/src/engine_standin.rs
@@ -96,6 +96,7 @@
     prompt_time: Duration,
     running: AtomicU32,
     opened: AtomicU32,
+    hops: AtomicU32,
     fault: Mutex<EngineFault>,
     cancelled: Mutex<BTreeSet<(StreamId, u32)>>,
     agent: Agent,
@@ -143,6 +144,7 @@
             prompt_time: spec.prompt_time,
             running: AtomicU32::new(0),
             opened: AtomicU32::new(0),
+            hops: AtomicU32::new(0),
             fault: Mutex::new(EngineFault::None),
             cancelled: Mutex::new(BTreeSet::new()),
             agent: AgentBuilder::new()
@@ -194,6 +196,12 @@
         self.shared.opened.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of tokens run as a later stage so far.
+    #[must_use]
+    pub fn hops(&self) -> u32 {
+        self.shared.hops.load(Ordering::SeqCst)
+    }
+
     /// Registers the endpoint with a platform stand-in.
     ///
     /// # Errors
@@ -347,6 +355,7 @@
     }
 
     fn run_hop(&self, hop: StageHop) -> HopReply {
+        self.hops.fetch_add(1, Ordering::SeqCst);
         thread::sleep(self.token_time);
         self.run_layers(hop)
     }
--- a/crates/cassiafield-standin/tests/local/callers_that_hang.rs
+++ b/crates/cassiafield-standin/tests/local/callers_that_hang.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{complete, plan, start},
-    cassiafield_standin::{FleetPlan, LocalFleet},
+    cassiafield_standin::{FleetPlan, LocalFleet, ToyModel},
     std::{
         io::{Read as _, Write as _},
         net::{SocketAddr, TcpStream},
@@ -19,6 +19,18 @@
     stream
 }
 
+/// Tokens of an answer that takes longer than the test's patience.
+const LONG_ANSWER: u32 = 3_000;
+
+/// Returns a prompt whose answer does not end early.
+fn long_prompt() -> String {
+    let model = ToyModel::new(16);
+    let prompts = (0..).map(|number| format!("long {number}"));
+    let mut long =
+        prompts.filter(|prompt| model.answer(prompt, LONG_ANSWER).len() == LONG_ANSWER as usize);
+    long.next().unwrap()
+}
+
 fn running(fleet: &LocalFleet) -> u32 {
     fleet.engines().iter().map(cassiafield_standin::EngineStandin::running).sum()
 }
@@ -47,8 +59,12 @@
 fn a_caller_that_hangs_up_frees_the_engine() {
     let mut plan = plan();
     plan.token_time = Duration::from_millis(10);
+    plan.limits.max_tokens = LONG_ANSWER;
     let (fleet, address) = start(&plan);
-    let body = r#"{"model":"demo-model","prompt":"long","max_tokens":1000,"stream":true}"#;
+    let prompt = long_prompt();
+    let body = format!(
+        r#"{{"model":"demo-model","prompt":"{prompt}","max_tokens":{LONG_ANSWER},"stream":true}}"#
+    );
     let request = format!(
         "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n\
          Content-Length: {}\r\n\r\n{body}",
--- a/crates/cassiafield-standin/tests/local/silent_paths.rs
+++ b/crates/cassiafield-standin/tests/local/silent_paths.rs
@@ -13,17 +13,25 @@
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// One-way time of a link that was a fraction of a millisecond.
+const SLOW_LINK: Duration = Duration::from_millis(80);
+/// Time until every host has read the list of hosts anew.
+const LIST_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// Leads to an engine over a relay.
+fn relay_engine(fleet: &LocalFleet, index: usize) -> PathRelay {
+    let engine = &fleet.engines()[index];
+    let target: SocketAddr = engine.record().address.parse().unwrap();
+    let relay = PathRelay::start("127.0.0.1:0", target).unwrap();
+    let address = relay.address().to_string().into();
+    fleet.platform().register(EndpointRecord { address, ..engine.record().clone() });
+    relay
+}
+
 /// Leads to each first stage over a relay.
 fn relay_first_stages(fleet: &LocalFleet) -> Vec<PathRelay> {
-    let relays = fleet.engines()[..2].iter().map(|engine| {
-        let target: SocketAddr = engine.record().address.parse().unwrap();
-        let relay = PathRelay::start("127.0.0.1:0", target).unwrap();
-        let address = relay.address().to_string().into();
-        fleet.platform().register(EndpointRecord { address, ..engine.record().clone() });
-        relay
-    });
-    let relays = relays.collect();
-    thread::sleep(Duration::from_millis(2_500));
+    let relays = (0..2).map(|index| relay_engine(fleet, index)).collect();
+    thread::sleep(LIST_PATIENCE);
     relays
 }
 
@@ -64,30 +72,30 @@
     fleet.close();
 }
 
-/// A link that becomes a hundred times slower: streams move to the other replica, later ones go
+/// The link between two stages becomes slow: streams move to the other replica, later ones go
 /// there at once, and every answer is right.
 #[test]
 fn streams_leave_a_link_that_has_become_slow() {
     let (fleet, address) = start(&plan());
-    let relays = relay_first_stages(&fleet);
+    let relay = relay_engine(&fleet, 2);
+    thread::sleep(LIST_PATIENCE);
     for request in 0..8 {
         assert_eq!(complete(address, &format!("measure both {request}"), 40).status, 200);
     }
-    relays[0].set_delay(Duration::from_millis(200));
-    for request in 0..6 {
+    relay.set_delay(SLOW_LINK);
+    for request in 0..8 {
         let prompt = format!("slow link {request}");
         let reply = complete(address, &prompt, 60);
         assert_eq!(reply.status, 200, "{}", reply.body);
         assert_eq!(reply.body["choices"][0]["text"], expected(&prompt, 60));
     }
-    let opened = fleet.engines()[0].opened();
+    let hops = fleet.engines()[2].hops();
+    assert!(hops > 0, "the slow link was never used");
     for request in 0..10 {
         assert_eq!(complete(address, &format!("later {request}"), 4).status, 200);
     }
-    assert_eq!(fleet.engines()[0].opened(), opened, "new streams still take the slow link");
-    for relay in relays {
-        relay.close();
-    }
+    assert_eq!(fleet.engines()[2].hops(), hops, "new streams still take the slow link");
+    relay.close();
     fleet.close();
 }
 
