perf: bound asks for loans and shrink usage records

Cause: worked out for the design size, a checkpoint of 55.9 KB every 5 s (11 KB/s) and asks to 24 peers every 50 ms each break the control budget of 17 KB/s. Records are written without field names every 10 s; new loans are asked for by a token bucket (60 at once, 12 a second), renewals and returns go free. The average demand is measured by time and no longer by rounds of digests.

--- a/crates/cassiafield-core/tests/even_shares.rs
+++ b/crates/cassiafield-core/tests/even_shares.rs
@@ -15,6 +15,7 @@
 const FIRST_TOKEN_SECONDS: f64 = 0.69;
 const STEPS: u32 = 12_000;
 const WARM_STEPS: u32 = 2_000;
+const SMOOTHING_STEPS: u32 = 50;
 const DIGEST_STEPS: u32 = 50;
 const PHASE_STEPS: u32 = 200;
 const SMOOTHING_KEPT: f64 = 0.85;
@@ -57,6 +58,7 @@
     ends: Vec<(u32, usize)>,
     waiting: BTreeMap<usize, u32>,
     smoothed: BTreeMap<usize, f64>,
+    published: BTreeMap<usize, f64>,
 }
 
 impl Host {
@@ -68,6 +70,7 @@
             ends: Vec::new(),
             waiting: BTreeMap::new(),
             smoothed: BTreeMap::new(),
+            published: BTreeMap::new(),
         }
     }
 
@@ -114,10 +117,13 @@
             if step % PHASE_STEPS == 0 {
                 self.phase = self.rng.f64();
             }
-            if step % DIGEST_STEPS == 0 {
-                for host in &mut self.hosts {
+            for host in &mut self.hosts {
+                if step % SMOOTHING_STEPS == 0 {
                     host.smooth(self.flows.len());
                 }
+                if step % DIGEST_STEPS == 0 {
+                    host.published.clone_from(&host.smoothed);
+                }
             }
             let start = self.rng.usize(..HOSTS);
             for index in 0..HOSTS {
@@ -175,11 +181,11 @@
         let mut demands: BTreeMap<OrganisationId, SlotDemand> = BTreeMap::new();
         let current = self.hosts[index].demand();
         for (number, flow) in self.flows.iter().enumerate() {
-            let smoothed = |host: &Host| host.smoothed.get(&number).copied().unwrap_or(0.0);
+            let published = |host: &Host| host.published.get(&number).copied().unwrap_or(0.0);
             let now = current.get(&number).copied().unwrap_or(0.0);
-            let here = smoothed(&self.hosts[index]);
-            let before = self.hosts[..index].iter().map(smoothed).sum::<f64>();
-            let after = self.hosts[index + 1..].iter().map(smoothed).sum::<f64>();
+            let here = published(&self.hosts[index]);
+            let before = self.hosts[..index].iter().map(published).sum::<f64>();
+            let after = self.hosts[index + 1..].iter().map(published).sum::<f64>();
             let everywhere = before + here + after;
             let demand = SlotDemand { weight: flow.weight, now, here, before, everywhere };
             demands.insert(flow.organisation.clone(), demand);
--- a/crates/cassiafield-load/src/core_slopes.rs
+++ b/crates/cassiafield-load/src/core_slopes.rs
@@ -273,7 +273,7 @@
             record.ended(&organisation, class, end);
         }
     }
-    Ok(rmp_serde::to_vec_named(&record)?.len() as f64)
+    Ok(rmp_serde::to_vec(&record)?.len() as f64)
 }
 
 fn records(endpoints: usize) -> anyhow::Result<Vec<EndpointRecord>> {
--- a/crates/cassiafield/src/process/admission_gate.rs
+++ b/crates/cassiafield/src/process/admission_gate.rs
@@ -93,7 +93,7 @@
     /// Part of the old value kept in the average service time.
     const SERVICE_KEPT: f64 = 0.9;
     const SHORTEST_RETRY: Duration = Duration::from_secs(1);
-    /// Part of the old value kept in the average demand at each digest.
+    /// Part of the old value kept in the average demand every half second.
     const DEMAND_KEPT: f64 = 0.85;
     /// Average demand below which an organisation is forgotten.
     const SMALLEST_DEMAND: f64 = 0.01;
@@ -149,7 +149,7 @@
         lock(&self.lines).weights = weights;
     }
 
-    /// Brings the average demand up to date; to be called once before each round of digests.
+    /// Brings the average demand up to date; to be called every half second.
     pub(crate) fn measure_demand(&self) {
         for line in lock(&self.lines).models.values_mut() {
             line.smooth();
--- a/crates/cassiafield/src/process/entry_server.rs
+++ b/crates/cassiafield/src/process/entry_server.rs
@@ -35,6 +35,7 @@
     const HOST_LIST_INTERVAL: Duration = Duration::from_secs(1);
     const LOAN_INTERVAL: Duration = Duration::from_millis(50);
     const PUMP_INTERVAL: Duration = Duration::from_millis(50);
+    const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
     const SETTLE_INTERVAL: Duration = Duration::from_millis(500);
     const ORDINAL_INTERVAL: Duration = Duration::from_millis(100);
     /// Longest step of a sleeping background thread.
@@ -179,6 +180,10 @@
         state.gate.pump();
     })?);
     let state = host.clone();
+    threads.push(start_loop("demand", closed, EntryServer::DEMAND_INTERVAL, move || {
+        state.gate.measure_demand();
+    })?);
+    let state = host.clone();
     threads.push(start_loop("settle", closed, EntryServer::SETTLE_INTERVAL, move || {
         state.settle_claims();
     })?);
--- a/crates/cassiafield/src/process/entry_settings.rs
+++ b/crates/cassiafield/src/process/entry_settings.rs
@@ -155,7 +155,7 @@
 
 [report]
 ; Time between usage checkpoints, in milliseconds.
-checkpoint_ms = 5000
+checkpoint_ms = 10000
 
 [log]
 ; text or json.
--- a/crates/cassiafield/src/process/peer_agent.rs
+++ b/crates/cassiafield/src/process/peer_agent.rs
@@ -4,16 +4,22 @@
             LeaseRelay, LeaseWord, PeerClient, PeerDigest, PeerEnvelope, PeerLists, PeerSeal,
             RequestHandler,
         },
-        process::{DigestPartner, EntryHost, LogEvent, PeerRecord},
+        process::{lock, DigestPartner, EntryHost, LogEvent, PeerRecord},
         request::{header, respond},
         version::ListVersion,
     },
     cassiafield_core::{
         ids::{HostId, ListRevision},
-        process::{LoanAsk, LoanWant, RenewalResult},
+        process::{LoanAsk, LoanWant, RateBucket, RenewalResult},
     },
     serde::{de::DeserializeOwned, Serialize},
-    std::{collections::BTreeSet, io::Read as _, sync::Arc, thread, time::Duration},
+    std::{
+        collections::BTreeSet,
+        io::Read as _,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
     tiny_http::Request,
 };
 
@@ -21,6 +27,7 @@
 pub(crate) struct PeerAgent {
     host: Arc<EntryHost>,
     client: Arc<dyn PeerClient>,
+    asks: Mutex<RateBucket>,
 }
 
 impl PeerAgent {
@@ -30,11 +37,16 @@
     const DIGEST_BYTES_PER_SECOND: f64 = 5_000.0;
     /// Bytes of HTTP around a message.
     const HEADER_BYTES: usize = 300;
+    /// Messages that ask for new loans in a second, on average.
+    const ASKS_PER_SECOND: f64 = 12.0;
+    /// Messages that ask for new loans at once, after a shift of demand.
+    const ASK_BURST: f64 = 60.0;
     /// Peers asked for loans in one round.
     const MAX_LENDERS: usize = 24;
 
     pub(crate) fn new(host: Arc<EntryHost>, client: Arc<dyn PeerClient>) -> Self {
-        Self { host, client }
+        let asks = RateBucket::empty(Self::ASKS_PER_SECOND, Self::ASK_BURST, host.clock.now());
+        Self { host, client, asks: Mutex::new(asks) }
     }
 
     /// Exchanges digests with peers, all at once; returns the time until the next round.
@@ -42,7 +54,6 @@
     /// The time grows with the bytes sent, so that digests stay within their budget in a large
     /// zone.
     pub(crate) fn digest_round(&self) -> Duration {
-        self.host.gate.measure_demand();
         let urgent = self.host.take_news();
         let partners = self.host.peers.digest_partners(self.host.clock.now(), urgent);
         let (near, far) = (self.host.digest(&self.host.settings.zone), self.far_digest());
@@ -113,7 +124,8 @@
         if wants.is_empty() && !partners.contains(&peer.host) {
             return;
         }
-        let asked = if peer.stopping { &[][..] } else { &wants[..] };
+        let allowed = !peer.stopping && !wants.is_empty() && self.may_ask();
+        let asked = if allowed { &wants[..] } else { &[][..] };
         let (ask, sent) = self.host.allowances.ask(&peer.host, asked);
         if ask.is_empty() {
             return;
@@ -136,6 +148,11 @@
         }
     }
 
+    /// Takes one message from the budget of asks; renewals and returns need none.
+    fn may_ask(&self) -> bool {
+        lock(&self.asks).spend(1.0, self.host.clock.now()).is_ok()
+    }
+
     /// Renews a lease through peers of the zone, since the store is out of this host's reach.
     pub(crate) fn relay_renewal(&self, relay: LeaseRelay) -> RenewalResult {
         let mut result = RenewalResult::Unreachable;
--- a/crates/cassiafield/src/process/usage_keeper.rs
+++ b/crates/cassiafield/src/process/usage_keeper.rs
@@ -90,7 +90,7 @@
 
     fn write_hour(&self, store: &dyn PlatformStore, hour: u64, closed: bool) -> bool {
         let Some((record, expected)) = self.prepare(hour, closed) else { return true };
-        let Ok(value) = rmp_serde::to_vec_named(&record) else { return false };
+        let Ok(value) = rmp_serde::to_vec(&record) else { return false };
         let swap = StoreSwap { key: self.key(hour), expected, value: Some(value), lease: None };
         match store.swap(&swap) {
             Ok(SwapResult::Won(revision)) => {
