fix: never exceed a plan while a new layout of zones spreads

Cause: an edit that gives zones more hosts lets the new hosts spend their parts while others still spend the larger parts of the old layout: 1.25 times the plan for nine hosts that become twelve. A part that shrinks does so at once, one that grows waits 10 s, the time in which an accepted edit is in force everywhere; an ordinal that was never held waits too unless the layout is the first one. Also split: loan messages, demand and pace meters, model lines and route holds have files of their own; the stand-ins register through one function.

--- a/crates/cassiafield-core/src/process/allowance_share.rs
+++ b/crates/cassiafield-core/src/process/allowance_share.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{HostId, Moment, OrganisationId},
-        process::RateBucket,
+        process::{demand_meter::DemandMeter, RateBucket},
     },
     std::{fmt, time::Duration},
 };
@@ -69,54 +69,6 @@
     demand: DemandMeter,
 }
 
-/// Estimates demand in units a second with an exponentially weighted average.
-#[derive(Clone, Copy, Debug)]
-struct DemandMeter {
-    average: f64,
-    pending: f64,
-    updated: Moment,
-    refused: Option<Moment>,
-}
-
-impl DemandMeter {
-    const STEP: Duration = Duration::from_millis(100);
-    const KEPT_PER_STEP: f64 = 0.6;
-    /// Time for which a refusal counts as unmet demand.
-    const REFUSAL_MEMORY: Duration = Duration::from_millis(300);
-
-    const fn new(now: Moment) -> Self {
-        Self { average: 0.0, pending: 0.0, updated: now, refused: None }
-    }
-
-    fn add(&mut self, amount: f64, now: Moment) {
-        self.advance(now);
-        self.pending += amount;
-    }
-
-    fn advance(&mut self, now: Moment) {
-        let mut steps = 0;
-        while now.since(self.updated) >= Self::STEP && steps < 64 {
-            let sample = self.pending / Self::STEP.as_secs_f64();
-            self.average =
-                Self::KEPT_PER_STEP * self.average + (1.0 - Self::KEPT_PER_STEP) * sample;
-            self.pending = 0.0;
-            self.updated = self.updated + Self::STEP;
-            steps += 1;
-        }
-        if now.since(self.updated) >= Self::STEP {
-            self.updated = now;
-        }
-    }
-
-    fn rate(&self) -> f64 {
-        self.average
-    }
-
-    fn is_unmet(&self, now: Moment) -> bool {
-        self.refused.is_some_and(|at| now.since(at) < Self::REFUSAL_MEMORY)
-    }
-}
-
 impl AllowanceShare {
     /// Part of its floor that a lender always keeps.
     const KEPT_PART: f64 = 0.02;
@@ -209,7 +161,7 @@
         self.demand.add(amount, now);
         let spent = self.bucket.spend(amount, now);
         if spent.is_err() {
-            self.demand.refused = Some(now);
+            self.demand.refuse(now);
         }
         spent
     }
@@ -227,7 +179,7 @@
         if free {
             self.running += 1;
         } else {
-            self.demand.refused = Some(now);
+            self.demand.refuse(now);
         }
         free
     }
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -2,11 +2,14 @@
 
 mod allowance_book;
 mod allowance_share;
+mod demand_meter;
 mod endpoint_health;
 mod endpoint_pace;
 mod endpoint_record;
 mod endpoint_table;
 mod fair_queue;
+mod floor_hold;
+mod loan_message;
 mod ordinal_holder;
 mod rate_bucket;
 mod retry_budget;
@@ -15,16 +18,15 @@
 mod usage_record;
 
 pub use self::{
-    allowance_book::{
-        AllowanceBook, AllowanceRefusal, LoanAnswer, LoanAsk, LoanGrant, LoanRef, LoanReturn,
-        LoanWant,
-    },
+    allowance_book::{AllowanceBook, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
     endpoint_health::EndpointHealth,
     endpoint_pace::EndpointPace,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
     fair_queue::FairQueue,
+    floor_hold::FloorHold,
+    loan_message::{LoanAnswer, LoanAsk, LoanGrant, LoanRef, LoanReturn, LoanWant},
     ordinal_holder::{OrdinalHolder, RenewalResult},
     rate_bucket::RateBucket,
     retry_budget::RetryBudget,
--- a/crates/cassiafield-core/src/version/fleet_lists.rs
+++ b/crates/cassiafield-core/src/version/fleet_lists.rs
@@ -59,6 +59,9 @@
     /// Planned hosts of each availability zone.
     #[serde(default)]
     pub zones: Vec<ZoneShare>,
+    /// Number of changes that the zones have seen.
+    #[serde(default)]
+    pub layout: u64,
     /// First list: the organisations and the plans they hold.
     #[serde(default)]
     pub organisations: BTreeMap<OrganisationId, OrganisationEntry>,
@@ -188,7 +191,10 @@
                 self.check_base(organisation.as_str(), *base, found)?;
                 self.organisations.remove(organisation);
             }
-            ListChange::SetZones(zones) => self.zones.clone_from(zones),
+            ListChange::SetZones(zones) => {
+                self.zones.clone_from(zones);
+                self.layout += 1;
+            }
             ListChange::Batch(changes) => {
                 for change in changes {
                     self.change(change)?;
--- a/crates/cassiafield-standin/src/engine_standin.rs
+++ b/crates/cassiafield-standin/src/engine_standin.rs
@@ -1,9 +1,8 @@
 use {
     crate::{
-        standin_http::{read_json, reply_json, serve},
+        standin_http::{read_json, register, reply_json, serve},
         ToyModel,
     },
-    anyhow::Context as _,
     cassiafield::connection::{
         ChunkedReply, EngineEvent, HttpListener, StreamOrder, HEARTBEAT_INTERVAL,
     },
@@ -208,9 +207,7 @@
     ///
     /// Returns why the platform did not answer.
     pub fn register(&self, platform: &str) -> anyhow::Result<()> {
-        let url = format!("{platform}/standin/endpoint");
-        ureq::post(&url).send_json(&self.record).context("cannot register")?;
-        Ok(())
+        register(platform, &self.record)
     }
 
     /// Stops the stand-in.
--- a/crates/cassiafield-standin/src/service_standin.rs
+++ b/crates/cassiafield-standin/src/service_standin.rs
@@ -1,6 +1,5 @@
 use {
-    crate::standin_http::{read_body, reply_json, serve},
-    anyhow::Context as _,
+    crate::standin_http::{read_body, register, reply_json, serve},
     cassiafield::connection::HttpListener,
     cassiafield_core::process::{EndpointRecord, EndpointState},
     serde_json::json,
@@ -70,9 +69,7 @@
     ///
     /// Returns why the platform did not answer.
     pub fn register(&self, platform: &str) -> anyhow::Result<()> {
-        let url = format!("{platform}/standin/endpoint");
-        ureq::post(&url).send_json(&self.record).context("cannot register")?;
-        Ok(())
+        register(platform, &self.record)
     }
 
     /// Stops the stand-in.
--- a/crates/cassiafield-standin/src/standin_http.rs
+++ b/crates/cassiafield-standin/src/standin_http.rs
@@ -1,6 +1,7 @@
 use {
     anyhow::Context as _,
     cassiafield::connection::{HttpListener, ListenerLimits, RequestHandler},
+    cassiafield_core::process::EndpointRecord,
     serde::de::DeserializeOwned,
     serde_json::Value,
     std::{
@@ -45,3 +46,10 @@
     }
     let _ = http.respond(response);
 }
+
+/// Registers an endpoint with a platform stand-in.
+pub(crate) fn register(platform: &str, record: &EndpointRecord) -> anyhow::Result<()> {
+    let url = format!("{platform}/standin/endpoint");
+    ureq::post(&url).send_json(record).context("cannot register")?;
+    Ok(())
+}
--- a/crates/cassiafield/src/process/admission_gate.rs
+++ b/crates/cassiafield/src/process/admission_gate.rs
@@ -1,12 +1,16 @@
 use {
     crate::{
         connection::DemandMap,
-        process::{lock, HostClock},
+        process::{
+            lock,
+            model_line::{ModelLine, RouteTicket},
+            HostClock, RouteHold,
+        },
     },
     cassiafield_core::{
         ids::{EndpointId, HostId, ModelId, Moment, OrganisationId, ZoneId},
         process::{
-            EndpointTable, FairQueue, LocalLimit, PlanError, RoutePlanner, RouteRequest, RouteRoom,
+            EndpointTable, LocalLimit, PlanError, RoutePlanner, RouteRequest, RouteRoom,
             SlotDemand, SlotShare,
         },
         request::StageRoute,
@@ -14,7 +18,7 @@
     std::{
         collections::BTreeMap,
         sync::{
-            mpsc::{channel, Receiver, Sender},
+            mpsc::{channel, Receiver},
             Arc, Mutex,
         },
         time::Duration,
@@ -64,21 +68,6 @@
     tickets: u64,
 }
 
-/// One model's waiting and running requests on this host.
-#[derive(Default)]
-struct ModelLine {
-    queue: FairQueue<RouteTicket>,
-    running: BTreeMap<OrganisationId, u32>,
-    smoothed: BTreeMap<OrganisationId, f64>,
-    service_seconds: f64,
-}
-
-struct RouteTicket {
-    number: u64,
-    prefix: u64,
-    reply: Sender<Result<StageRoute, PlanError>>,
-}
-
 struct RemoteDemand {
     heard: Moment,
     demands: DemandMap,
@@ -90,13 +79,7 @@
     /// Part of its patience that a request may be expected to wait; the rest covers the error of
     /// the estimate, so that few requests wait in vain.
     const PATIENCE_PART: f64 = 0.7;
-    /// Part of the old value kept in the average service time.
-    const SERVICE_KEPT: f64 = 0.9;
     const SHORTEST_RETRY: Duration = Duration::from_secs(1);
-    /// Part of the old value kept in the average demand every half second.
-    const DEMAND_KEPT: f64 = 0.85;
-    /// Average demand below which an organisation is forgotten.
-    const SMALLEST_DEMAND: f64 = 0.01;
     /// Time for which the cuts between hosts' shares stay where they are, in seconds.
     const PHASE_SECONDS: u64 = 2;
 
@@ -316,7 +299,39 @@
         }
     }
 
-    fn leave(&self, organisation: &OrganisationId, route: &StageRoute, served: Duration) {
+    pub(super) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Chooses another route in place of `old`, whether or not slots are free.
+    pub(super) fn exchange_route(
+        &self,
+        old: &StageRoute,
+        prefix: u64,
+        avoided: &[EndpointId],
+    ) -> Result<StageRoute, PlanError> {
+        let now = self.clock.now();
+        let mut table = lock(&self.table);
+        let request = RouteRequest {
+            model: old.model(),
+            avoided,
+            zone: &self.zone,
+            prefix,
+            room: RouteRoom::Any,
+        };
+        let route = RoutePlanner.plan(&table, &request, now)?;
+        dispatch_route(&mut table, &route, now);
+        finish_route(&mut table, Some(old));
+        Ok(route)
+    }
+
+    /// Takes a route back after `served`.
+    pub(super) fn leave(
+        &self,
+        organisation: &OrganisationId,
+        route: &StageRoute,
+        served: Duration,
+    ) {
         let mut lines = lock(&self.lines);
         self.release_route(&mut lines, organisation, route);
         if let Some(line) = lines.models.get_mut(route.model()) {
@@ -326,53 +341,6 @@
     }
 }
 
-impl ModelLine {
-    fn demand(&self) -> BTreeMap<OrganisationId, f64> {
-        let running = self.running.iter();
-        let mut demand: BTreeMap<_, _> = running
-            .map(|(organisation, count)| (organisation.clone(), f64::from(*count)))
-            .collect();
-        for (organisation, waiting) in self.queue.backlog() {
-            *demand.entry(organisation).or_default() += waiting as f64 * SlotDemand::WAITING_PART;
-        }
-        demand
-    }
-
-    fn smooth(&mut self) {
-        let demand = self.demand();
-        for (organisation, current) in &demand {
-            self.smoothed.entry(organisation.clone()).or_insert(*current);
-        }
-        for (organisation, smoothed) in &mut self.smoothed {
-            let current = demand.get(organisation).copied().unwrap_or(0.0);
-            *smoothed = AdmissionGate::DEMAND_KEPT * *smoothed
-                + (1.0 - AdmissionGate::DEMAND_KEPT) * current;
-        }
-        self.smoothed.retain(|_, smoothed| *smoothed > AdmissionGate::SMALLEST_DEMAND);
-    }
-
-    fn end(&mut self, organisation: &OrganisationId) {
-        if let Some(count) = self.running.get_mut(organisation) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                self.running.remove(organisation);
-            }
-        }
-    }
-
-    fn measure(&mut self, served: Duration) {
-        let kept = if self.service_seconds == 0.0 { 0.0 } else { AdmissionGate::SERVICE_KEPT };
-        self.service_seconds = kept * self.service_seconds + (1.0 - kept) * served.as_secs_f64();
-    }
-
-    /// Answers all waiting requests at once, since none of them can get a route.
-    fn fail_all(&mut self, error: &PlanError) {
-        while let Some((_, ticket)) = self.queue.pop(|_| true) {
-            let _ = ticket.reply.send(Err(error.clone()));
-        }
-    }
-}
-
 /// Returns a number in `0.0..1.0` that is the same on all hosts and changes with time.
 fn split_phase() -> f64 {
     const STEPS: u64 = 1 << 16;
@@ -392,61 +360,3 @@
         table.finished(&stage.endpoint);
     }
 }
-
-/// A route that a request holds until it is closed.
-pub struct RouteHold {
-    gate: Arc<AdmissionGate>,
-    organisation: OrganisationId,
-    prefix: u64,
-    route: Option<StageRoute>,
-    granted: Moment,
-}
-
-impl RouteHold {
-    /// Returns the route.
-    ///
-    /// # Panics
-    ///
-    /// Never: the route is present until the hold is closed.
-    #[must_use]
-    #[allow(clippy::expect_used)]
-    pub fn route(&self) -> &StageRoute {
-        self.route.as_ref().expect("the route is present until the hold is closed")
-    }
-
-    /// Exchanges the route for one that avoids `avoided`, whether or not slots are free.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no other route; the old one stays.
-    pub fn reroute(&mut self, avoided: &[EndpointId]) -> Result<(), PlanError> {
-        let now = self.gate.clock.now();
-        let mut table = lock(&self.gate.table);
-        let request = RouteRequest {
-            model: self.route().model(),
-            avoided,
-            zone: &self.gate.zone,
-            prefix: self.prefix,
-            room: RouteRoom::Any,
-        };
-        let route = RoutePlanner.plan(&table, &request, now)?;
-        dispatch_route(&mut table, &route, now);
-        finish_route(&mut table, self.route.as_ref());
-        self.route = Some(route);
-        Ok(())
-    }
-
-    /// Gives the route back.
-    pub fn close(self) {
-        drop(self);
-    }
-}
-
-impl Drop for RouteHold {
-    fn drop(&mut self) {
-        if let Some(route) = self.route.take() {
-            let served = self.gate.clock.now().since(self.granted);
-            self.gate.leave(&self.organisation, &route, served);
-        }
-    }
-}
--- a/crates/cassiafield/src/process/allowance_gate.rs
+++ b/crates/cassiafield/src/process/allowance_gate.rs
@@ -6,8 +6,8 @@
     cassiafield_core::{
         ids::{HostId, Moment, OrganisationId, ZoneId},
         process::{
-            AllowanceBook, AllowanceRefusal, LoanAnswer, LoanAsk, LoanWant, OrdinalHolder,
-            RenewalResult,
+            AllowanceBook, AllowanceRefusal, FloorHold, LoanAnswer, LoanAsk, LoanWant,
+            OrdinalHolder, RenewalResult,
         },
         version::FloorFraction,
     },
@@ -29,6 +29,7 @@
     book: AllowanceBook,
     version: Arc<ListVersion>,
     holder: Option<OrdinalHolder>,
+    floor: FloorHold,
     spending: bool,
     permitting: bool,
 }
@@ -39,7 +40,14 @@
     pub fn new(clock: HostClock, zone: ZoneId, longest_request: Duration) -> Self {
         let book = AllowanceBook::new(fastrand::u64(..), longest_request);
         let version = Arc::new(ListVersion::default());
-        let state = GateState { book, version, holder: None, spending: false, permitting: false };
+        let state = GateState {
+            book,
+            version,
+            holder: None,
+            floor: FloorHold::new(),
+            spending: false,
+            permitting: false,
+        };
         Self { clock, zone, state: Mutex::new(state) }
     }
 
@@ -151,9 +159,16 @@
         let holder = self.holder.filter(|holder| holder.may_spend(now));
         self.spending = holder.is_some();
         self.permitting = holder.is_some_and(|holder| holder.may_permit(now));
-        let part = holder.and_then(|holder| {
-            FloorFraction::of(&self.version.lists.zones, zone, holder.ordinal())
-        });
+        let lists = &self.version.lists;
+        let wanted =
+            holder.and_then(|holder| FloorFraction::of(&lists.zones, zone, holder.ordinal()));
+        let part = match holder {
+            Some(_) => self.floor.adopt(lists.layout, wanted, now),
+            None => {
+                self.floor.clear();
+                None
+            }
+        };
         self.book.set_floors(&self.version.lists, part.as_ref(), self.permitting, now);
     }
 
@@ -161,7 +176,8 @@
     fn refresh(&mut self, zone: &ZoneId, now: Moment) {
         let may_spend = self.holder.is_some_and(|holder| holder.may_spend(now));
         let may_permit = self.holder.is_some_and(|holder| holder.may_permit(now));
-        if may_spend != self.spending || may_permit != self.permitting {
+        let changed = may_spend != self.spending || may_permit != self.permitting;
+        if changed || self.floor.is_due(now) {
             self.set_floors(zone, now);
         }
     }
--- a/crates/cassiafield/src/process/mod.rs
+++ b/crates/cassiafield/src/process/mod.rs
@@ -9,14 +9,16 @@
 mod host_clock;
 mod log_event;
 mod log_setup;
+mod model_line;
 mod ordinal_keeper;
 mod peer_agent;
 mod peer_book;
+mod route_hold;
 mod usage_keeper;
 mod usage_report;
 
 pub use self::{
-    admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest, RouteHold},
+    admission_gate::{AdmissionGate, AdmissionRefusal, AdmissionRequest},
     allowance_gate::AllowanceGate,
     entry_host::{EntryBorders, EntryHost},
     entry_metrics::{EntryMetrics, TokenTimes},
@@ -25,6 +27,7 @@
     host_clock::HostClock,
     log_event::{EventLevel, LogEvent},
     log_setup::start_log,
+    route_hold::RouteHold,
     usage_keeper::UsageKeeper,
     usage_report::{ReportFormat, UsageReport},
 };
--- a/crates/cassiafield/src/process/ordinal_keeper.rs
+++ b/crates/cassiafield/src/process/ordinal_keeper.rs
@@ -7,7 +7,7 @@
     },
     cassiafield_core::{
         ids::{HostId, Moment},
-        process::{AllowanceBook, OrdinalHolder, RenewalResult},
+        process::{AllowanceBook, FloorHold, OrdinalHolder, RenewalResult},
     },
     std::{sync::Arc, thread, time::Duration},
 };
@@ -160,6 +160,9 @@
         let Some(revision) = written else { return Ok(false) };
         let now = self.host.clock.now();
         let mut holder = OrdinalHolder::taken(ordinal, sent, now);
+        if entry.is_none() && self.host.lists.current().lists.layout > 1 {
+            holder = holder.quarantine(FloorHold::SPREAD_TIME, FloorHold::SPREAD_TIME);
+        }
         if !clean {
             let loans = AllowanceBook::LOAN_TERM + AllowanceBook::LOAN_MARGIN;
             holder = holder.quarantine(loans, loans + self.host.settings.request_timeout);
--- /dev/null
+++ b/crates/cassiafield/src/process/route_hold.rs
@@ -0,0 +1,56 @@
+use {
+    crate::process::AdmissionGate,
+    cassiafield_core::{
+        ids::{EndpointId, Moment, OrganisationId},
+        process::PlanError,
+        request::StageRoute,
+    },
+    std::sync::Arc,
+};
+
+/// A route that a request holds until it is closed.
+pub struct RouteHold {
+    pub(super) gate: Arc<AdmissionGate>,
+    pub(super) organisation: OrganisationId,
+    pub(super) prefix: u64,
+    pub(super) route: Option<StageRoute>,
+    pub(super) granted: Moment,
+}
+
+impl RouteHold {
+    /// Returns the route.
+    ///
+    /// # Panics
+    ///
+    /// Never: the route is present until the hold is closed.
+    #[must_use]
+    #[allow(clippy::expect_used)]
+    pub fn route(&self) -> &StageRoute {
+        self.route.as_ref().expect("the route is present until the hold is closed")
+    }
+
+    /// Exchanges the route for one that avoids `avoided`, whether or not slots are free.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no other route; the old one stays.
+    pub fn reroute(&mut self, avoided: &[EndpointId]) -> Result<(), PlanError> {
+        let route = self.gate.exchange_route(self.route(), self.prefix, avoided)?;
+        self.route = Some(route);
+        Ok(())
+    }
+
+    /// Gives the route back.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for RouteHold {
+    fn drop(&mut self) {
+        if let Some(route) = self.route.take() {
+            let served = self.gate.now().since(self.granted);
+            self.gate.leave(&self.organisation, &route, served);
+        }
+    }
+}
--- a/crates/cassiafield/src/request/mod.rs
+++ b/crates/cassiafield/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod completion_call;
 mod completion_request;
 mod http_reply;
+mod pace_meter;
 mod request_refusal;
 mod service_request;
 mod stream_runner;
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -4,6 +4,7 @@
             EngineClient, EngineEvent, EngineStream, OpenFailure, StreamFailure, StreamOrder,
         },
         process::{lock, EntryMetrics, HostClock, LogEvent, RouteHold},
+        request::pace_meter::PaceMeter,
     },
     cassiafield_core::{
         ids::{EndpointId, Moment, StreamId},
@@ -94,8 +95,6 @@
     const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_000);
     /// Time until the first token of an attempt.
     const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_millis(5_000);
-    /// Tokens over which the pace of a stream is measured.
-    const PACE_TOKENS: u32 = 6;
     /// Time between tokens above which a stream looks for a faster route.
     const SLOW_PACE: Duration = Duration::from_millis(128);
     /// How many times faster another route must be expected to be.
@@ -362,30 +361,6 @@
     }
 }
 
-/// Measures the time between tokens over a few tokens.
-#[derive(Default)]
-struct PaceMeter {
-    begun: Option<Moment>,
-    tokens: u32,
-}
-
-impl PaceMeter {
-    /// Takes a token; returns the mean time between tokens when enough have come.
-    fn token(&mut self, now: Moment) -> Option<Duration> {
-        let Some(begun) = self.begun else {
-            self.begun = Some(now);
-            return None;
-        };
-        self.tokens += 1;
-        if self.tokens < StreamRunner::PACE_TOKENS {
-            return None;
-        }
-        let pace = now.since(begun) / self.tokens;
-        *self = Self { begun: Some(now), tokens: 0 };
-        Some(pace)
-    }
-}
-
 /// What a frame means for the attempt.
 enum FrameStep {
     Next,
--- a/crates/xtask/src/bench_fleet.rs
+++ b/crates/xtask/src/bench_fleet.rs
@@ -157,12 +157,16 @@
 }
 
 fn write_lists(directory: &Path, url: &str, shape: &BenchShape) -> anyhow::Result<()> {
-    let key_hash =
-        "[organisation demo]\nplan = standard\nkey_hashes = ".to_owned() + &demo_key_hash()? + "\n";
+    let mut organisations = String::new();
+    for name in ["demo", "large", "flood"] {
+        let hash = key_hash(&format!("{name}-key"))?;
+        organisations
+            .push_str(&format!("\n[organisation {name}]\nplan = standard\nkey_hashes = {hash}\n"));
+    }
     let (entries, rate) = (shape.entries, shape.request_rate);
     let text = format!(
         "[zone zone-a]\nhosts = {entries}\nweight = 1\n{LISTS}request_rate = {rate}\n\
-         request_burst = {rate}\n{key_hash}"
+         request_burst = {rate}\n{organisations}"
     );
     let file = directory.join("lists.ini");
     fs::write(&file, text)?;
@@ -175,14 +179,14 @@
     Ok(())
 }
 
-fn demo_key_hash() -> anyhow::Result<String> {
+fn key_hash(key: &str) -> anyhow::Result<String> {
     let mut child = Command::new("target/release/cassiafield-ctl")
         .arg("key-hash")
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()?;
     let mut stdin = child.stdin.take().context("no standard input")?;
-    std::io::Write::write_all(&mut stdin, b"demo-key")?;
+    std::io::Write::write_all(&mut stdin, key.as_bytes())?;
     drop(stdin);
     Ok(String::from_utf8(child.wait_with_output()?.stdout)?.trim().to_owned())
 }
--- a/crates/xtask/src/bench_suite.rs
+++ b/crates/xtask/src/bench_suite.rs
@@ -10,12 +10,13 @@
 /// A measurement by name.
 type Bench = (&'static str, fn() -> anyhow::Result<()>);
 
-const BENCHES: [Bench; 8] = [
+const BENCHES: [Bench; 9] = [
     ("load", load),
     ("streams", streams),
     ("recovery", recovery),
     ("overload", overload),
     ("allowance", allowance),
+    ("shares", shares),
     ("edits", edits),
     ("store", store),
     ("slopes", slopes),
@@ -202,6 +203,32 @@
     Ok(())
 }
 
+/// Three organisations on engines that can do about 39 answers a second: one asks for 4 at all
+/// hosts, one for 40 at one host, and one floods another host with 200.
+fn shares() -> anyhow::Result<()> {
+    let fleet = BenchFleet::start(&BenchShape { slots: 16, ..BenchShape::default() })?;
+    let one = |index: usize| fleet.entries[index].address().to_owned();
+    let loads = [
+        ("demo-key", fleet.targets(), "4"),
+        ("large-key", one(0), "40"),
+        ("flood-key", one(1), "200"),
+    ];
+    thread::scope(|scope| {
+        for (key, targets, rate) in &loads {
+            scope.spawn(move || {
+                let output = Command::new("target/release/cassiafield-load")
+                    .args(["run", "--targets", targets, "--key", key, "--rate", rate])
+                    .args(["--tokens", "40", "--seconds", "20"])
+                    .output();
+                let text =
+                    output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned());
+                println!("-- {key}, {rate}/s\n{}", text.unwrap_or_default());
+            });
+        }
+    });
+    Ok(())
+}
+
 /// Time until an edit is in force on nine hosts.
 fn edits() -> anyhow::Result<()> {
     let shape = BenchShape { replicas: 1, entries: 9, ..BenchShape::default() };
