fix: use endpoints again after they failed once; count refused demand

Cause, found with 'xtask bench shares' over 60 s: a large organisation at one host fell from 16 to 7.7 answers/s though slots were free. Its host had ejected an engine once. An endpoint due for a trial cost a second more than its peers, so it never got the trial, and a stream that went well was never recorded as a success. A trial that ends without a verdict gives way to another.

--- a/crates/cassiafield-core/src/process/endpoint_health.rs
+++ b/crates/cassiafield-core/src/process/endpoint_health.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Records that a request has ended; if it was a trial without a verdict, another may follow.
+    pub const fn finished(&mut self) {
+        self.trial_running = false;
+    }
+
     /// Records a success.
     pub fn succeeded(&mut self) {
         *self = Self::default();
--- a/crates/cassiafield-core/src/process/endpoint_table.rs
+++ b/crates/cassiafield-core/src/process/endpoint_table.rs
@@ -213,6 +213,9 @@
 
     /// Records that a request at an endpoint has ended, well or not.
     pub fn finished(&mut self, endpoint: &EndpointId) {
+        if let Some(health) = self.health.get_mut(endpoint) {
+            health.finished();
+        }
         if let Some(count) = self.in_flight.get_mut(endpoint) {
             *count = count.saturating_sub(1);
             if *count == 0 {
@@ -237,7 +240,9 @@
         self.health.get(endpoint).is_some_and(EndpointHealth::is_suspect)
     }
 
-    fn admits(&self, endpoint: &EndpointId, now: Moment) -> bool {
+    /// Says whether an endpoint may get a request as far as its health goes.
+    #[must_use]
+    pub fn admits(&self, endpoint: &EndpointId, now: Moment) -> bool {
         self.health.get(endpoint).is_none_or(|health| health.admits(now))
     }
 }
--- a/crates/cassiafield-core/src/process/route_planner.rs
+++ b/crates/cassiafield-core/src/process/route_planner.rs
@@ -87,8 +87,10 @@
     const LOAD_MICROS: u64 = 20_000;
     /// Cost of an endpoint that is not the prefix's first choice, in microseconds.
     const COLD_PREFIX_MICROS: u64 = 2_000;
-    /// Cost of an endpoint on trial, in microseconds.
-    const SUSPECT_MICROS: u64 = 1_000_000;
+    /// Cost of an endpoint that is ejected, or whose trial is running, in microseconds; it is chosen
+    /// only when too much of its pool is ejected. One that is due for a trial costs nothing more,
+    /// or it would never get one.
+    const EJECTED_MICROS: u64 = 1_000_000;
 
     /// Chooses a route.
     ///
@@ -155,7 +157,7 @@
         let running = u64::from(table.total_in_flight(&record.endpoint));
         let load = running * Self::LOAD_MICROS / u64::from(record.slots.max(1));
         let affinity = mix(request.prefix, record.endpoint.as_str()) % Self::COLD_PREFIX_MICROS;
-        let suspicion = if table.is_suspect(&record.endpoint) { Self::SUSPECT_MICROS } else { 0 };
+        let suspicion = if table.admits(&record.endpoint, now) { 0 } else { Self::EJECTED_MICROS };
         let pace = u64::try_from(table.pace(&record.endpoint, now).as_micros());
         load + affinity + suspicion + pace.unwrap_or(u64::MAX / 1_024)
     }
--- a/crates/cassiafield-core/tests/endpoint_health.rs
+++ b/crates/cassiafield-core/tests/endpoint_health.rs
@@ -92,3 +92,15 @@
     }
     assert!(retries <= REQUESTS / 10 + INITIAL_RETRIES, "{retries}");
 }
+
+#[test]
+fn a_trial_that_ends_without_a_verdict_gives_way_to_another() {
+    let mut table = table(3);
+    let now = Moment::from_millis(1_000);
+    table.failed(&id(0), now);
+    let later = now + Duration::from_millis(600);
+    table.dispatched(&id(0), later);
+    assert!(!usable(&table, later).contains(&id(0)));
+    table.finished(&id(0));
+    assert!(usable(&table, later).contains(&id(0)));
+}
--- a/crates/cassiafield-standin/tests/local/silent_paths.rs
+++ b/crates/cassiafield-standin/tests/local/silent_paths.rs
@@ -3,7 +3,7 @@
 use {
     crate::support::{complete, expected, plan, start},
     cassiafield_core::process::EndpointRecord,
-    cassiafield_standin::{LocalFleet, PathRelay, RelayMode},
+    cassiafield_standin::{EngineFault, LocalFleet, PathRelay, RelayMode},
     std::{
         net::SocketAddr,
         thread,
@@ -18,6 +18,9 @@
 /// Time until every host has read the list of hosts anew.
 const LIST_PATIENCE: Duration = Duration::from_millis(2_500);
 
+/// Uses of a repaired engine that show more than one trial.
+const USES_AFTER_REPAIR: u32 = 8;
+
 /// Leads to an engine over a relay.
 fn relay_engine(fleet: &LocalFleet, index: usize) -> PathRelay {
     let engine = &fleet.engines()[index];
@@ -123,3 +126,28 @@
     }
     fleet.close();
 }
+
+#[test]
+fn an_engine_that_failed_is_used_again_for_good_once_it_works() {
+    let (fleet, address) = start(&plan());
+    let engine = &fleet.engines()[0];
+    engine.set_fault(EngineFault::WrongLayers);
+    let mut number = 0;
+    let mut ask = || {
+        number += 1;
+        let reply = complete(address, &format!("request {number}"), 6);
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    };
+    for _ in 0..6 {
+        ask();
+    }
+    engine.set_fault(EngineFault::None);
+    let opened = engine.opened();
+    let deadline = Instant::now() + PATIENCE;
+    while engine.opened() < opened + USES_AFTER_REPAIR {
+        assert!(Instant::now() < deadline, "used {} times", engine.opened() - opened);
+        ask();
+        thread::sleep(Duration::from_millis(10));
+    }
+    fleet.close();
+}
--- a/crates/cassiafield/src/process/admission_gate.rs
+++ b/crates/cassiafield/src/process/admission_gate.rs
@@ -106,7 +106,7 @@
         let (number, reply) = self.enqueue(request)?;
         let granted = match reply.recv_timeout(request.patience) {
             Ok(granted) => granted,
-            Err(_) => self.withdraw(request.model, number, &reply)?,
+            Err(_) => self.withdraw(request, number, &reply)?,
         };
         let route = granted.map_err(AdmissionRefusal::NoRoute)?;
         Ok(RouteHold {
@@ -171,6 +171,7 @@
         if let Some(wait) = self.excess_wait(&lines, request) {
             if let Some(line) = lines.models.get_mut(request.model) {
                 line.queue.remove(|ticket| ticket.number == number);
+                line.refuse(request.organisation);
             }
             if let Ok(Ok(route)) = receiver.try_recv() {
                 self.release_route(&mut lines, request.organisation, &route);
@@ -181,6 +182,9 @@
     }
 
     /// Returns when to come back if the request would wait longer than its patience.
+    ///
+    /// An organisation below its share gets the next slot that anyone frees; one that has its
+    /// share waits for slots of its own.
     fn excess_wait(&self, lines: &GateLines, request: &AdmissionRequest<'_>) -> Option<Duration> {
         let line = lines.models.get(request.model)?;
         let ahead = line.queue.backlog().get(request.organisation).copied().unwrap_or(0);
@@ -188,8 +192,10 @@
             return None;
         }
         let limits = self.limits(lines, request.model);
-        let limit = limits.get(request.organisation).map_or(1, |limit| limit.requests);
-        let wait = line.service_seconds * ahead as f64 / f64::from(limit);
+        let limit = limits.get(request.organisation)?;
+        let all: u32 = line.running.values().sum();
+        let servers = if limit.below_share { all.max(limit.requests) } else { limit.requests };
+        let wait = line.service_seconds * ahead as f64 / f64::from(servers);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
         let bound = request.patience.mul_f64(Self::PATIENCE_PART);
         (wait > bound).then(|| (wait - bound).max(Self::SHORTEST_RETRY))
@@ -198,7 +204,7 @@
     /// Takes a ticket back whose time is over, unless it was granted at the last moment.
     fn withdraw(
         &self,
-        model: &ModelId,
+        request: &AdmissionRequest<'_>,
         number: u64,
         reply: &Receiver<Result<StageRoute, PlanError>>,
     ) -> Result<Result<StageRoute, PlanError>, AdmissionRefusal> {
@@ -206,8 +212,9 @@
         if let Ok(granted) = reply.try_recv() {
             return Ok(granted);
         }
-        if let Some(line) = lines.models.get_mut(model) {
+        if let Some(line) = lines.models.get_mut(request.model) {
             line.queue.remove(|ticket| ticket.number == number);
+            line.refuse(request.organisation);
         }
         Err(AdmissionRefusal::Overloaded(Self::SHORTEST_RETRY))
     }
--- a/crates/cassiafield/src/process/model_line.rs
+++ b/crates/cassiafield/src/process/model_line.rs
@@ -13,6 +13,8 @@
     pub(super) queue: FairQueue<RouteTicket>,
     pub(super) running: BTreeMap<OrganisationId, u32>,
     pub(super) smoothed: BTreeMap<OrganisationId, f64>,
+    /// Requests refused for want of endpoints since the demand was measured last.
+    pub(super) refused: BTreeMap<OrganisationId, u32>,
     pub(super) service_seconds: f64,
 }
 
@@ -26,7 +28,9 @@
 impl ModelLine {
     /// Part of the old value kept in the average service time.
     const SERVICE_KEPT: f64 = 0.9;
-    /// Part of the old value kept in the average demand every half second.
+    /// Time between measurements of demand, in seconds.
+    const MEASURE_SECONDS: f64 = 0.5;
+    /// Part of the old value kept in the average demand at each measurement.
     const DEMAND_KEPT: f64 = 0.85;
     /// Average demand below which an organisation is forgotten.
     const SMALLEST_DEMAND: f64 = 0.01;
@@ -42,8 +46,16 @@
         demand
     }
 
+    /// Brings the average demand up to date.
+    ///
+    /// Refused requests count with the slots that they would have taken; without them an
+    /// organisation that is held to its share would seem to want no more than that.
     pub(super) fn smooth(&mut self) {
-        let demand = self.demand();
+        let mut demand = self.demand();
+        for (organisation, count) in std::mem::take(&mut self.refused) {
+            let rate = f64::from(count) / Self::MEASURE_SECONDS;
+            *demand.entry(organisation).or_default() += rate * self.service_seconds;
+        }
         for (organisation, current) in &demand {
             self.smoothed.entry(organisation.clone()).or_insert(*current);
         }
@@ -54,6 +66,11 @@
         self.smoothed.retain(|_, smoothed| *smoothed > Self::SMALLEST_DEMAND);
     }
 
+    /// Notes that a request was refused for want of endpoints.
+    pub(super) fn refuse(&mut self, organisation: &OrganisationId) {
+        *self.refused.entry(organisation.clone()).or_default() += 1;
+    }
+
     pub(super) fn end(&mut self, organisation: &OrganisationId) {
         if let Some(count) = self.running.get_mut(organisation) {
             *count = count.saturating_sub(1);
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -161,6 +161,14 @@
         faster.then(|| slowest.endpoint.clone())
     }
 
+    /// Records that all stages of a route have worked; a failure that follows is recorded after it.
+    fn note_success(&self, stages: &[RouteStage]) {
+        let mut table = lock(&self.table);
+        for stage in stages {
+            table.succeeded(&stage.endpoint);
+        }
+    }
+
     fn note_failure(&self, blame: &AttemptBlame) {
         if let AttemptBlame::Endpoint(endpoint) = blame {
             lock(&self.table).failed(endpoint, self.clock.now());
@@ -191,6 +199,9 @@
             let before = self.delivered();
             let attempt = self.assembly.begin_attempt(hold.route());
             let end = self.attempt(attempt, hold);
+            if self.delivered() > before {
+                self.runner.note_success(hold.route().stages());
+            }
             let blame = match end {
                 AttemptEnd::Complete => return RunEnd::Complete,
                 AttemptEnd::CallerGone => {
--- a/crates/xtask/src/bench_suite.rs
+++ b/crates/xtask/src/bench_suite.rs
@@ -218,7 +218,7 @@
             scope.spawn(move || {
                 let output = Command::new("target/release/cassiafield-load")
                     .args(["run", "--targets", targets, "--key", key, "--rate", rate])
-                    .args(["--tokens", "40", "--seconds", "20"])
+                    .args(["--tokens", "40", "--seconds", "60"])
                     .output();
                 let text =
                     output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned());
