fix: notice a listener whose accept thread has died

Cause: a test that had passed for half an hour failed once: with the descriptors used up at the wrong moment tiny_http panics in its accept thread (a clone of the accepted socket is unwrapped) and its receiver never learns of it. Change: a watchdog probes the listener every 2 s; if nobody takes the connection it builds another server from the socket's clone.

--- a/crates/cassiafield/src/connection/http_listener.rs
+++ b/crates/cassiafield/src/connection/http_listener.rs
@@ -1,5 +1,5 @@
 use {
-    crate::process::LogEvent,
+    crate::{connection::listener_probe::ListenerProbe, process::LogEvent},
     socket2::{SockRef, TcpKeepalive},
     std::{
         io,
@@ -35,9 +35,10 @@
 
 /// An HTTP server that goes on after accept errors.
 ///
-/// The HTTP library ends its accept loop for good at the first accept error. The listener keeps
-/// a clone of the socket and builds a new server from it, while the old one goes on serving the
-/// connections that it has.
+/// The HTTP library ends its accept loop for good at the first accept error, and without a word
+/// when it panics there for want of descriptors. The listener keeps a clone of the socket and
+/// builds a new server from it, while the old one goes on serving the connections that it has. It
+/// learns of the first case by the library's error and of the second by probing itself.
 pub struct HttpListener {
     shared: Arc<ListenerState>,
 }
@@ -55,6 +56,8 @@
     const REQUEST_STACK_BYTES: usize = 512 << 10;
     const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
     const SERVER_RETENTION: Duration = Duration::from_secs(600);
+    const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+    const PROBE_STEP: Duration = Duration::from_millis(100);
     const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
     const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
     const UNSENT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -85,6 +88,7 @@
             servers: Mutex::new(Vec::new()),
         });
         start_server(&shared)?;
+        start_watchdog(&shared)?;
         Ok(Self { shared })
     }
 
@@ -134,6 +138,30 @@
     Ok(())
 }
 
+/// Probes the listener now and then and starts another server when nobody accepts.
+fn start_watchdog(shared: &Arc<ListenerState>) -> io::Result<()> {
+    let address = shared.socket.local_addr()?;
+    let shared = shared.clone();
+    thread::Builder::new().name("watchdog".into()).spawn(move || {
+        while rest(&shared, HttpListener::PROBE_INTERVAL) {
+            if ListenerProbe::send(address) == ListenerProbe::Deaf {
+                LogEvent::AcceptFailed.log("the listener did not answer its own probe");
+                restart_server(&shared);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// Sleeps in steps; returns whether the listener is still open.
+fn rest(shared: &ListenerState, duration: Duration) -> bool {
+    let end = Instant::now() + duration;
+    while Instant::now() < end && !shared.closing.load(Ordering::SeqCst) {
+        thread::sleep(HttpListener::PROBE_STEP);
+    }
+    !shared.closing.load(Ordering::SeqCst)
+}
+
 /// Takes requests from one server; starts another one when this one can accept no more.
 fn serve(shared: &Arc<ListenerState>, server: &Arc<Server>) {
     let mut deaf_since: Option<Instant> = None;
--- a/crates/cassiafield/src/connection/mod.rs
+++ b/crates/cassiafield/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod etcd_store;
 mod host_list;
 mod http_listener;
+mod listener_probe;
 mod load_digest;
 mod peer_client;
 mod peer_message;
--- a/crates/cassiafield/tests/listener_descriptors.rs
+++ b/crates/cassiafield/tests/listener_descriptors.rs
@@ -22,33 +22,42 @@
     Ok(text)
 }
 
-#[test]
-fn a_listener_serves_again_after_descriptors_were_used_up() {
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let handler = Arc::new(|request: Request| {
-        let _ = request.respond(Response::from_string("served"));
-    });
-    let listener = HttpListener::open(socket, ListenerLimits { requests: 8 }, handler).unwrap();
-    let address = listener.address().unwrap();
-    assert!(get(address).unwrap().contains("served"));
+/// Limits of descriptors; which call of the library fails first depends on their number.
+const LIMITS: std::ops::Range<u64> = 60..66;
 
+/// Opens connections until there are no descriptors left, holds them a little and lets go.
+fn use_up_descriptors(address: SocketAddr, limit: u64) {
     let (_, hard) = rlimit::Resource::NOFILE.get().unwrap();
-    rlimit::Resource::NOFILE.set(64, hard).unwrap();
+    rlimit::Resource::NOFILE.set(limit, hard).unwrap();
     let mut silent = Vec::new();
     while let Ok(stream) = TcpStream::connect(address) {
         silent.push(stream);
-        if silent.len() > 64 {
+        if silent.len() as u64 > limit {
             break;
         }
     }
     assert!(get(address).is_err(), "descriptors were not used up");
     std::thread::sleep(Duration::from_millis(300));
     drop(silent);
+}
 
-    let deadline = Instant::now() + PATIENCE;
-    while !get(address).is_ok_and(|text| text.contains("served")) {
-        assert!(Instant::now() < deadline, "the listener stays deaf");
-        std::thread::sleep(Duration::from_millis(50));
+#[test]
+fn a_listener_serves_again_after_descriptors_were_used_up() {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let handler = Arc::new(|request: Request| {
+        let _ = request.respond(Response::from_string("served"));
+    });
+    let listener = HttpListener::open(socket, ListenerLimits { requests: 8 }, handler).unwrap();
+    let address = listener.address().unwrap();
+    assert!(get(address).unwrap().contains("served"));
+
+    for limit in LIMITS {
+        use_up_descriptors(address, limit);
+        let deadline = Instant::now() + PATIENCE;
+        while !get(address).is_ok_and(|text| text.contains("served")) {
+            assert!(Instant::now() < deadline, "the listener stays deaf after {limit} descriptors");
+            std::thread::sleep(Duration::from_millis(50));
+        }
     }
     let _ = listener.close(Duration::ZERO);
 }
