--- /dev/null
+++ b/crates/cassiafield-standin/examples/local_fleet.rs
@@ -0,0 +1,26 @@
+//! Starts a fleet in this process, asks it one question and prints the answer.
+//!
+//! Run with `cargo run -p cassiafield-standin --example local_fleet`.
+
+use {
+    cassiafield_standin::{FleetPlan, LocalFleet},
+    serde_json::{json, Value},
+    std::{thread, time::Duration},
+};
+
+/// Time in which the plan's first allowance accrues.
+const ACCRUAL_TIME: Duration = Duration::from_millis(500);
+
+fn main() -> anyhow::Result<()> {
+    let mut plan = FleetPlan::demo()?;
+    plan.listen = "127.0.0.1:0".into();
+    let fleet = LocalFleet::start(&plan)?;
+    thread::sleep(ACCRUAL_TIME);
+    let url = format!("http://{}/v1/completions", fleet.caller_addresses()[0]);
+    let request = ureq::post(&url).set("Authorization", &format!("Bearer {}", FleetPlan::DEMO_KEY));
+    let body = json!({ "model": "demo-model", "prompt": "Why does moss return?", "max_tokens": 8 });
+    let answer: Value = request.send_json(body)?.into_json()?;
+    println!("{}", answer["choices"][0]["text"]);
+    fleet.close();
+    Ok(())
+}
--- a/crates/cassiafield/src/process/entry_host.rs
+++ b/crates/cassiafield/src/process/entry_host.rs
@@ -12,13 +12,14 @@
         version::{ListHolder, ListVersion},
     },
     cassiafield_core::{
-        ids::{HostId, Moment, OrganisationId, ZoneId},
+        ids::{EndpointId, HostId, Moment, OrganisationId, ZoneId},
         process::{AllowanceRefusal, EndpointTable, RetryBudget},
         request::ClaimRecord,
     },
     compact_str::CompactString,
     serde_json::{json, Value},
     std::{
+        collections::BTreeSet,
         sync::{
             atomic::{AtomicBool, Ordering},
             Arc, Mutex,
@@ -209,15 +210,29 @@
         if table.leaving().len() > before {
             self.note_news();
         }
-        let usable = table.usable(now).len();
-        let known = table.records().count();
-        self.metrics.endpoints("usable", usable);
-        self.metrics.endpoints("unusable", known - usable);
         drop(table);
         self.listed.store(true, Ordering::SeqCst);
         self.gate.pump();
     }
 
+    /// Returns all metrics, with the present state of endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the metrics library.
+    pub(crate) fn encode_metrics(&self) -> prometheus::Result<String> {
+        let now = self.clock.now();
+        let table = lock(&self.table);
+        let usable: BTreeSet<&EndpointId> =
+            table.usable(now).into_iter().map(|record| &record.endpoint).collect();
+        let all = table.records().map(|record| &record.endpoint);
+        self.metrics.endpoints("usable", usable.len());
+        self.metrics.endpoints("unusable", table.records().count() - usable.len());
+        self.metrics.endpoint_states(all.map(|endpoint| (endpoint, usable.contains(endpoint))));
+        drop(table);
+        self.metrics.encode()
+    }
+
     /// Returns what this host tells a peer; only peers of its own zone are told its load.
     pub(crate) fn digest(&self, zone: &ZoneId) -> PeerDigest {
         let version = self.lists.current();
--- a/crates/cassiafield/src/process/entry_metrics.rs
+++ b/crates/cassiafield/src/process/entry_metrics.rs
@@ -1,6 +1,6 @@
 use {
     cassiafield_core::{
-        ids::OrganisationId,
+        ids::{EndpointId, OrganisationId},
         process::RequestClass,
         request::{RefusalCause, RequestVerdict},
     },
@@ -25,6 +25,7 @@
     running: IntGaugeVec,
     events: IntCounterVec,
     endpoints: IntGaugeVec,
+    endpoint_usable: IntGaugeVec,
 }
 
 /// The histograms of one organisation's tokens.
@@ -89,6 +90,11 @@
             running: gauge("cassiafield_running_requests", "Requests being answered", LABELS)?,
             events: counter("cassiafield_events_total", "Internal events", &["event"])?,
             endpoints: gauge("cassiafield_endpoints", "Endpoints by state", &["state"])?,
+            endpoint_usable: gauge(
+                "cassiafield_endpoint_usable",
+                "Whether an endpoint gets new work",
+                &["endpoint"],
+            )?,
             registry,
         })
     }
@@ -156,6 +162,14 @@
         self.endpoints.with_label_values(&[state]).set(count);
     }
 
+    /// Sets whether each endpoint gets new work; endpoints that are not named are forgotten.
+    pub fn endpoint_states<'a>(&self, states: impl Iterator<Item = (&'a EndpointId, bool)>) {
+        self.endpoint_usable.reset();
+        for (endpoint, usable) in states {
+            self.endpoint_usable.with_label_values(&[endpoint.as_str()]).set(i64::from(usable));
+        }
+    }
+
     /// Returns all metrics in the text format.
     ///
     /// # Errors
--- a/crates/cassiafield/src/process/peer_agent.rs
+++ b/crates/cassiafield/src/process/peer_agent.rs
@@ -239,7 +239,7 @@
         let path = request.url().to_owned();
         match path.as_str() {
             "/healthz" => respond(request, 200, "text/plain", b"ok\n".to_vec(), &[]),
-            "/metrics" => match self.host.metrics.encode() {
+            "/metrics" => match self.host.encode_metrics() {
                 Ok(text) => {
                     respond(request, 200, "text/plain; version=0.0.4", text.into_bytes(), &[]);
                 }
