fix: do not give a running stream up while it can go on

Counting begins anew with each token; a stream with tokens is resumed free, three times in a row at most; avoidance is loosened step by step. Also: slopes of streams, claims, edits and peers on running fleets (xtask bench fleet-slopes).

--- a/crates/cassiafield-core/src/request/stream_recovery.rs
+++ b/crates/cassiafield-core/src/request/stream_recovery.rs
@@ -3,7 +3,7 @@
     std::time::Duration,
 };
 
-/// Attempts at one stream, the first included.
+/// Attempts in a row that may fail without a token, the last one included.
 pub(super) const MAX_ATTEMPTS: u32 = 4;
 
 /// Who is to blame for a failed attempt.
@@ -57,16 +57,30 @@
         self.doubtful.as_ref()
     }
 
-    /// Returns the number of failed attempts.
+    /// Returns the endpoint that failed last.
+    #[must_use]
+    pub fn last_avoided(&self) -> &[EndpointId] {
+        self.avoided.last().map_or(&[], std::slice::from_ref)
+    }
+
+    /// Returns the number of failed attempts since the last token.
     #[must_use]
     pub const fn failures(&self) -> u32 {
         self.failures
     }
 
+    /// Records that the attempt has brought tokens, so that failures are counted anew.
+    ///
+    /// Each attempt that progresses brings the stream nearer to its end, so this cannot go on for
+    /// ever.
+    pub const fn progressed(&mut self) {
+        self.failures = 0;
+    }
+
     /// Records a failed attempt.
     ///
-    /// `permitted` is the retry budget's word; `jitter` is a
-    /// random number in `0.0..1.0` that spreads the pause over its whole range.
+    /// `permitted` is the retry budget's word; `jitter` is a random number in `0.0..1.0` that
+    /// spreads the pause over its whole range.
     pub fn fail(
         &mut self,
         now: Moment,
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -236,8 +236,11 @@
         blame: AttemptBlame,
         before: u32,
     ) -> Option<RunEnd> {
-        let progressed = self.delivered() > before;
-        let permitted = progressed || lock(&self.runner.retries).take();
+        if self.delivered() > before {
+            self.recovery.progressed();
+        }
+        let begun = self.delivered() > 0;
+        let permitted = begun || lock(&self.runner.retries).take();
         let now = self.runner.clock.now();
         match self.recovery.fail(now, blame, permitted, fastrand::f64()) {
             RecoveryStep::GiveUp => Some(self.give_up(RefusalCause::EndpointFailed)),
@@ -258,18 +261,15 @@
         }
     }
 
-    /// Takes a route without the endpoints that failed and, if there is one, without the doubtful
-    /// one.
+    /// Takes a route without the endpoints that failed and without the doubtful one; if there is
+    /// none, one that avoids less.
     fn reroute(&self, hold: &mut RouteHold) -> bool {
-        let mut avoided = self.recovery.avoided().to_vec();
-        if let Some(doubtful) = self.recovery.doubtful() {
-            avoided.push(doubtful.clone());
-            if hold.reroute(&avoided).is_ok() {
-                return true;
-            }
-            avoided.pop();
-        }
-        hold.reroute(&avoided).is_ok()
+        let failed = self.recovery.avoided();
+        let mut cautious = failed.to_vec();
+        cautious.extend(self.recovery.doubtful().cloned());
+        let choices = [&cautious[..], failed, self.recovery.last_avoided(), &[]];
+        let taken = choices.iter().any(|avoided| hold.reroute(avoided).is_ok());
+        taken
     }
 
     fn give_up(&self, cause: RefusalCause) -> RunEnd {
--- a/crates/xtask/src/bench_suite.rs
+++ b/crates/xtask/src/bench_suite.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         bench_fleet::{BenchFleet, BenchShape},
-        cargo,
+        cargo, fleet_slopes,
     },
     anyhow::{bail, Context as _},
     std::{process::Command, thread, time::Duration},
@@ -10,7 +10,7 @@
 /// A measurement by name.
 type Bench = (&'static str, fn() -> anyhow::Result<()>);
 
-const BENCHES: [Bench; 9] = [
+const BENCHES: [Bench; 10] = [
     ("load", load),
     ("streams", streams),
     ("recovery", recovery),
@@ -20,6 +20,7 @@
     ("edits", edits),
     ("store", store),
     ("slopes", slopes),
+    ("fleet-slopes", fleet_slopes::run),
 ];
 
 /// Runs one measurement, or all of them.
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench_fleet;
 mod bench_suite;
+mod fleet_slopes;
 
 use {
     anyhow::{bail, Context as _},
@@ -12,7 +13,8 @@
 usage: cargo run -p xtask -- COMMAND
 
   check           tests, formatter and linter, as CI runs them
-  bench [NAME]    measurements with release builds: load, recovery, overload, edits, slopes";
+  bench [NAME]    measurements with release builds; NAME is one of load, streams,
+                  recovery, overload, allowance, shares, edits, store, slopes, fleet-slopes";
 
 /// One step of the check: a name and the arguments to cargo.
 const STEPS: &[(&str, &[&str])] = &[
