--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -268,8 +268,12 @@
         let mut cautious = failed.to_vec();
         cautious.extend(self.recovery.doubtful().cloned());
         let choices = [&cautious[..], failed, self.recovery.last_avoided(), &[]];
-        let taken = choices.iter().any(|avoided| hold.reroute(avoided).is_ok());
-        taken
+        for avoided in choices {
+            if hold.reroute(avoided).is_ok() {
+                return true;
+            }
+        }
+        false
     }
 
     fn give_up(&self, cause: RefusalCause) -> RunEnd {
