test: make the check of a planned stop able to fail

Cause: with the stop not waiting for running requests the test still passed, since all its streams ended within the notice. Streams last up to 2.4 s now against a notice of 0.3 s, and ten filings have run and not yet answered when the signal comes.

--- a/crates/cassiafield-daemons/tests/processes/leaving.rs
+++ b/crates/cassiafield-daemons/tests/processes/leaving.rs
@@ -1,7 +1,7 @@
 //! Endpoints and hosts that leave.
 
 use {
-    crate::fleet::{complete, expected, wait_until, FleetShape, ProcessFleet},
+    crate::fleet::{complete, expected, file, wait_until, FleetShape, ProcessFleet},
     serde_json::Value,
     std::{
         sync::{
@@ -46,7 +46,8 @@
 fn a_planned_stop_cuts_no_request() {
     let mut fleet = ProcessFleet::start(FleetShape {
         entries: 2,
-        settings: "[stop]\nnotice_ms = 500\n",
+        settings: "[stop]\nnotice_ms = 300\n",
+        after_ms: 1_500,
         ..FleetShape::default()
     });
     let address = fleet.entries[0].address().to_owned();
@@ -59,7 +60,7 @@
                 let mut round = 0;
                 while !stopping.load(Ordering::SeqCst) {
                     let prompt = format!("{caller} {round}");
-                    let tokens = 4 + 4 * (round % 8);
+                    let tokens = 20 + 40 * (round % 8);
                     let reply = complete(&address, &prompt, tokens).unwrap();
                     assert_eq!(reply.status, 200, "{}", reply.body);
                     assert_eq!(reply.body["choices"][0]["text"], expected(&prompt, tokens));
@@ -70,11 +71,23 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(3));
+    let filings: Vec<_> = (0..10)
+        .map(|number| {
+            let address = address.clone();
+            thread::spawn(move || file(&address, &format!("stop-{number}")).unwrap().status)
+        })
+        .collect();
+    wait_until("the filings run", || {
+        (0..10).all(|number| fleet.runs()[format!("stop-{number}")] == 1)
+    });
     fleet.entries[0].signal("TERM");
     stopping.store(true, Ordering::SeqCst);
     for caller in callers {
         caller.join().unwrap();
     }
+    for filing in filings {
+        assert_eq!(filing.join().unwrap(), 200);
+    }
     assert!(fleet.entries[0].wait().success());
     println!("{} requests, none cut", whole.load(Ordering::SeqCst));
     let store = fleet.store();
