--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -26,9 +26,6 @@
 impl GatewayServer {
     /// Descriptors kept for other uses than connections of callers.
     const SPARE_DESCRIPTORS: usize = 600;
-    /// Shortest time between the signal to stop and the end; the balancer looks once a second and
-    /// needs two looks.
-    const STOP_NOTICE: Duration = Duration::from_millis(2_600);
     /// Time before the platform's limit at which a stopping host ends in any case.
     const STOP_MARGIN: Duration = Duration::from_millis(250);
     /// Pause between two looks at what still runs while stopping.
@@ -114,7 +111,7 @@
         loop {
             sleep(Self::STOP_CHECK).await;
             let passed = state.now().since(began);
-            let is_done = passed >= Self::STOP_NOTICE && state.running_count() == 0;
+            let is_done = passed >= GatewayState::STOP_NOTICE && state.running_count() == 0;
             if is_done || passed >= limit {
                 break;
             }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -44,7 +44,7 @@
     configuration_age: Cell<KnowledgeAge>,
     endpoints_age: Cell<KnowledgeAge>,
     allotments: RefCell<HashMap<ServiceId, RetryAllotment>>,
-    is_stopping: Cell<bool>,
+    stop_began: Cell<Option<Moment>>,
 }
 
 impl GatewayState {
@@ -55,6 +55,10 @@
     /// revocation limit in percent.
     const READY_AGE_PERCENT: u32 = 60;
 
+    /// Time for which a host that was told to stop takes requests; the balancer looks once a
+    /// second and needs two looks.
+    pub const STOP_NOTICE: Duration = Duration::from_millis(2_400);
+
     /// Creates the state of a host that knows nothing yet.
     #[must_use]
     pub fn new(profile: HostProfile, codec: Rc<dyn PlatformCodec>) -> Self {
@@ -73,7 +77,7 @@
             configuration_age: Cell::default(),
             endpoints_age: Cell::default(),
             allotments: RefCell::default(),
-            is_stopping: Cell::new(false),
+            stop_began: Cell::new(None),
         }
     }
 
@@ -134,7 +138,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let limit = self.profile.revocation_limit * Self::READY_AGE_PERCENT / 100;
-        !self.is_stopping.get()
+        !self.is_stopping()
             && self.table.borrow().is_some()
             && self.configuration_age.get().is_within(limit, self.now())
             && !self.directory.borrow().is_empty()
@@ -143,12 +147,20 @@
     /// Says whether the host was told to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.stop_began.get().is_some()
+    }
+
+    /// Says whether the host takes requests: until some time after it was told to stop, so that
+    /// callers that have not noticed are served, and those that are served end before the host.
+    #[must_use]
+    pub fn takes_requests(&self) -> bool {
+        let now = self.now();
+        self.stop_began.get().is_none_or(|began| now.since(began) < Self::STOP_NOTICE)
     }
 
     /// Records that the host was told to stop.
     pub fn begin_stop(&self) {
-        self.is_stopping.set(true);
+        self.stop_began.set(Some(self.now()));
     }
 
     /// Returns the number of requests that run.
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -62,12 +62,23 @@
         self.dispatch(allowed).await
     }
 
+    /// Tells a caller of a host that stops to use another connection for its next request.
+    fn mark_stop(&self, answer: &mut Response<CallerBody>) {
+        if self.state.is_stopping() {
+            let close = header::HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+    }
+
     /// Finds the route and the organisation of a request in the configuration in force.
     fn admit(
         &self,
         parts: &Parts,
         arrived: cassiafield_core::ids::Moment,
     ) -> Result<AllowedRequest, RefusalCause> {
+        if !self.state.takes_requests() {
+            return Err(RefusalCause::NotReady);
+        }
         let table = self.state.table().ok_or(RefusalCause::NotReady)?;
         let names = self.state.codec.header_names();
         let text = |name: &header::HeaderName| {
@@ -130,19 +141,13 @@
         };
         let service = service.clone();
         let running = self.state.running();
-        let mut answer = if service.engine.is_some() && rule.kind.is_stream() {
+        if service.engine.is_some() && rule.kind.is_stream() {
             let call = StreamCall::new(Rc::clone(&self.state), rule, service, request, running);
             call.run().await
         } else {
             let call = PlainCall::new(Rc::clone(&self.state), rule, service, request, running);
             call.run().await
-        };
-        if self.state.is_stopping() {
-            answer
-                .headers_mut()
-                .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
         }
-        answer
     }
 
     fn refuse(&self, parts: &Parts, cause: RefusalCause) -> Response<CallerBody> {
@@ -168,7 +173,11 @@
         self: Rc<Self>,
         request: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = Response<CallerBody>>>> {
-        Box::pin(async move { self.respond(request).await })
+        Box::pin(async move {
+            let mut answer = self.respond(request).await;
+            self.mark_stop(&mut answer);
+            answer
+        })
     }
 
     fn idle_limit(&self) -> Duration {
