perf: place layers by what a zone needs, share load between zones, wait briefly for memory

Ruled out: processor time (0.01 of a core), the store. Conclusion: late and refused streams after a loss came from placement and double booking.

--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        ids::{EndpointId, HostId, Moment},
+        ids::{EndpointId, HostId, Moment, ZoneId},
         request::StageRoute,
     },
     std::{
@@ -19,6 +19,18 @@
     pub token_layers: f64,
 }
 
+/// What a model endpoint reported of itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EngineReading {
+    /// Time of its work relative to its kind's figures; above 1 it is slow.
+    pub pace: f64,
+    /// Memory in use, in tokens times layers.
+    pub used: f64,
+    /// Memory for requests, in tokens times layers.
+    pub total: f64,
+}
+
 /// What one stream has booked at the endpoints of its route.
 #[derive(Debug)]
 pub struct LoadTicket {
@@ -29,13 +41,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineLoad {
     own: BTreeMap<EndpointId, EngineUse>,
-    remote: HashMap<HostId, (Moment, BTreeMap<EndpointId, EngineUse>)>,
+    peers: HashMap<HostId, HeardUse>,
+    zones: HashMap<ZoneId, HeardUse>,
+    readings: HashMap<EndpointId, (Moment, EngineReading)>,
+}
+
+/// Bookings that others told of, and when.
+#[derive(Clone, Debug)]
+struct HeardUse {
+    heard: Moment,
+    used: BTreeMap<EndpointId, EngineUse>,
 }
 
 impl EngineLoad {
     /// Time after which what a peer said counts for nothing.
     const REMOTE_RETENTION: Duration = Duration::from_millis(1_500);
 
+    /// Time after which what an endpoint reported counts for nothing.
+    const READING_RETENTION: Duration = Duration::from_millis(3_500);
+
     /// Books a stream of `tokens` on a route.
     #[must_use]
     pub fn book(&mut self, route: &StageRoute, tokens: u32) -> LoadTicket {
@@ -71,21 +95,69 @@
 
     /// Takes a peer's word of what it has booked.
     pub fn note_peer(&mut self, peer: HostId, used: BTreeMap<EndpointId, EngineUse>, now: Moment) {
-        self.remote.insert(peer, (now, used));
+        self.peers.insert(peer, HeardUse { heard: now, used });
+    }
+
+    /// Takes the word of another availability zone of what all its hosts have booked.
+    pub fn note_zone(&mut self, zone: ZoneId, used: BTreeMap<EndpointId, EngineUse>, now: Moment) {
+        self.zones.insert(zone, HeardUse { heard: now, used });
+    }
+
+    /// Takes what an endpoint reported of itself.
+    pub fn note_reading(&mut self, endpoint: EndpointId, reading: EngineReading, now: Moment) {
+        self.readings.insert(endpoint, (now, reading));
     }
 
-    /// Returns the load of an endpoint over this host and its peers.
+    /// Returns what an endpoint reported of itself a short time ago.
+    #[must_use]
+    pub fn reading(&self, endpoint: &EndpointId, now: Moment) -> Option<EngineReading> {
+        let (heard, reading) = self.readings.get(endpoint)?;
+        (now.since(*heard) < Self::READING_RETENTION).then_some(*reading)
+    }
+
+    /// Returns every reading that is not too old.
+    #[must_use]
+    pub fn readings(&self, now: Moment) -> BTreeMap<EndpointId, EngineReading> {
+        let recent = self
+            .readings
+            .iter()
+            .filter(|(_, (heard, _))| now.since(*heard) < Self::READING_RETENTION);
+        recent.map(|(endpoint, (_, reading))| (endpoint.clone(), *reading)).collect()
+    }
+
+    /// Returns the peers heard of a short time ago.
+    pub fn peers(&self, now: Moment) -> impl Iterator<Item = &HostId> {
+        let recent = move |news: &HeardUse| now.since(news.heard) < Self::REMOTE_RETENTION;
+        self.peers.iter().filter(move |(_, news)| recent(news)).map(|(host, _)| host)
+    }
+
+    /// Returns what this host and its peers in the availability zone have booked together.
+    #[must_use]
+    pub fn zone_total(&self, now: Moment) -> BTreeMap<EndpointId, EngineUse> {
+        let mut total = self.own.clone();
+        let recent = self.peers.values().filter(|n| now.since(n.heard) < Self::REMOTE_RETENTION);
+        for (endpoint, used) in recent.flat_map(|news| &news.used) {
+            total.entry(endpoint.clone()).or_default().add(*used);
+        }
+        total
+    }
+
+    /// Returns the load of an endpoint over this host, its peers and the other zones.
     #[must_use]
     pub fn total(&self, endpoint: &EndpointId, now: Moment) -> EngineUse {
         let mut total = self.own.get(endpoint).copied().unwrap_or_default();
-        for (heard, used) in self.remote.values() {
-            if now.since(*heard) < Self::REMOTE_RETENTION {
-                if let Some(used) = used.get(endpoint) {
-                    total.streams += used.streams;
-                    total.token_layers += used.token_layers;
-                }
+        for news in self.peers.values().chain(self.zones.values()) {
+            if now.since(news.heard) < Self::REMOTE_RETENTION {
+                total.add(news.used.get(endpoint).copied().unwrap_or_default());
             }
         }
         total
     }
 }
+
+impl EngineUse {
+    fn add(&mut self, other: EngineUse) {
+        self.streams += other.streams;
+        self.token_layers += other.token_layers;
+    }
+}
--- a/crates/cassiafield-core/src/process/engine_profile.rs
+++ b/crates/cassiafield-core/src/process/engine_profile.rs
@@ -30,6 +30,8 @@
     pub context_ms: f64,
     /// Prompt tokens read in a millisecond by all layers.
     pub read_per_ms: f64,
+    /// Time to load the weights of all layers, in seconds.
+    pub load_seconds: f64,
     /// Tokens in one event of a stream.
     pub stride: u32,
     /// Bytes that pass between two parts of the model for each token.
--- a/crates/cassiafield-core/src/process/layer_placement.rs
+++ b/crates/cassiafield-core/src/process/layer_placement.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, ZoneId},
-        process::{AcceleratorProfile, EngineProfile},
+        process::{AcceleratorProfile, EngineProfile, ZoneValue},
         request::LayerSpan,
     },
     std::collections::BTreeMap,
@@ -18,6 +18,10 @@
     pub profile: AcceleratorProfile,
     /// The layers that it holds or was told to hold.
     pub held: Option<LayerSpan>,
+    /// Whether it has not finished its last order.
+    pub is_loading: bool,
+    /// Whether it gets no order yet, since it may be about to replace another endpoint.
+    pub is_waiting: bool,
 }
 
 /// Layers that an empty endpoint is to hold.
@@ -29,26 +33,38 @@
     pub span: LayerSpan,
 }
 
-/// Decides which layers empty endpoints hold; those that hold layers keep them.
+/// Decides which layers the endpoints of a model hold.
 ///
-/// Each availability zone is placed by itself, so that it can serve when it is cut off. Copies of
-/// all layers are built from the fastest accelerators first, as few to a copy as leave memory for
-/// requests. Endpoints that make no further copy double the layers that the fewest hold.
+/// Each availability zone is placed by itself, so that it can serve when it is cut off. In a zone
+/// that holds nothing, copies of all layers are built from the fastest accelerators first, as few
+/// to a copy as leave memory for requests. After that endpoints keep what they hold: empty ones go
+/// where they help most, and one that holds layers is moved only if that helps much.
 #[derive(Clone, Copy, Debug)]
 pub struct LayerPlacement<'a> {
     /// The engine's figures.
     pub engine: &'a EngineProfile,
 }
 
+/// The endpoints of one zone while their layers are decided.
+struct ZonePlan<'a> {
+    cards: Vec<&'a PlacementCard>,
+    spans: Vec<Option<LayerSpan>>,
+    value: ZoneValue,
+}
+
 impl LayerPlacement<'_> {
     /// Part of the memory that weights take in a copy with room to spare.
     const ROOMY_PART: f64 = 0.62;
-    /// Largest part of the memory that weights take in a copy.
+    /// Largest part of the memory that weights take.
     const TIGHT_PART: f64 = 0.83;
-    /// Part of the memory that weights take on an endpoint outside whole copies.
-    const SINGLE_PART: f64 = 0.72;
+    /// Smallest part of the memory that weights take on an endpoint placed by itself.
+    const LOOSE_PART: f64 = 0.45;
+    /// Time for which a move must pay, in seconds; endpoints come and go about as often.
+    const MOVE_HORIZON: f64 = 15.0;
+    /// Part of the zone's cost over that time that a move must save.
+    const MOVE_GAIN: f64 = 0.05;
 
-    /// Returns what each empty endpoint is to hold.
+    /// Returns what endpoints are to hold that hold something else.
     #[must_use]
     pub fn assign(&self, cards: &[PlacementCard]) -> Vec<LayerAssignment> {
         let mut zones: BTreeMap<&ZoneId, Vec<&PlacementCard>> = BTreeMap::new();
@@ -58,37 +74,111 @@
         zones.into_values().flat_map(|cards| self.assign_zone(cards)).collect()
     }
 
-    fn assign_zone(&self, cards: Vec<&PlacementCard>) -> Vec<LayerAssignment> {
-        let mut weight = vec![0.0; usize::from(self.engine.layers)];
-        for card in &cards {
-            if let Some(span) = card.held {
-                add_weight(&mut weight, span, &card.profile);
-            }
-        }
-        let mut empty: Vec<&PlacementCard> =
-            cards.into_iter().filter(|card| card.held.is_none()).collect();
-        empty.sort_by(|a, b| {
+    fn assign_zone(&self, mut cards: Vec<&PlacementCard>) -> Vec<LayerAssignment> {
+        cards.sort_by(|a, b| {
             let pace = a.profile.step_factor.total_cmp(&b.profile.step_factor);
             pace.then_with(|| a.endpoint.cmp(&b.endpoint))
         });
-        let mut assigned = Vec::new();
-        if weight.iter().all(|&held| held == 0.0) {
-            while let Some(taken) = self.copy_size(&empty) {
-                let rest = empty.split_off(taken);
-                for (card, span) in empty.iter().zip(self.copy_spans(&empty)) {
-                    add_weight(&mut weight, span, &card.profile);
-                    assigned.push(LayerAssignment { endpoint: card.endpoint.clone(), span });
+        let spans: Vec<_> = cards.iter().map(|card| card.held).collect();
+        let value = ZoneValue::new(self.engine, cards.iter().map(|card| &card.profile));
+        let mut plan = ZonePlan { cards, spans, value };
+        if plan.spans.iter().all(Option::is_none) {
+            self.place_copies(&mut plan);
+        } else {
+            for (card, span) in plan.cards.iter().zip(&plan.spans) {
+                if let Some(span) = span {
+                    plan.value.add(self.engine, &card.profile, *span);
                 }
-                empty = rest;
             }
         }
-        for card in empty {
-            if let Some(span) = self.thinnest_span(&weight, &card.profile) {
-                add_weight(&mut weight, span, &card.profile);
-                assigned.push(LayerAssignment { endpoint: card.endpoint.clone(), span });
+        for index in 0..plan.cards.len() {
+            if plan.spans[index].is_none() && !plan.cards[index].is_waiting {
+                self.place_single(&mut plan, index);
+            }
+        }
+        self.move_one(&mut plan);
+        let placed = plan.cards.iter().zip(&plan.spans);
+        let changed = placed.filter(|(card, span)| span.is_some() && card.held != **span);
+        changed
+            .filter_map(|(card, span)| {
+                let endpoint = card.endpoint.clone();
+                span.map(|span| LayerAssignment { endpoint, span })
+            })
+            .collect()
+    }
+
+    /// Builds whole copies from the front of the endpoints for as long as there are enough.
+    fn place_copies(&self, plan: &mut ZonePlan<'_>) {
+        let mut start = 0;
+        while let Some(taken) = self.copy_size(&plan.cards[start..]) {
+            let spans = self.copy_spans(&plan.cards[start..start + taken]);
+            for (offset, span) in spans.into_iter().enumerate() {
+                self.set_span(plan, start + offset, Some(span));
+            }
+            start += taken;
+        }
+    }
+
+    /// Places one endpoint where it helps most.
+    fn place_single(&self, plan: &mut ZonePlan<'_>, index: usize) {
+        let best = self.best_span(&plan.value, &plan.cards[index].profile);
+        self.set_span(plan, index, best.map(|(span, _)| span));
+    }
+
+    /// Moves the one endpoint whose move pays most, unless another one still loads: while it
+    /// loads, an endpoint serves only the layers that it keeps.
+    fn move_one(&self, plan: &mut ZonePlan<'_>) {
+        if plan.cards.iter().any(|card| card.is_loading) {
+            return;
+        }
+        let before = plan.value.cost();
+        let mut best: Option<(f64, usize, LayerSpan)> = None;
+        for index in 0..plan.cards.len() {
+            let Some(held) = plan.cards[index].held else { continue };
+            let profile = &plan.cards[index].profile;
+            let mut without = plan.value.clone();
+            without.remove(self.engine, profile, held);
+            let Some((span, after)) = self.best_span(&without, profile) else { continue };
+            if let Some(kept) = overlap(held, span) {
+                without.add(self.engine, profile, kept);
+            }
+            let new_layers = span.layers() - overlap(held, span).map_or(0, LayerSpan::layers);
+            let load_part = f64::from(new_layers) / f64::from(self.engine.layers.max(1));
+            let load_seconds = self.engine.load_seconds * load_part;
+            let lost = (without.cost() - before).max(0.0) * load_seconds;
+            let saved = (before - after) * (Self::MOVE_HORIZON - load_seconds) - lost;
+            let least = before * Self::MOVE_GAIN * Self::MOVE_HORIZON;
+            if saved > best.map_or(least, |(most, ..)| most) {
+                best = Some((saved, index, span));
             }
         }
-        assigned
+        if let Some((_, index, span)) = best {
+            self.set_span(plan, index, Some(span));
+        }
+    }
+
+    fn set_span(&self, plan: &mut ZonePlan<'_>, index: usize, span: Option<LayerSpan>) {
+        let profile = &plan.cards[index].profile;
+        if let Some(held) = plan.spans[index] {
+            plan.value.remove(self.engine, profile, held);
+        }
+        if let Some(span) = span {
+            plan.value.add(self.engine, profile, span);
+        }
+        plan.spans[index] = span;
+    }
+
+    /// Returns the span with which an endpoint helps a zone most, and the zone's cost with it.
+    fn best_span(
+        &self,
+        value: &ZoneValue,
+        profile: &AcceleratorProfile,
+    ) -> Option<(LayerSpan, f64)> {
+        let least = self.engine.layers_within(profile, Self::LOOSE_PART).max(1);
+        let most = self.engine.layers_within(profile, Self::TIGHT_PART);
+        (least..=most)
+            .flat_map(|count| value.costs_of(self.engine, profile, count))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     /// Returns how many of the first endpoints make a copy.
@@ -146,32 +236,9 @@
         }
         spans
     }
-
-    /// Returns the run of layers that the fewest fast endpoints hold.
-    fn thinnest_span(&self, weight: &[f64], profile: &AcceleratorProfile) -> Option<LayerSpan> {
-        let usual = self.engine.layers_within(profile, Self::SINGLE_PART).max(1);
-        let most = self.engine.layers_within(profile, Self::TIGHT_PART);
-        let hole = weight.iter().position(|&held| held == 0.0);
-        if let Some(start) = hole {
-            let width = weight[start..].iter().take_while(|&&held| held == 0.0).count();
-            let width = u16::try_from(width).unwrap_or(u16::MAX);
-            let count = if width <= most { width } else { usual };
-            let start = u16::try_from(start).ok()?;
-            return LayerSpan::try_from((start, start + count)).ok();
-        }
-        let last = self.engine.layers.checked_sub(usual)?;
-        let total = |start: u16| -> f64 {
-            weight[usize::from(start)..usize::from(start + usual)].iter().sum()
-        };
-        let start = (0..=last).min_by(|&a, &b| total(a).total_cmp(&total(b)))?;
-        LayerSpan::try_from((start, start + usual)).ok()
-    }
 }
 
-/// Adds an endpoint's speed to the layers that it holds.
-fn add_weight(weight: &mut [f64], span: LayerSpan, profile: &AcceleratorProfile) {
-    let held = usize::from(span.start())..usize::from(span.end()).min(weight.len());
-    for layer in weight.get_mut(held).unwrap_or_default() {
-        *layer += 1.0 / profile.step_factor;
-    }
+/// Returns the layers that two spans share.
+fn overlap(a: LayerSpan, b: LayerSpan) -> Option<LayerSpan> {
+    LayerSpan::try_from((a.start().max(b.start()), a.end().min(b.end()))).ok()
 }
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -24,6 +24,7 @@
 mod route_planner;
 mod slot_share;
 mod usage_record;
+mod zone_value;
 
 pub use self::{
     allowance_book::{AllowanceBook, AllowanceRefusal},
@@ -34,7 +35,7 @@
     endpoint_pace::EndpointPace,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
-    engine_load::{EngineLoad, EngineUse, LoadTicket},
+    engine_load::{EngineLoad, EngineReading, EngineUse, LoadTicket},
     engine_profile::{AcceleratorProfile, EngineProfile},
     fair_queue::FairQueue,
     floor_hold::FloorHold,
@@ -49,4 +50,5 @@
     route_planner::{PlanError, RoutePlanner, RouteRequest, RouteRoom},
     slot_share::{LocalLimit, SlotDemand, SlotShare},
     usage_record::{RequestClass, UsageCount, UsageEnd, UsageRecord, LATENCY_BOUNDS_MS},
+    zone_value::ZoneValue,
 };
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -134,13 +134,16 @@
             + self.engine.stream_ms * f64::from(used.streams + 1)
             + self.engine.context_ms * context;
         let read_ms = f64::from(request.prompt) / self.engine.read_per_ms.max(1e-9);
+        let reading = self.load.reading(&entry.endpoint, self.now);
+        let pace = reading.map_or(1.0, |reading| reading.pace.max(1.0));
         let room = self.engine.token_layers(profile, span.layers()) * Self::MEMORY_PART;
+        let taken = reading.map_or(0.0, |reading| reading.used).max(used.token_layers);
         Some(Candidate {
             entry,
             span,
-            layer_ms: step_ms * profile.step_factor / layers,
-            read_ms: read_ms * profile.read_factor / layers,
-            free: room - used.token_layers,
+            layer_ms: step_ms * profile.step_factor * pace / layers,
+            read_ms: read_ms * profile.read_factor * pace / layers,
+            free: room - taken,
         })
     }
 
@@ -150,20 +153,19 @@
         candidates: &[Candidate<'a>],
     ) -> Result<PlannedPath, PathError> {
         let tokens = f64::from(request.prompt + request.answer);
-        let found = self.cheapest(request, candidates, tokens);
-        match found {
+        match self.cheapest(request, candidates, Some(tokens)) {
             Some(path) => Ok(path),
-            None if self.cheapest(request, candidates, 0.0).is_some() => Err(PathError::NoMemory),
+            None if self.cheapest(request, candidates, None).is_some() => Err(PathError::NoMemory),
             None => Err(PathError::NoCover),
         }
     }
 
-    /// Finds the cheapest path by layers; `tokens` need memory at each endpoint.
+    /// Finds the cheapest path by layers; `tokens` need memory at each endpoint, if given.
     fn cheapest(
         &self,
         request: &PathRequest<'_>,
         candidates: &[Candidate<'a>],
-        tokens: f64,
+        tokens: Option<f64>,
     ) -> Option<PlannedPath> {
         let mut cuts: BTreeSet<u16> = BTreeSet::from([0, self.engine.layers]);
         for candidate in candidates {
@@ -176,12 +178,15 @@
                 continue;
             }
             for (by, candidate) in candidates.iter().enumerate() {
-                if candidate.span.start() > cuts[at] || candidate.span.end() <= cuts[at] {
+                let is_apart =
+                    candidate.span.start() > cuts[at] || candidate.span.end() <= cuts[at];
+                if is_apart || is_visited(&reached, at, by) {
                     continue;
                 }
                 for to in at + 1..cuts.len() {
                     let layers = f64::from(cuts[to] - cuts[at]);
-                    if cuts[to] > candidate.span.end() || tokens * layers > candidate.free {
+                    let is_full = tokens.is_some_and(|tokens| tokens * layers > candidate.free);
+                    if cuts[to] > candidate.span.end() || is_full {
                         break;
                     }
                     let next = self.extend(request, candidates, reached[at], at, by, layers);
@@ -240,25 +245,29 @@
             let step = reached[at]?;
             let entry = candidates[step.by].entry;
             let span = LayerSpan::try_from((cuts[step.from], cuts[at])).ok()?;
-            match stages.last_mut() {
-                Some(stage) if stage.endpoint == entry.endpoint => {
-                    stage.span = LayerSpan::try_from((span.start(), stage.span.end())).ok()?;
-                }
-                _ => stages.push(RouteStage {
-                    endpoint: entry.endpoint.clone(),
-                    address: entry.address.to_compact_string(),
-                    span,
-                }),
-            }
+            stages.push(RouteStage {
+                endpoint: entry.endpoint.clone(),
+                address: entry.address.to_compact_string(),
+                span,
+            });
             at = step.from;
         }
         stages.reverse();
-        let distinct: BTreeSet<_> = stages.iter().map(|stage| &stage.endpoint).collect();
-        if distinct.len() != stages.len() {
-            return None;
-        }
         let draft = RouteDraft { model: request.model.clone(), layers: self.engine.layers, stages };
         let route = StageRoute::try_from(draft).ok()?;
         Some(PlannedPath { route, token_ms: last.token_ms, first_ms: last.first_ms })
     }
 }
+
+/// Says whether the cheapest way to the cut at `at` passes through a candidate; an endpoint must
+/// not appear twice in a path.
+fn is_visited(reached: &[Option<Reached>], at: usize, by: usize) -> bool {
+    let mut step = reached[at];
+    while let Some(found) = step {
+        if found.by == by {
+            return true;
+        }
+        step = if found.from == 0 { None } else { reached[found.from] };
+    }
+    false
+}
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -1,6 +1,6 @@
 use {
     cassiafield_core::{
-        process::EndpointEntry,
+        process::{EndpointEntry, EngineReading},
         request::{LayerSpan, StageRoute},
         version::RouteTable,
     },
@@ -155,8 +155,8 @@
     pub last_event: HeaderName,
 }
 
-/// Layers that an endpoint holds and orders that it has taken, as it says itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Layers that an endpoint holds, its load and the orders that it has taken, as it says itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointReport {
     /// The layers, if any.
     pub span: Option<LayerSpan>,
@@ -164,6 +164,8 @@
     pub orders: u64,
     /// Whether an order is being carried out.
     pub is_busy: bool,
+    /// Its pace and memory.
+    pub reading: EngineReading,
 }
 
 /// Translates between the platform's formats and the host's types.
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -2,7 +2,8 @@
     crate::{
         connection::{CallerListener, PlatformCodec},
         process::{
-            small_server::SmallServer, GatewayState, HostProfile, LayerKeeper, PeerLink, StoreSync,
+            small_server::SmallServer, EngineWatch, GatewayState, HostProfile, LayerKeeper,
+            PeerLink, StoreSync,
         },
         request::HostService,
     },
@@ -97,6 +98,7 @@
         spawn_local(StoreSync::new(Rc::clone(state)).follow_configuration());
         spawn_local(StoreSync::new(Rc::clone(state)).follow_endpoints());
         spawn_local(LayerKeeper::new(Rc::clone(state)).run());
+        spawn_local(EngineWatch::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).keep_listed());
         spawn_local(link.exchange());
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -3,7 +3,7 @@
         connection::{ChannelFault, ChannelPool, PlatformCodec},
         process::{
             running_request::DispatchedRequest, suspect_probe::SuspectProbe, BookedLoad, BootClock,
-            GatewayMetrics, HostProfile, RunningRequest,
+            GatewayMetrics, HostProfile, RunningRequest, WaitingRoom,
         },
     },
     cassiafield::process::LogEvent,
@@ -36,6 +36,8 @@
     pub load: RefCell<EngineLoad>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// Streams that wait for memory at model endpoints.
+    pub waiting: WaitingRoom,
     pub(super) running: Cell<u32>,
     pub(super) hosts_alive: Cell<usize>,
     pub(super) probe: SuspectProbe,
@@ -69,6 +71,7 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             metrics: GatewayMetrics::new(),
+            waiting: WaitingRoom::default(),
             running: Cell::new(0),
             hosts_alive: Cell::new(1),
             probe: SuspectProbe::default(),
@@ -222,11 +225,22 @@
     }
 
     /// Records that an endpoint said that it did not run a request.
+    ///
+    /// An endpoint that is full is not avoided for it; one that is another instance is.
     pub fn endpoint_refused(&self, endpoint: &EndpointId, is_other_instance: bool) {
         if is_other_instance {
             LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: other instance"));
+            self.directory.borrow_mut().failed(endpoint, self.now());
+        }
+    }
+
+    /// Asks an endpoint whether it lives; it is avoided if not.
+    pub async fn is_alive(&self, endpoint: &EndpointId) -> bool {
+        let address = self.directory.borrow().entry(endpoint).map(|entry| entry.address);
+        match address {
+            Some(address) => self.probe.is_alive(self, endpoint, address).await,
+            None => false,
         }
-        self.directory.borrow_mut().failed(endpoint, self.now());
     }
 
     /// Returns the endpoint that listens at an address.
@@ -242,6 +256,16 @@
         self.probe.silent(self, route).await
     }
 
+    /// Says whether this host speaks for its availability zone: it is the first by name of those
+    /// that are heard.
+    #[must_use]
+    pub fn is_speaker(&self) -> bool {
+        let now = self.now();
+        let load = self.load.borrow();
+        let is_first = load.peers(now).all(|peer| &self.profile.host < peer);
+        is_first && !self.is_stopping()
+    }
+
     /// Describes how old the host's knowledge is, for the log.
     #[must_use]
     pub fn knowledge(&self) -> String {
--- a/crates/cassiafield-gateway/src/process/layer_keeper.rs
+++ b/crates/cassiafield-gateway/src/process/layer_keeper.rs
@@ -28,6 +28,10 @@
     client: StoreClient,
     lease: Option<HeldLease>,
     orders: HashMap<(EndpointId, EndpointLifetime), PlacedOrder>,
+    /// When an order last failed to reach each endpoint.
+    unreached: HashMap<EndpointId, Moment>,
+    /// When each endpoint was first listed.
+    seen: HashMap<EndpointId, Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +62,10 @@
     const SETTLE_TIME: Duration = Duration::from_millis(900);
     /// Time after which an order whose effect is not listed is looked into.
     const ORDER_AGE: Duration = Duration::from_secs(20);
+    /// Time for which a new endpoint waits for the one that it replaces to leave, if any does.
+    const SUCCESSOR_WAIT: Duration = Duration::from_millis(1_600);
+    /// Time for which an endpoint that an order did not reach gets none.
+    const UNREACHED_PAUSE: Duration = Duration::from_secs(3);
     /// Longest time for an order's answer.
     const ORDER_LIMIT: Duration = Duration::from_millis(600);
 
@@ -65,7 +73,14 @@
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
         let client = StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
-        Self { state, client, lease: None, orders: HashMap::new() }
+        Self {
+            state,
+            client,
+            lease: None,
+            orders: HashMap::new(),
+            unreached: HashMap::new(),
+            seen: HashMap::new(),
+        }
     }
 
     /// Runs for as long as the host.
@@ -81,16 +96,25 @@
                 continue;
             }
             let now = self.state.now();
-            let count = self.state.directory.borrow().len();
+            let (count, holders) = self.count_endpoints();
             if count != settled.0 {
                 settled = (count, now);
-            } else if now.since(settled.1) >= Self::SETTLE_TIME {
+            }
+            // The first layers are placed once for all; later endpoints are not kept waiting.
+            if holders > 0 || now.since(settled.1) >= Self::SETTLE_TIME {
                 self.place().await;
             }
             sleep(Self::KEEP_PAUSE).await;
         }
     }
 
+    /// Returns the number of endpoints, and of those that hold layers.
+    fn count_endpoints(&self) -> (usize, usize) {
+        let directory = self.state.directory.borrow();
+        let holders = directory.entries().filter(|entry| entry.span.is_some()).count();
+        (directory.len(), holders)
+    }
+
     async fn hand_back(&mut self) {
         if let Some(held) = self.lease.take() {
             let ended = self.client.call(&StoreCall::Revoke { lease: held.lease }).await;
@@ -168,20 +192,35 @@
     fn assignments(&mut self, service: &ServiceRule) -> Vec<LayerAssignment> {
         let Some(engine) = &service.engine else { return Vec::new() };
         let now = self.state.now();
-        self.orders.retain(|_, order| now.since(order.at) < Self::ORDER_AGE);
         let directory = self.state.directory.borrow();
-        let cards: Vec<PlacementCard> = directory
-            .live_entries(&service.service)
-            .filter_map(|entry| {
-                let ordered = self.orders.get(&(entry.endpoint.clone(), entry.lifetime));
-                Some(PlacementCard {
-                    endpoint: entry.endpoint.clone(),
-                    zone: entry.zone.clone(),
-                    profile: engine.accelerator(entry.accelerator.as_ref()?)?.clone(),
-                    held: entry.span.or(ordered.map(|order| order.span)),
-                })
-            })
-            .collect();
+        let entries: Vec<&EndpointEntry> = directory.live_entries(&service.service).collect();
+        self.orders.retain(|(endpoint, lifetime), order| {
+            let entry = directory.entry(endpoint).filter(|entry| entry.lifetime == *lifetime);
+            let is_done = entry.is_none_or(|entry| entry.span == Some(order.span));
+            !is_done && now.since(order.at) < Self::ORDER_AGE
+        });
+        self.seen.retain(|endpoint, _| directory.entry(endpoint).is_some());
+        let mut cards = Vec::with_capacity(entries.len());
+        for entry in &entries {
+            let profile = entry.accelerator.as_ref().and_then(|kind| engine.accelerator(kind));
+            let Some(profile) = profile else { continue };
+            let ordered = self.orders.get(&(entry.endpoint.clone(), entry.lifetime));
+            let seen = *self.seen.entry(entry.endpoint.clone()).or_insert(now);
+            let may_wait = now.since(seen) < Self::SUCCESSOR_WAIT;
+            let is_unreached = self
+                .unreached
+                .get(&entry.endpoint)
+                .is_some_and(|&at| now.since(at) < Self::UNREACHED_PAUSE);
+            cards.push(PlacementCard {
+                endpoint: entry.endpoint.clone(),
+                zone: entry.zone.clone(),
+                profile: profile.clone(),
+                held: ordered.map(|order| order.span).or(entry.span),
+                is_loading: ordered.is_some() || is_unreached,
+                is_waiting: is_unreached
+                    || may_wait && entries.iter().any(|old| may_be_replaced_by(old, entry)),
+            });
+        }
         LayerPlacement { engine }.assign(&cards)
     }
 
@@ -199,6 +238,11 @@
                 self.orders.remove(&key);
                 format!("status {status}")
             }
+            Ok(Err(ChannelFault::Connect(fault))) => {
+                self.orders.remove(&key);
+                self.unreached.insert(key.0, at);
+                format!("not reached: {fault}")
+            }
             // It may have been accepted: it counts as given until it is old.
             Ok(Err(fault)) => fault.to_string(),
             Err(_) => "no answer in time".to_owned(),
@@ -263,3 +307,10 @@
         request.body(Full::new(Bytes::from(wire.body))).map_err(|_| ChannelFault::Unsent)
     }
 }
+
+/// Says whether an endpoint that holds layers may be about to be replaced by an empty one: it is
+/// of the same availability zone and kind, and has not started after it.
+fn may_be_replaced_by(old: &EndpointEntry, new: &EndpointEntry) -> bool {
+    let is_alike = old.zone == new.zone && old.accelerator == new.accelerator;
+    is_alike && old.span.is_some() && new.span.is_none() && old.lifetime <= new.lifetime
+}
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one host's process.
 
 mod boot_clock;
+mod engine_watch;
 mod gateway_metrics;
 mod gateway_server;
 mod gateway_state;
@@ -12,9 +13,11 @@
 mod small_server;
 mod store_sync;
 mod suspect_probe;
+mod waiting_room;
 
 pub use self::{
     boot_clock::BootClock,
+    engine_watch::EngineWatch,
     gateway_metrics::GatewayMetrics,
     gateway_server::GatewayServer,
     gateway_state::GatewayState,
@@ -24,4 +27,5 @@
     peer_link::PeerLink,
     running_request::{BookedLoad, RunningRequest},
     store_sync::StoreSync,
+    waiting_room::WaitingRoom,
 };
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -6,7 +6,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, HostId, ZoneId},
-        process::EngineUse,
+        process::{EngineReading, EngineUse},
     },
     std::{
         cell::RefCell,
@@ -27,18 +27,24 @@
     peer_address: SocketAddrV4,
 }
 
-/// What a host tells the other hosts of its availability zone.
+/// What a host tells other hosts.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
-struct LoadNews {
-    host: HostId,
-    used: BTreeMap<EndpointId, EngineUse>,
+enum PeerNews {
+    /// What the host has booked, to the hosts of its availability zone.
+    Host { host: HostId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
+    /// What all hosts of an availability zone have booked, to the hosts of other zones.
+    Zone { zone: ZoneId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
 }
 
+/// What endpoints reported to the zone's speaker.
+type Readings = BTreeMap<EndpointId, EngineReading>;
+
 /// Tells the other hosts of the availability zone what this one has booked, and listens to them.
 pub struct PeerLink {
     state: Rc<GatewayState>,
     peers: RefCell<Vec<SocketAddr>>,
+    others: RefCell<Vec<SocketAddr>>,
 }
 
 impl PeerLink {
@@ -50,13 +56,15 @@
     const RENEW_PAUSE: Duration = Duration::from_millis(1_800);
     /// Pause between two messages to peers.
     const NEWS_PAUSE: Duration = Duration::from_millis(150);
+    /// Messages to peers for each message to other availability zones.
+    const ZONE_NEWS_TICKS: u32 = 2;
     /// Largest message, in bytes; it fits one datagram.
     const MAX_NEWS_BYTES: usize = 60 * 1_024;
 
     /// Creates the link of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
-        Self { state, peers: RefCell::default() }
+        Self { state, peers: RefCell::default(), others: RefCell::default() }
     }
 
     /// Keeps the host listed and learns the other hosts; never returns.
@@ -105,15 +113,18 @@
 
     async fn learn(&self, client: &mut StoreClient) {
         let Ok(items) = client.list(Self::PREFIX, true).await else { return };
-        let mut peers = Vec::new();
+        let (mut peers, mut others) = (Vec::new(), Vec::new());
         let mut hosts = 0;
         for item in items {
             match rmp_serde::from_slice::<HostEntry>(&item.value) {
                 Ok(entry) => {
                     hosts += 1;
                     let profile = &self.state.profile;
-                    if entry.zone == profile.zone && entry.host != profile.host {
-                        peers.push(SocketAddr::V4(entry.peer_address));
+                    let address = SocketAddr::V4(entry.peer_address);
+                    if entry.zone != profile.zone {
+                        others.push(address);
+                    } else if entry.host != profile.host {
+                        peers.push(address);
                     }
                 }
                 Err(error) => LogEvent::PeerRefused.log(format_args!("{}: {error}", item.key)),
@@ -121,6 +132,7 @@
         }
         self.state.hosts_alive.set(hosts.max(1));
         *self.peers.borrow_mut() = peers;
+        *self.others.borrow_mut() = others;
     }
 
     /// Sends and takes messages; never returns unless the socket cannot be opened.
@@ -136,27 +148,24 @@
     }
 
     async fn send_news(&self, socket: &UdpSocket) {
-        let mut was_empty = true;
+        let mut ticks: u32 = 0;
         loop {
             sleep(Self::NEWS_PAUSE).await;
+            ticks = ticks.wrapping_add(1);
+            let is_speaker = self.state.is_speaker();
+            let now = self.state.now();
+            let readings =
+                if is_speaker { self.state.load.borrow().readings(now) } else { Readings::new() };
             let used = self.state.load.borrow().own().clone();
-            if used.is_empty() && was_empty {
-                continue;
-            }
-            was_empty = used.is_empty();
-            let news = LoadNews { host: self.state.profile.host.clone(), used };
-            let bytes = match rmp_serde::to_vec(&news) {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    LogEvent::PeerFailed.log(format_args!("message not written: {error}"));
-                    continue;
-                }
-            };
+            let host = self.state.profile.host.clone();
+            let news = PeerNews::Host { host, used, readings: readings.clone() };
             let peers = self.peers.borrow().clone();
-            for peer in peers {
-                if let Err(error) = socket.send_to(&bytes, peer).await {
-                    LogEvent::PeerFailed.log(format_args!("peer {peer}: {error}"));
-                }
+            send_to_all(socket, &news, &peers).await;
+            if is_speaker && ticks % Self::ZONE_NEWS_TICKS == 0 {
+                let used = self.state.load.borrow().zone_total(now);
+                let zone = self.state.profile.zone.clone();
+                let others = self.others.borrow().clone();
+                send_to_all(socket, &PeerNews::Zone { zone, used, readings }, &others).await;
             }
         }
     }
@@ -165,11 +174,8 @@
         let mut buffer = vec![0; Self::MAX_NEWS_BYTES];
         loop {
             match socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match rmp_serde::from_slice::<LoadNews>(&buffer[..length]) {
-                    Ok(news) => {
-                        let now = self.state.now();
-                        self.state.load.borrow_mut().note_peer(news.host, news.used, now);
-                    }
+                Ok((length, from)) => match rmp_serde::from_slice(&buffer[..length]) {
+                    Ok(news) => self.note_news(news),
                     Err(error) => LogEvent::PeerRefused.log(format_args!("from {from}: {error}")),
                 },
                 Err(error) => {
@@ -179,4 +185,40 @@
             }
         }
     }
+
+    fn note_news(&self, news: PeerNews) {
+        let now = self.state.now();
+        let mut load = self.state.load.borrow_mut();
+        let readings = match news {
+            PeerNews::Host { host, used, readings } => {
+                load.note_peer(host, used, now);
+                readings
+            }
+            PeerNews::Zone { zone, used, readings } => {
+                load.note_zone(zone, used, now);
+                readings
+            }
+        };
+        for (endpoint, reading) in readings {
+            load.note_reading(endpoint, reading, now);
+        }
+    }
+}
+
+async fn send_to_all(socket: &UdpSocket, news: &PeerNews, addresses: &[SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
+    let bytes = match rmp_serde::to_vec(news) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            LogEvent::PeerFailed.log(format_args!("message not written: {error}"));
+            return;
+        }
+    };
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            LogEvent::PeerFailed.log(format_args!("peer {address}: {error}"));
+        }
+    }
 }
--- a/crates/cassiafield-gateway/src/process/running_request.rs
+++ b/crates/cassiafield-gateway/src/process/running_request.rs
@@ -49,6 +49,7 @@
     pub fn close(&mut self) {
         if let Some(ticket) = self.ticket.take() {
             self.state.load.borrow_mut().release(ticket);
+            self.state.waiting.stream_ended(self.state.now());
         }
     }
 }
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -16,10 +16,10 @@
 
 impl StoreSync {
     /// Pause between two reads of the configuration; a change must be in force within two seconds.
-    const CONFIGURATION_PAUSE: Duration = Duration::from_millis(600);
+    const CONFIGURATION_PAUSE: Duration = Duration::from_millis(950);
     /// Pause between two reads of the endpoints; a leaving one must get no new work after two
     /// seconds.
-    const ENDPOINTS_PAUSE: Duration = Duration::from_millis(600);
+    const ENDPOINTS_PAUSE: Duration = Duration::from_millis(850);
     /// Pause after a failed read.
     const FAULT_PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/cassiafield-gateway/src/process/suspect_probe.rs
+++ b/crates/cassiafield-gateway/src/process/suspect_probe.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ChannelFault, HttpChannel},
+        connection::{ChannelFault, EndpointReport, HttpChannel},
         process::GatewayState,
     },
     bytes::Bytes,
@@ -30,7 +30,7 @@
     /// Time for which an answer counts.
     const RESULT_AGE: Duration = Duration::from_millis(800);
     /// Longest time for an answer; endpoints answer without queueing.
-    const LIMIT: Duration = Duration::from_millis(200);
+    pub(super) const LIMIT: Duration = Duration::from_millis(200);
 
     /// Returns the endpoints of a route that do not answer; they are avoided from then on.
     pub(super) async fn silent(&self, state: &GatewayState, route: &StageRoute) -> Vec<EndpointId> {
@@ -45,7 +45,8 @@
         silent
     }
 
-    async fn is_alive(
+    /// Asks an endpoint whether it lives, unless that was asked a moment ago.
+    pub(super) async fn is_alive(
         &self,
         state: &GatewayState,
         endpoint: &EndpointId,
@@ -59,8 +60,9 @@
         // Requests that stall together wait for one probe's result rather than ask themselves.
         self.asked.borrow_mut().insert(endpoint.clone(), ProbeResult { at: now, is_alive: true });
         state.metrics.probed();
-        let result = timeout(Self::LIMIT, ask(state, address)).await;
-        let is_alive = matches!(result, Ok(Ok(())));
+        let mut channel = None;
+        let result = timeout(Self::LIMIT, ask_report(state, address, &mut channel)).await;
+        let is_alive = matches!(result, Ok(Ok(_)));
         let result = ProbeResult { at: state.now(), is_alive };
         self.asked.borrow_mut().insert(endpoint.clone(), result);
         if !is_alive {
@@ -70,16 +72,29 @@
     }
 }
 
-async fn ask(state: &GatewayState, address: SocketAddrV4) -> Result<(), ChannelFault> {
-    let mut channel = HttpChannel::connect(address, SuspectProbe::LIMIT).await?;
+/// Asks an endpoint for its report, over `channel` if there is one.
+///
+/// # Errors
+///
+/// Returns why there is no report; the channel is given up then.
+pub(super) async fn ask_report(
+    state: &GatewayState,
+    address: SocketAddrV4,
+    channel: &mut Option<HttpChannel>,
+) -> anyhow::Result<EndpointReport> {
+    let mut open = match channel.take() {
+        Some(open) if open.is_ready() => open,
+        _ => HttpChannel::connect(address, SuspectProbe::LIMIT).await?,
+    };
     let wire = state.codec.report_request();
     let request = Request::builder()
         .method(wire.method)
         .uri(wire.target)
         .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(|_| ChannelFault::Unsent)?;
-    let answer = channel.send(request, SuspectProbe::LIMIT).await?;
-    answer.into_body().collect().await.map_err(ChannelFault::Broken)?;
-    Ok(())
+        .body(Full::new(Bytes::new()))?;
+    let answer = open.send(request, SuspectProbe::LIMIT).await?;
+    let body = answer.into_body().collect().await?.to_bytes();
+    let report = state.codec.report(&body)?;
+    *channel = Some(open);
+    Ok(report)
 }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::ChannelFault,
+        connection::{ChannelFault, PooledChannel},
         process::{GatewayState, RunningRequest},
         request::{
             caller_request::strip_hop_headers,
@@ -14,13 +14,13 @@
     cassiafield_core::{
         ids::{EndpointId, ModelId},
         process::{EngineProfile, PathError, PathPlanner, PathRequest, PlannedPath},
-        request::{EventSplitter, RefusalCause, RequestVerdict},
+        request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute},
         version::{RequestKind, RouteRule, ServiceRule},
     },
     http::{HeaderValue, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Full},
     hyper::body::Incoming,
-    std::{net::SocketAddrV4, rc::Rc, time::Duration},
+    std::{net::SocketAddrV4, pin::pin, rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
 
@@ -57,11 +57,14 @@
     const CONNECT_LIMIT: Duration = Duration::from_millis(250);
     /// Longest time from sending a request to the head of its answer; above the time that a
     /// working path takes under load, below the pause after which callers leave.
-    const HEAD_LIMIT: Duration = Duration::from_millis(1_200);
+    const HEAD_LIMIT: Duration = Duration::from_millis(1_700);
     /// Attempts that may fail without having run before the request is given up.
     const MAX_TRIES: u32 = 4;
-    /// Shortest pause after which a caller is told to return; a stream ends within it.
-    const RETURN_PAUSE: Duration = Duration::from_millis(900);
+    /// Part of the objective for which a request waits for memory; the rest is for the first event.
+    const WAIT_PART: f64 = 0.5;
+    /// Shortest pause after which a caller is told to return; the longest is three times that. Most
+    /// streams that run now end within it, and callers come back one by one.
+    const RETURN_PAUSE: Duration = Duration::from_millis(1_500);
     /// Pieces of an answer that may wait for a slow caller.
     const PIECES_WAITING: usize = 16;
     /// Part of the longest event gap that a path's expected gap may take.
@@ -156,7 +159,7 @@
             self.sent,
             self.state.knowledge(),
         ));
-        let pause = Self::RETURN_PAUSE.mul_f64(1.0 + 1.5 * fastrand::f64());
+        let pause = Self::RETURN_PAUSE.mul_f64(1.0 + 2.0 * fastrand::f64());
         refusal(cause, is_not_run.then_some(pause))
     }
 
@@ -165,7 +168,7 @@
         &mut self,
         last_event: u64,
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptFault> {
-        let path = self.plan()?;
+        let path = self.plan_in_time().await?;
         let Some(first) = path.route.stages().first().cloned() else {
             return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
         };
@@ -187,13 +190,15 @@
             .outgoing(&path, last_event)
             .ok_or(AttemptFault::NoPath(RefusalCause::BadRequest))?;
         self.sent += 1;
-        let limit = Self::HEAD_LIMIT.min(self.time_left());
-        let answer = match channel.channel.send(request, limit).await {
+        let sent_at = self.state.now();
+        let answer = match self.await_head(&mut channel, request, &path.route).await {
             Ok(answer) => answer,
             Err(ChannelFault::Unsent) => {
                 self.sent -= 1;
                 return Err(AttemptFault::NotRun);
             }
+            // A path may be silent because of any of its endpoints; those at fault were found.
+            Err(ChannelFault::Silent) => return Err(AttemptFault::Lost),
             Err(fault) => return Err(self.channel_failed(&first.endpoint, &fault)),
         };
         let echoed = answer.headers().get(&self.state.codec.header_names().request_id);
@@ -211,10 +216,25 @@
             EventSplitter::after(last_event)
         };
         let mut attempt =
-            StreamAttempt { channel, may_keep, body, splitter, route: path.route, booked };
+            StreamAttempt { channel, may_keep, body, splitter, route: path.route.clone(), booked };
         let head = Response::from_parts(parts, ());
         match attempt.next_piece(&self.state, self.time_left()).await {
-            PieceOutcome::Events(first) => Ok((head, attempt, first)),
+            PieceOutcome::Events(first) => {
+                LogEvent::StreamStarted.log(format_args!(
+                    "request {} send {} tokens {}+{}: {}ms after its arrival, {}ms after it was sent; planned first {:.1}ms token {:.1}ms; route {}; {}",
+                    self.request.id,
+                    self.sent,
+                    self.prompt,
+                    self.answer,
+                    self.state.now().since(self.request.arrived).as_millis(),
+                    self.state.now().since(sent_at).as_millis(),
+                    path.first_ms,
+                    path.token_ms,
+                    attempt.describe(),
+                    self.state.knowledge(),
+                ));
+                Ok((head, attempt, first))
+            }
             PieceOutcome::End => Ok((head, attempt, Bytes::new())),
             PieceOutcome::Fault(fault) => {
                 self.note_fault(&attempt, &fault);
@@ -223,6 +243,57 @@
         }
     }
 
+    /// Sends a request and waits for the head of its answer for as long as the path's endpoints
+    /// live.
+    async fn await_head(
+        &mut self,
+        channel: &mut PooledChannel,
+        request: Request<Full<Bytes>>,
+        route: &StageRoute,
+    ) -> Result<Response<Incoming>, ChannelFault> {
+        let began = self.state.now();
+        let limit = Self::HEAD_LIMIT.min(self.time_left());
+        let state = Rc::clone(&self.state);
+        let mut sending = pin!(channel.channel.send(request, limit));
+        loop {
+            if let Ok(result) = timeout(StreamAttempt::STALL_CHECK, sending.as_mut()).await {
+                return result;
+            }
+            let silent = state.silent_endpoints(route).await;
+            if !silent.is_empty() {
+                LogEvent::StreamBroken.log(format_args!(
+                    "request {} send {}: no answer after {}ms, silent: {silent:?}; {}",
+                    self.request.id,
+                    self.sent,
+                    state.now().since(began).as_millis(),
+                    state.knowledge(),
+                ));
+                self.avoided.extend(silent);
+                return Err(ChannelFault::Silent);
+            }
+        }
+    }
+
+    /// Plans a path, and waits a short while for memory if there is none.
+    async fn plan_in_time(&self) -> Result<PlannedPath, AttemptFault> {
+        let limit = self.rule.objective.mul_f64(Self::WAIT_PART).min(self.time_left());
+        let mut has_waited = false;
+        loop {
+            let planned = self.plan();
+            let now = self.state.now();
+            let left = limit.saturating_sub(now.since(self.request.arrived));
+            let is_full = matches!(planned, Err(AttemptFault::NoPath(RefusalCause::Overloaded)));
+            if !is_full || left.is_zero() {
+                return planned;
+            }
+            if !has_waited && !self.state.waiting.has_place(left, now) {
+                return planned;
+            }
+            has_waited = true;
+            self.state.waiting.wait().await;
+        }
+    }
+
     fn plan(&self) -> Result<PlannedPath, AttemptFault> {
         let Some(engine) = &self.service.engine else {
             return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
@@ -302,6 +373,9 @@
         ));
         if is_misdirected || answer.headers().contains_key(&names.not_run) {
             self.state.endpoint_refused(&endpoint, is_misdirected);
+            if !is_misdirected && &endpoint != first {
+                self.state.is_alive(&endpoint).await;
+            }
             self.avoided.push(endpoint);
             return AttemptFault::NotRun;
         }
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -86,7 +86,7 @@
 
 impl StreamAttempt {
     /// Pause after which the endpoints of a path are asked whether they live.
-    const STALL_CHECK: Duration = Duration::from_millis(450);
+    pub(super) const STALL_CHECK: Duration = Duration::from_millis(450);
     /// Pause after which a stream goes on over another path though its endpoints answer; callers
     /// leave after two seconds.
     const STALL_LIMIT: Duration = Duration::from_millis(1_300);
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -81,6 +81,7 @@
     1404 StreamBroken Info "A stream cannot go on over its path.";
     1405 TryFailed Info "A request failed at an endpoint.";
     1406 RequestRefused Info "A request was refused or has failed.";
+    1407 StreamStarted Info "The first events of a stream have come.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded later.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
