--- a/crates/cassiafield-core/src/process/zone_value.rs
+++ b/crates/cassiafield-core/src/process/zone_value.rs
@@ -87,6 +87,7 @@
     }
 
     /// Returns the spans of `count` layers by start, each with the cost that it would leave.
+    #[must_use]
     pub fn costs_of(
         &self,
         engine: &EngineProfile,
--- /dev/null
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -0,0 +1,88 @@
+//! The list of endpoints while the store is away, and endpoints that fail and come back.
+
+mod engine_support;
+
+use {
+    cassiafield_core::{
+        ids::Moment,
+        process::{DirectoryNews, EndpointDirectory, EndpointLifetime},
+    },
+    engine_support::{endpoint, entry, service, span},
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn is_live(directory: &EndpointDirectory, name: &str) -> bool {
+    directory.live_entries(&service()).any(|entry| entry.endpoint == endpoint(name))
+}
+
+#[test]
+fn an_entry_that_goes_missing_while_the_list_is_read_is_gone() {
+    let mut directory = EndpointDirectory::default();
+    directory.take_list(vec![entry("e1", "fast", "a", None)], at(0));
+    let news = directory.take_list(Vec::new(), at(5_000));
+    assert_eq!(news, [DirectoryNews::Gone(endpoint("e1"))]);
+    assert!(!is_live(&directory, "e1"));
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_holds_until_it_could_be_back() {
+    let mut directory = EndpointDirectory::default();
+    directory.take_list(vec![entry("e1", "fast", "a", None)], at(0));
+    directory.list_failed();
+    assert!(directory.take_list(Vec::new(), at(10_000)).is_empty());
+    assert!(directory.take_list(Vec::new(), at(11_900)).is_empty());
+    assert!(is_live(&directory, "e1"));
+    directory.take_list(Vec::new(), at(12_400));
+    assert!(!is_live(&directory, "e1"));
+}
+
+#[test]
+fn leaving_holds_until_the_endpoint_starts_again() {
+    let mut directory = EndpointDirectory::default();
+    let mut leaving = entry("e1", "fast", "a", Some(span(0, 8)));
+    leaving.is_leaving = true;
+    directory.take_list(vec![leaving], at(0));
+    assert!(!is_live(&directory, "e1"));
+    directory.take_list(vec![entry("e1", "fast", "a", Some(span(0, 8)))], at(1_000));
+    assert!(!is_live(&directory, "e1"), "the same lifetime is not live again");
+    let mut again = entry("e1", "fast", "a", None);
+    again.lifetime = EndpointLifetime(2);
+    let news = directory.take_list(vec![again], at(2_000));
+    assert_eq!(news, [DirectoryNews::Started(endpoint("e1"), EndpointLifetime(2))]);
+    assert!(is_live(&directory, "e1"));
+}
+
+#[test]
+fn a_late_entry_of_an_earlier_start_changes_nothing() {
+    let mut directory = EndpointDirectory::default();
+    let mut second = entry("e1", "fast", "a", None);
+    second.lifetime = EndpointLifetime(2);
+    directory.take_list(vec![second], at(0));
+    let news = directory.take_list(vec![entry("e1", "fast", "a", Some(span(0, 8)))], at(1_000));
+    assert!(news.is_empty());
+    assert_eq!(directory.entry(&endpoint("e1")).and_then(|entry| entry.span), None);
+}
+
+#[test]
+fn an_endpoint_that_fails_again_and_again_is_avoided_longer() {
+    let mut directory = EndpointDirectory::default();
+    directory.take_list(vec![entry("e1", "fast", "a", None)], at(0));
+    let mut avoided = Vec::new();
+    let mut now = 0;
+    for _ in 0..6 {
+        directory.failed(&endpoint("e1"), at(now));
+        let from = now;
+        while directory.is_suspect(&endpoint("e1"), at(now)) {
+            now += 50;
+        }
+        avoided.push(now - from);
+    }
+    assert!(avoided.windows(2).all(|pair| pair[0] <= pair[1]), "{avoided:?}");
+    assert!(avoided[5] <= 6_000);
+    directory.failed(&endpoint("e1"), at(now));
+    directory.succeeded(&endpoint("e1"), None);
+    assert!(!directory.is_suspect(&endpoint("e1"), at(now)));
+}
--- /dev/null
+++ b/crates/cassiafield-core/tests/engine_support/mod.rs
@@ -0,0 +1,116 @@
+//! A model engine of three kinds of accelerators, with figures of the usual proportions.
+
+#![allow(dead_code, reason = "each test takes what it needs")]
+
+use {
+    cassiafield_core::{
+        ids::{EndpointId, Moment, ServiceId, ZoneId},
+        process::{
+            AcceleratorProfile, EndpointDirectory, EndpointEntry, EndpointLifetime, EngineProfile,
+            PlacementCard,
+        },
+        request::LayerSpan,
+    },
+    std::net::{Ipv4Addr, SocketAddrV4},
+};
+
+/// The service of every model endpoint.
+pub(crate) fn service() -> ServiceId {
+    "writers".parse().expect("a valid name")
+}
+
+/// The name of a zone.
+pub(crate) fn zone(name: &str) -> ZoneId {
+    name.parse().expect("a valid name")
+}
+
+/// The name of an endpoint.
+pub(crate) fn endpoint(name: &str) -> EndpointId {
+    name.parse().expect("a valid name")
+}
+
+/// The range `start..end`.
+pub(crate) fn span(start: u16, end: u16) -> LayerSpan {
+    LayerSpan::try_from((start, end)).expect("a range that is not empty")
+}
+
+/// An engine with 80 layers and the kinds `fast`, `middle` and `slow`.
+pub(crate) fn engine() -> EngineProfile {
+    let accelerator = |kind: &str, memory_mb, step_factor, read_factor| AcceleratorProfile {
+        kind: kind.parse().expect("a valid name"),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    EngineProfile {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 900_000.0,
+        step_ms: 1.0,
+        stream_ms: 0.007,
+        context_ms: 0.01,
+        read_per_ms: 100.0,
+        load_seconds: 14.0,
+        stride: 3,
+        activation_bytes: 46_000.0,
+        pipe_mbps: 22_000.0,
+        zone_delay_ms: 0.3,
+        usual_prompt: 770,
+        usual_answer: 200,
+        accelerators: vec![
+            accelerator("fast", 72_000.0, 2.4, 3.2),
+            accelerator("middle", 43_000.0, 5.6, 2.7),
+            accelerator("slow", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// The figures of a kind.
+pub(crate) fn profile(kind: &str) -> AcceleratorProfile {
+    let engine = engine();
+    let kind = kind.parse().expect("a valid name");
+    engine.accelerator(&kind).expect("a kind of the engine").clone()
+}
+
+/// An endpoint of `kind` in zone `a` that holds `held`.
+pub(crate) fn card(name: &str, kind: &str, held: Option<LayerSpan>) -> PlacementCard {
+    PlacementCard {
+        endpoint: endpoint(name),
+        zone: zone("a"),
+        profile: profile(kind),
+        held,
+        is_loading: false,
+        is_waiting: false,
+    }
+}
+
+/// What an endpoint says of itself.
+pub(crate) fn entry(
+    name: &str,
+    kind: &str,
+    zone_name: &str,
+    held: Option<LayerSpan>,
+) -> EndpointEntry {
+    let number = name.bytes().fold(0_u16, |sum, byte| sum.wrapping_mul(31) + u16::from(byte));
+    EndpointEntry {
+        endpoint: endpoint(name),
+        lifetime: EndpointLifetime(1),
+        service: service(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number.max(1)),
+        zone: zone(zone_name),
+        is_leaving: false,
+        slots: 192,
+        accelerator: Some(kind.parse().expect("a valid name")),
+        span: held,
+        orders: 0,
+        software: "v1".into(),
+    }
+}
+
+/// A directory that has read `entries` for a long time.
+pub(crate) fn directory(entries: Vec<EndpointEntry>) -> EndpointDirectory {
+    let mut directory = EndpointDirectory::default();
+    directory.take_list(entries.clone(), Moment::ORIGIN);
+    directory.take_list(entries, Moment::from_millis(60_000));
+    directory
+}
--- /dev/null
+++ b/crates/cassiafield-core/tests/path_choice.rs
@@ -0,0 +1,185 @@
+//! Paths under the loads that follow the loss of an endpoint: some endpoints full, some slow, some
+//! silent, some only in other zones.
+
+mod engine_support;
+
+use {
+    cassiafield_core::{
+        ids::{ModelId, Moment},
+        process::{
+            EndpointDirectory, EngineLoad, EngineReading, EngineUse, PathError, PathPlanner,
+            PathRequest, PlannedPath,
+        },
+    },
+    engine_support::{directory, endpoint, engine, entry, service, span, zone},
+    proptest::prelude::*,
+    std::collections::BTreeMap,
+};
+
+const NOW: Moment = Moment::from_millis(100_000);
+
+fn plan(directory: &EndpointDirectory, load: &EngineLoad) -> Result<PlannedPath, PathError> {
+    let model: ModelId = "m".parse().expect("a valid name");
+    let engine = engine();
+    let planner = PathPlanner { directory, load, engine: &engine, now: NOW };
+    planner.plan(&PathRequest {
+        model: &model,
+        service: &service(),
+        zone: &zone("a"),
+        prompt: 800,
+        answer: 200,
+        avoided: &[],
+    })
+}
+
+fn names(path: &PlannedPath) -> Vec<String> {
+    let stages = path.route.stages().iter();
+    stages.map(|stage| format!("{}={}", stage.endpoint, stage.span)).collect()
+}
+
+fn reading(used: f64, pace: f64) -> EngineReading {
+    EngineReading { pace, used, total: 1e9 }
+}
+
+#[test]
+fn the_fast_copy_is_taken_while_it_has_memory() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+        entry("s1", "slow", "a", Some(span(0, 10))),
+    ]);
+    let path = plan(&directory, &EngineLoad::default()).expect("a path");
+    assert_eq!(names(&path), ["f1=0..40", "f2=40..80"]);
+}
+
+#[test]
+fn a_full_endpoint_is_passed_by_with_part_of_what_others_hold() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 30))),
+        entry("f2", "fast", "a", Some(span(30, 60))),
+        entry("f3", "fast", "a", Some(span(60, 80))),
+        entry("m1", "middle", "a", Some(span(0, 18))),
+        entry("m2", "middle", "a", Some(span(14, 32))),
+    ]);
+    let mut load = EngineLoad::default();
+    load.note_reading(endpoint("f1"), reading(1e9, 1.0), NOW);
+    let path = plan(&directory, &load).expect("a path");
+    assert_eq!(names(&path).last().map(String::as_str), Some("f3=60..80"));
+    assert!(!path.route.visits(&endpoint("f1")));
+}
+
+#[test]
+fn what_another_zone_has_booked_counts() {
+    let directory = directory(vec![entry("f1", "fast", "a", Some(span(0, 80)))]);
+    let mut load = EngineLoad::default();
+    let used = EngineUse { streams: 90, token_layers: 1e9 };
+    load.note_zone(zone("b"), BTreeMap::from([(endpoint("f1"), used)]), NOW);
+    assert_eq!(plan(&directory, &load).map(|path| names(&path)), Err(PathError::NoMemory));
+}
+
+#[test]
+fn what_a_peer_said_long_ago_counts_no_more() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+    ]);
+    let mut load = EngineLoad::default();
+    let used = EngineUse { streams: 90, token_layers: 1e9 };
+    let old = Moment::from_millis(97_000);
+    load.note_peer("h".parse().expect("a name"), BTreeMap::from([(endpoint("f1"), used)]), old);
+    assert!(plan(&directory, &load).is_ok());
+}
+
+#[test]
+fn memory_that_is_short_is_told_from_layers_that_are_missing() {
+    let whole = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+    ]);
+    let mut load = EngineLoad::default();
+    for name in ["f1", "f2"] {
+        load.note_reading(endpoint(name), reading(1e9, 1.0), NOW);
+    }
+    assert_eq!(plan(&whole, &load).map(|path| names(&path)), Err(PathError::NoMemory));
+    let holed = directory(vec![entry("f1", "fast", "a", Some(span(0, 40)))]);
+    assert_eq!(plan(&holed, &load).map(|path| names(&path)), Err(PathError::NoCover));
+}
+
+#[test]
+fn a_slow_endpoint_is_left_when_its_report_says_so() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+        entry("m1", "middle", "a", Some(span(0, 20))),
+        entry("m2", "middle", "a", Some(span(20, 40))),
+    ]);
+    let mut load = EngineLoad::default();
+    load.note_reading(endpoint("f1"), reading(0.0, 12.0), NOW);
+    let path = plan(&directory, &load).expect("a path");
+    assert_eq!(names(&path), ["m1=0..20", "m2=20..40", "f2=40..80"]);
+}
+
+#[test]
+fn a_silent_endpoint_is_left_unless_nothing_else_holds_its_layers() {
+    let mut directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+        entry("g1", "fast", "b", Some(span(0, 40))),
+    ]);
+    directory.failed(&endpoint("f1"), NOW);
+    let path = plan(&directory, &EngineLoad::default()).expect("a path");
+    assert_eq!(names(&path), ["g1=0..40", "f2=40..80"]);
+    directory.failed(&endpoint("g1"), NOW);
+    assert!(plan(&directory, &EngineLoad::default()).is_ok());
+}
+
+#[test]
+fn the_own_zone_is_preferred() {
+    let directory = directory(vec![
+        entry("m1", "middle", "a", Some(span(0, 20))),
+        entry("m2", "middle", "a", Some(span(20, 40))),
+        entry("m3", "middle", "a", Some(span(40, 60))),
+        entry("m4", "middle", "a", Some(span(60, 80))),
+        entry("g1", "fast", "b", Some(span(0, 40))),
+        entry("g2", "fast", "b", Some(span(40, 80))),
+    ]);
+    let path = plan(&directory, &EngineLoad::default()).expect("a path");
+    assert_eq!(names(&path), ["m1=0..20", "m2=20..40", "m3=40..60", "m4=60..80"]);
+}
+
+proptest! {
+    /// Whatever ranges overlap, a path runs every layer once, in order, and no endpoint twice; if
+    /// the ranges cover all layers with no endpoint needed twice, there is a path.
+    #[test]
+    fn paths_over_any_ranges_are_routes(
+        ranges in prop::collection::vec((0_u16..79, 1_u16..40, 0_usize..3), 1..14),
+        full in prop::collection::vec(any::<bool>(), 14),
+    ) {
+        let kinds = ["fast", "middle", "slow"];
+        let mut load = EngineLoad::default();
+        let mut entries = Vec::new();
+        for (index, (start, length, kind)) in ranges.iter().enumerate() {
+            let name = format!("e{index}");
+            let held = span(*start, (start + length).min(80));
+            entries.push(entry(&name, kinds[*kind], "a", Some(held)));
+            if full[index] {
+                load.note_reading(endpoint(&name), reading(1e9, 1.0), NOW);
+            }
+        }
+        let directory = directory(entries.clone());
+        if let Ok(path) = plan(&directory, &load) {
+            let mut visited = std::collections::BTreeSet::new();
+            let mut next = 0;
+            for stage in path.route.stages() {
+                prop_assert_eq!(stage.span.start(), next);
+                next = stage.span.end();
+                prop_assert!(visited.insert(stage.endpoint.clone()));
+                let held = entries.iter().find(|entry| entry.endpoint == stage.endpoint);
+                let held = held.and_then(|entry| entry.span).expect("a holder");
+                prop_assert!(held.start() <= stage.span.start());
+                prop_assert!(stage.span.end() <= held.end());
+            }
+            prop_assert_eq!(next, 80);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/tests/repeat_budget.rs
@@ -0,0 +1,54 @@
+//! Repeats when every request fails at once, on all hosts, while callers repeat on their own.
+
+use {
+    cassiafield_core::{ids::Moment, process::RetryAllotment},
+    std::time::Duration,
+};
+
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 200.0;
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Returns the most repeats that all hosts send in any window while each request fails, and the
+/// bound of that window.
+fn worst_excess(hosts: usize, per_second: u64, seconds: u64) -> f64 {
+    let mut allotments: Vec<_> =
+        (0..hosts).map(|_| RetryAllotment::new(RATIO, SLACK, WINDOW)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for millis in 0..seconds * 1_000 {
+        let now = Moment::from_millis(millis);
+        if millis * per_second % 1_000 >= per_second {
+            continue;
+        }
+        let host = requests.len() % hosts;
+        requests.push(now);
+        allotments[host].request(now);
+        for _ in 0..3 {
+            if allotments[host].take(hosts, now) {
+                repeats.push(now);
+            }
+        }
+    }
+    let in_window = |list: &[Moment], end: Moment| {
+        list.iter().filter(|&&at| at <= end && end.since(at) < WINDOW).count() as f64
+    };
+    let excess = requests
+        .iter()
+        .map(|&end| in_window(&repeats, end) - (RATIO * in_window(&requests, end) + SLACK));
+    excess.fold(f64::MIN, f64::max)
+}
+
+#[test]
+fn a_total_failure_stays_within_the_fleets_bound() {
+    for (hosts, per_second) in [(1, 50), (9, 90), (9, 400), (40, 200)] {
+        let excess = worst_excess(hosts, per_second, 25);
+        assert!(excess <= 0.0, "{hosts} hosts, {per_second} a second: {excess} over");
+    }
+}
+
+#[test]
+fn a_host_without_requests_still_has_its_part_of_the_slack() {
+    let mut allotment = RetryAllotment::new(RATIO, SLACK, WINDOW);
+    let taken = (0..1_000).filter(|_| allotment.take(10, Moment::ORIGIN)).count();
+    assert!((1..=20).contains(&taken), "{taken}");
+}
--- a/crates/cassiafield-gateway/src/process/log_writer.rs
+++ b/crates/cassiafield-gateway/src/process/log_writer.rs
@@ -6,7 +6,6 @@
 /// Writes the log as JSON lines to standard output from a thread of its own, never blocking.
 ///
 /// Dropping the guard writes what is left.
-#[must_use]
 pub fn start_json_log() -> WorkerGuard {
     let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(LINES_WAITING)
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -161,7 +161,7 @@
             let news = PeerNews::Host { host, used, readings: readings.clone() };
             let peers = self.peers.borrow().clone();
             send_to_all(socket, &news, &peers).await;
-            if is_speaker && ticks % Self::ZONE_NEWS_TICKS == 0 {
+            if is_speaker && ticks.is_multiple_of(Self::ZONE_NEWS_TICKS) {
                 let used = self.state.load.borrow().zone_total(now);
                 let zone = self.state.profile.zone.clone();
                 let others = self.others.borrow().clone();
--- a/crates/cassiafield-gateway/src/process/small_server.rs
+++ b/crates/cassiafield-gateway/src/process/small_server.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Answers a request by its path, with a status and a text.
+pub(super) type PathAnswer = dyn Fn(&str) -> (StatusCode, Vec<u8>);
+
 /// Answers short requests of the platform itself: readiness and metrics.
 pub(super) struct SmallServer {
     listener: TcpListener,
@@ -29,7 +32,7 @@
     }
 
     /// Answers every request by its path; never returns.
-    pub(super) async fn serve(self, answer: Rc<dyn Fn(&str) -> (StatusCode, Vec<u8>)>) {
+    pub(super) async fn serve(self, answer: Rc<PathAnswer>) {
         loop {
             let stream = match self.listener.accept().await {
                 Ok((stream, _)) => stream,
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -49,7 +49,7 @@
     /// The request may have run, and nothing came of it.
     Lost,
     /// The endpoint answered with a failure of its own.
-    Failed(Response<CallerBody>),
+    Failed(Box<Response<CallerBody>>),
 }
 
 impl StreamCall {
@@ -123,7 +123,7 @@
                 }
                 Err(AttemptFault::NotRun) => cause = RefusalCause::Overloaded,
                 Err(AttemptFault::Lost) => verdict = RequestVerdict::MayHaveRun,
-                Err(AttemptFault::Failed(answer)) => return answer,
+                Err(AttemptFault::Failed(answer)) => return *answer,
             }
             if verdict != RequestVerdict::NotRun && !self.rule.kind.is_repeatable() {
                 break;
@@ -384,7 +384,7 @@
             Ok(Ok(body)) => {
                 strip_hop_headers(&mut parts.headers);
                 let body = CallerBody::whole(body.to_bytes());
-                AttemptFault::Failed(Response::from_parts(parts, body))
+                AttemptFault::Failed(Box::new(Response::from_parts(parts, body)))
             }
             Ok(Err(_)) | Err(_) => AttemptFault::Lost,
         }
