perf: send callers to other hosts before keys are too old

Change: a host whose configuration is older than half of the revocation limit is not ready, closes idle connections and marks its answers so that callers connect anew.

--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -35,8 +35,8 @@
     /// Returns the longest request head, in bytes.
     fn head_limit(&self) -> usize;
 
-    /// Says whether connections are closed once they are idle.
-    fn is_stopping(&self) -> bool;
+    /// Says whether callers are better served by other hosts, so that idle connections are closed.
+    fn sends_callers_away(&self) -> bool;
 }
 
 /// Accepts connections of callers.
@@ -158,7 +158,8 @@
     }
 }
 
-/// Returns when a connection has been idle for too long, or is idle while the host stops.
+/// Returns when a connection has been idle for too long, or is idle and its caller should go to
+/// another host.
 async fn until_idle<S: CallerService>(state: &ConnectionState, service: &S) {
     let mut seen = (0, 0);
     let mut idle = Duration::ZERO;
@@ -169,7 +170,7 @@
         seen = found;
         idle = if is_idle { idle + CallerListener::IDLE_CHECK } else { Duration::ZERO };
         let limit = service.idle_limit() + CallerListener::IDLE_MARGIN;
-        if idle >= limit || (is_idle && service.is_stopping()) {
+        if idle >= limit || (is_idle && service.sends_callers_away()) {
             return;
         }
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -55,7 +55,7 @@
     const KEY_AGE_PERCENT: u32 = 88;
     /// Age of the configuration beyond which the host sends callers elsewhere, as a part of the
     /// revocation limit in percent.
-    const READY_AGE_PERCENT: u32 = 60;
+    const READY_AGE_PERCENT: u32 = 50;
 
     /// Time for which a host that was told to stop takes requests; the balancer looks once a
     /// second and needs two looks.
@@ -147,6 +147,14 @@
             && !self.directory.borrow().is_empty()
     }
 
+    /// Says whether callers are better served by other hosts: this one stops, or has known nothing
+    /// new for a while and may soon have to refuse keys.
+    #[must_use]
+    pub fn sends_callers_away(&self) -> bool {
+        let has_table = self.table.borrow().is_some();
+        self.is_stopping() || has_table && !self.is_ready()
+    }
+
     /// Says whether the host was told to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -62,9 +62,9 @@
         self.dispatch(allowed).await
     }
 
-    /// Tells a caller of a host that stops to use another connection for its next request.
-    fn mark_stop(&self, answer: &mut Response<CallerBody>) {
-        if self.state.is_stopping() {
+    /// Tells a caller to use another connection for its next request if other hosts serve it better.
+    fn mark_close(&self, answer: &mut Response<CallerBody>) {
+        if self.state.sends_callers_away() {
             let close = header::HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
@@ -175,7 +175,7 @@
     ) -> Pin<Box<dyn Future<Output = Response<CallerBody>>>> {
         Box::pin(async move {
             let mut answer = self.respond(request).await;
-            self.mark_stop(&mut answer);
+            self.mark_close(&mut answer);
             answer
         })
     }
@@ -188,7 +188,7 @@
         self.state.limits().head_bytes
     }
 
-    fn is_stopping(&self) -> bool {
-        self.state.is_stopping()
+    fn sends_callers_away(&self) -> bool {
+        self.state.sends_callers_away()
     }
 }
