perf: one reader of the store a zone; count the slots of first endpoints

Change: the zone's speaker reads the store, the others ask it over UDP and take its knowledge as asked for before their own question by the age that it states; a host that the store turns away asks any peer. Bookings count first endpoints, and a path does not start at one without a slot.

--- a/crates/cassiafield-core/src/process/endpoint_entry.rs
+++ b/crates/cassiafield-core/src/process/endpoint_entry.rs
@@ -9,10 +9,12 @@
 
 /// One start of an endpoint; a higher one of the same endpoint is later.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EndpointLifetime(pub u64);
 
 /// What an endpoint says of itself in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EndpointEntry {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -15,6 +15,8 @@
 pub struct EngineUse {
     /// Streams that run there.
     pub streams: u32,
+    /// Streams of which it is the first endpoint; each takes one of its slots.
+    pub firsts: u32,
     /// Tokens that they may come to hold, each counted once a layer.
     pub token_layers: f64,
 }
@@ -34,6 +36,7 @@
 /// What one stream has booked at the endpoints of its route.
 #[derive(Debug)]
 pub struct LoadTicket {
+    /// Endpoints with tokens times layers, in the order of the route.
     parts: Vec<(EndpointId, f64)>,
 }
 
@@ -64,10 +67,11 @@
     #[must_use]
     pub fn book(&mut self, route: &StageRoute, tokens: u32) -> LoadTicket {
         let mut parts = Vec::with_capacity(route.stages().len());
-        for stage in route.stages() {
+        for (index, stage) in route.stages().iter().enumerate() {
             let amount = f64::from(tokens) * f64::from(stage.span.layers());
             let used = self.own.entry(stage.endpoint.clone()).or_default();
             used.streams += 1;
+            used.firsts += u32::from(index == 0);
             used.token_layers += amount;
             parts.push((stage.endpoint.clone(), amount));
         }
@@ -76,9 +80,10 @@
 
     /// Gives back what a stream has booked.
     pub fn release(&mut self, ticket: LoadTicket) {
-        for (endpoint, amount) in ticket.parts {
+        for (index, (endpoint, amount)) in ticket.parts.into_iter().enumerate() {
             if let Some(used) = self.own.get_mut(&endpoint) {
                 used.streams = used.streams.saturating_sub(1);
+                used.firsts = used.firsts.saturating_sub(u32::from(index == 0));
                 used.token_layers = (used.token_layers - amount).max(0.0);
                 if used.streams == 0 {
                     self.own.remove(&endpoint);
@@ -158,6 +163,7 @@
 impl EngineUse {
     fn add(&mut self, other: EngineUse) {
         self.streams += other.streams;
+        self.firsts += other.firsts;
         self.token_layers += other.token_layers;
     }
 }
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod floor_hold;
 mod knowledge_age;
 mod layer_placement;
+mod listed_entries;
 mod loan_message;
 mod ordinal_holder;
 mod path_planner;
@@ -41,6 +42,7 @@
     floor_hold::FloorHold,
     knowledge_age::KnowledgeAge,
     layer_placement::{LayerAssignment, LayerPlacement, PlacementCard},
+    listed_entries::{ListChanges, ListedEntries, ListedEntry},
     loan_message::{LoanAnswer, LoanAsk, LoanGrant, LoanRef, LoanReturn, LoanWant},
     ordinal_holder::{OrdinalHolder, RenewalResult},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -78,6 +78,8 @@
     read_ms: f64,
     /// Tokens in one layer for which there is memory.
     free: f64,
+    /// Whether it has a slot for a stream of which it is the first endpoint.
+    has_slot: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -94,6 +96,8 @@
     const HOP_MS: f64 = 0.2;
     /// Part of an endpoint's request memory that bookings may fill.
     const MEMORY_PART: f64 = 0.95;
+    /// Part of an endpoint's slots that streams may fill; hosts learn of each other's late.
+    const SLOT_PART: f64 = 0.95;
     /// Cost of leaving the availability zone, as time of a token in milliseconds: bytes between
     /// zones share one pipe, and a zone may be cut off.
     const ZONE_CROSSING_MS: f64 = 4.0;
@@ -144,6 +148,7 @@
             layer_ms: step_ms * profile.step_factor * pace / layers,
             read_ms: read_ms * profile.read_factor * pace / layers,
             free: room - taken,
+            has_slot: f64::from(used.firsts + 1) <= f64::from(entry.slots) * Self::SLOT_PART,
         })
     }
 
@@ -180,7 +185,8 @@
             for (by, candidate) in candidates.iter().enumerate() {
                 let is_apart =
                     candidate.span.start() > cuts[at] || candidate.span.end() <= cuts[at];
-                if is_apart || is_visited(&reached, at, by) {
+                let is_busy = tokens.is_some() && at == 0 && !candidate.has_slot;
+                if is_apart || is_busy || is_visited(&reached, at, by) {
                     continue;
                 }
                 for to in at + 1..cuts.len() {
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -95,8 +95,7 @@
             }
             Err(error) => LogEvent::MetricsUnavailable.log(error),
         }
-        spawn_local(StoreSync::new(Rc::clone(state)).follow_configuration());
-        spawn_local(StoreSync::new(Rc::clone(state)).follow_endpoints());
+        spawn_local(StoreSync::new(Rc::clone(state)).run());
         spawn_local(LayerKeeper::new(Rc::clone(state)).run());
         spawn_local(EngineWatch::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -2,14 +2,15 @@
     crate::{
         connection::{ChannelFault, ChannelPool, PlatformCodec},
         process::{
-            running_request::DispatchedRequest, suspect_probe::SuspectProbe, BookedLoad, BootClock,
-            GatewayMetrics, HostProfile, RunningRequest, WaitingRoom,
+            knowledge_desk::KnowledgeDesk, running_request::DispatchedRequest,
+            suspect_probe::SuspectProbe, BookedLoad, BootClock, GatewayMetrics, HostProfile,
+            RunningRequest, WaitingRoom,
         },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{EndpointId, Moment, ServiceId},
-        process::{EndpointDirectory, EngineLoad, KnowledgeAge, RetryAllotment},
+        ids::{EndpointId, HostId, Moment, ServiceId},
+        process::{EndpointDirectory, EngineLoad, KnowledgeAge, ListedEntries, RetryAllotment},
         request::StageRoute,
         version::{CallerLimits, RouteTable},
     },
@@ -40,6 +41,9 @@
     pub waiting: WaitingRoom,
     pub(super) running: Cell<u32>,
     pub(super) hosts_alive: Cell<usize>,
+    pub(super) desk: KnowledgeDesk,
+    pub(super) listed: RefCell<ListedEntries>,
+    configuration_revision: Cell<u64>,
     pub(super) probe: SuspectProbe,
     clock: BootClock,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -74,6 +78,9 @@
             waiting: WaitingRoom::default(),
             running: Cell::new(0),
             hosts_alive: Cell::new(1),
+            desk: KnowledgeDesk::default(),
+            listed: RefCell::default(),
+            configuration_revision: Cell::new(0),
             probe: SuspectProbe::default(),
             clock: BootClock,
             table: RefCell::default(),
@@ -102,10 +109,12 @@
         self.table.borrow().as_ref().map_or_else(CallerLimits::default, |table| *table.limits())
     }
 
-    /// Takes a version of the configuration that was current after `asked`.
+    /// Takes a version of the configuration that was current after `asked`, and its revision in the
+    /// store.
     ///
     /// An older version than the one in force is left alone.
-    pub fn take_configuration(&self, table: RouteTable, asked: Moment) {
+    pub fn take_configuration(&self, table: RouteTable, revision: u64, asked: Moment) {
+        self.configuration_revision.set(revision);
         let mut held = self.table.borrow_mut();
         if held.as_ref().is_none_or(|held| held.version() < table.version()) {
             LogEvent::ListsTaken.log(format_args!("configuration version {}", table.version()));
@@ -122,6 +131,24 @@
         self.configuration_age.set(age);
     }
 
+    /// Returns the revision of the configuration in the store; 0 without one.
+    #[must_use]
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration_revision.get()
+    }
+
+    /// Returns the age of the configuration, if there is one.
+    #[must_use]
+    pub fn configuration_age(&self) -> Option<Duration> {
+        self.configuration_age.get().at(self.now())
+    }
+
+    /// Returns the age of the list of endpoints, if it was ever read.
+    #[must_use]
+    pub fn endpoints_age(&self) -> Option<Duration> {
+        self.endpoints_age.get().at(self.now())
+    }
+
     /// Records that the endpoints known were current after `asked`.
     pub fn confirm_endpoints(&self, asked: Moment) {
         let mut age = self.endpoints_age.get();
@@ -264,14 +291,27 @@
         self.probe.silent(self, route).await
     }
 
-    /// Says whether this host speaks for its availability zone: it is the first by name of those
-    /// that are heard.
+    /// Returns the host that speaks for the availability zone: the first by name of those that are
+    /// heard.
+    #[must_use]
+    pub fn speaker(&self) -> HostId {
+        let load = self.load.borrow();
+        let first = load.peers(self.now()).min().filter(|peer| **peer < self.profile.host);
+        first.unwrap_or(&self.profile.host).clone()
+    }
+
+    /// Says whether this host speaks for its availability zone.
     #[must_use]
     pub fn is_speaker(&self) -> bool {
-        let now = self.now();
+        self.speaker() == self.profile.host
+    }
+
+    /// Returns some other host of the availability zone that is heard.
+    #[must_use]
+    pub fn any_peer(&self) -> Option<HostId> {
         let load = self.load.borrow();
-        let is_first = load.peers(now).all(|peer| &self.profile.host < peer);
-        is_first && !self.is_stopping()
+        let peers: Vec<&HostId> = load.peers(self.now()).collect();
+        (!peers.is_empty()).then(|| peers[fastrand::usize(..peers.len())].clone())
     }
 
     /// Describes how old the host's knowledge is, for the log.
@@ -289,11 +329,4 @@
             age(self.endpoints_age.get()),
         )
     }
-
-    /// Returns the age of the configuration, in seconds, for metrics; negative without one.
-    #[must_use]
-    pub fn configuration_age_seconds(&self) -> f64 {
-        let age = self.configuration_age.get().at(self.now());
-        age.as_ref().map_or(-1.0, Duration::as_secs_f64)
-    }
 }
--- /dev/null
+++ b/crates/cassiafield-gateway/src/process/knowledge_desk.rs
@@ -0,0 +1,117 @@
+use {
+    crate::process::{peer_link::PeerNews, GatewayState},
+    cassiafield_core::{
+        ids::{HostId, Moment},
+        process::ListChanges,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{net::UdpSocket, sync::oneshot, time::timeout},
+};
+
+/// Asks a peer what it knows from the store.
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub(crate) struct KnowledgeAsk {
+    nonce: u64,
+    /// Newest revision of an endpoint's entry that the asking host has.
+    newest_entry: u64,
+}
+
+/// What a host knows from the store, and how long before this answer it had asked for it.
+///
+/// The age is counted by the answering host until the answer is made, so the asking host may take
+/// the knowledge as asked for that long before its own question.
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub(crate) struct KnowledgeAnswer {
+    nonce: u64,
+    /// Revision of the configuration and its age in microseconds.
+    pub(super) configuration: Option<(u64, u64)>,
+    /// Changes of the list of endpoints and the list's age in microseconds.
+    pub(super) endpoints: Option<(ListChanges, u64)>,
+}
+
+/// Questions to peers that wait for answers, and where peers are.
+#[derive(Debug, Default)]
+pub(crate) struct KnowledgeDesk {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    peers: RefCell<BTreeMap<HostId, SocketAddr>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<KnowledgeAnswer>>>,
+    next: Cell<u64>,
+}
+
+/// An answer and when the question was asked.
+pub(super) struct PeerKnowledge {
+    pub(super) answer: KnowledgeAnswer,
+    asked: Moment,
+}
+
+impl PeerKnowledge {
+    /// Returns when knowledge of an age in the answer was current at the latest.
+    pub(super) fn asked_before(&self, age_micros: u64) -> Moment {
+        Moment::from_micros(self.asked.as_micros().saturating_sub(age_micros))
+    }
+}
+
+impl KnowledgeDesk {
+    /// Longest time for an answer; peers are in the same availability zone.
+    const LIMIT: Duration = Duration::from_millis(120);
+
+    pub(super) fn open(&self, socket: Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+        // Answers to an earlier process at the same address must not be taken for answers to this.
+        self.next.set(fastrand::u64(..));
+    }
+
+    pub(super) fn set_peers(&self, peers: BTreeMap<HostId, SocketAddr>) {
+        *self.peers.borrow_mut() = peers;
+    }
+
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().values().copied().collect()
+    }
+
+    /// Asks a peer; returns `None` if it is not known or does not answer.
+    pub(super) async fn ask(&self, state: &GatewayState, peer: &HostId) -> Option<PeerKnowledge> {
+        let socket = self.socket.borrow().clone()?;
+        let address = *self.peers.borrow().get(peer)?;
+        let nonce = self.next.get().wrapping_add(1);
+        self.next.set(nonce);
+        let newest_entry = state.listed.borrow().newest();
+        let news = PeerNews::Ask(KnowledgeAsk { nonce, newest_entry });
+        let bytes = rmp_serde::to_vec(&news).ok()?;
+        let (sender, receiver) = oneshot::channel();
+        self.pending.borrow_mut().insert(nonce, sender);
+        let asked = state.now();
+        let answer = match socket.send_to(&bytes, address).await {
+            Ok(_) => timeout(Self::LIMIT, receiver).await.ok().and_then(Result::ok),
+            Err(_) => None,
+        };
+        self.pending.borrow_mut().remove(&nonce);
+        answer.map(|answer| PeerKnowledge { answer, asked })
+    }
+
+    /// Returns what this host knows, as an answer.
+    pub(super) fn answer(state: &GatewayState, ask: KnowledgeAsk) -> KnowledgeAnswer {
+        let age = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let changes = state.listed.borrow().changes_since(ask.newest_entry);
+        let configuration =
+            state.configuration_age().map(|found| (state.configuration_revision(), age(found)));
+        let endpoints = state.endpoints_age().map(|found| (changes, age(found)));
+        KnowledgeAnswer { nonce: ask.nonce, configuration, endpoints }
+    }
+
+    /// Hands an answer to the question that waits for it; late ones are dropped.
+    pub(super) fn take_answer(&self, answer: KnowledgeAnswer) {
+        if let Some(sender) = self.pending.borrow_mut().remove(&answer.nonce) {
+            // The question may have been given up meanwhile.
+            drop(sender.send(answer));
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod gateway_server;
 mod gateway_state;
 mod host_profile;
+mod knowledge_desk;
 mod layer_keeper;
 mod log_writer;
 mod peer_link;
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -1,7 +1,10 @@
 use {
     crate::{
         connection::{StoreAnswer, StoreCall, StoreClient},
-        process::GatewayState,
+        process::{
+            knowledge_desk::{KnowledgeAnswer, KnowledgeAsk, KnowledgeDesk},
+            GatewayState,
+        },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
@@ -30,11 +33,15 @@
 /// What a host tells other hosts.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
-enum PeerNews {
+pub(crate) enum PeerNews {
     /// What the host has booked, to the hosts of its availability zone.
     Host { host: HostId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
     /// What all hosts of an availability zone have booked, to the hosts of other zones.
     Zone { zone: ZoneId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
+    /// A question for what the other host knows from the store.
+    Ask(KnowledgeAsk),
+    /// The answer to a question.
+    Answer(KnowledgeAnswer),
 }
 
 /// What endpoints reported to the zone's speaker.
@@ -43,7 +50,6 @@
 /// Tells the other hosts of the availability zone what this one has booked, and listens to them.
 pub struct PeerLink {
     state: Rc<GatewayState>,
-    peers: RefCell<Vec<SocketAddr>>,
     others: RefCell<Vec<SocketAddr>>,
 }
 
@@ -64,7 +70,7 @@
     /// Creates the link of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
-        Self { state, peers: RefCell::default(), others: RefCell::default() }
+        Self { state, others: RefCell::default() }
     }
 
     /// Keeps the host listed and learns the other hosts; never returns.
@@ -113,7 +119,7 @@
 
     async fn learn(&self, client: &mut StoreClient) {
         let Ok(items) = client.list(Self::PREFIX, true).await else { return };
-        let (mut peers, mut others) = (Vec::new(), Vec::new());
+        let (mut peers, mut others) = (BTreeMap::new(), Vec::new());
         let mut hosts = 0;
         for item in items {
             match rmp_serde::from_slice::<HostEntry>(&item.value) {
@@ -124,14 +130,14 @@
                     if entry.zone != profile.zone {
                         others.push(address);
                     } else if entry.host != profile.host {
-                        peers.push(address);
+                        peers.insert(entry.host, address);
                     }
                 }
                 Err(error) => LogEvent::PeerRefused.log(format_args!("{}: {error}", item.key)),
             }
         }
         self.state.hosts_alive.set(hosts.max(1));
-        *self.peers.borrow_mut() = peers;
+        self.state.desk.set_peers(peers);
         *self.others.borrow_mut() = others;
     }
 
@@ -144,6 +150,7 @@
                 return;
             }
         };
+        self.state.desk.open(Rc::clone(&socket));
         tokio::join!(self.send_news(&socket), self.take_news(&socket));
     }
 
@@ -159,7 +166,7 @@
             let used = self.state.load.borrow().own().clone();
             let host = self.state.profile.host.clone();
             let news = PeerNews::Host { host, used, readings: readings.clone() };
-            let peers = self.peers.borrow().clone();
+            let peers = self.state.desk.addresses();
             send_to_all(socket, &news, &peers).await;
             if is_speaker && ticks.is_multiple_of(Self::ZONE_NEWS_TICKS) {
                 let used = self.state.load.borrow().zone_total(now);
@@ -175,6 +182,10 @@
         loop {
             match socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match rmp_serde::from_slice(&buffer[..length]) {
+                    Ok(PeerNews::Ask(ask)) => {
+                        let answer = KnowledgeDesk::answer(&self.state, ask);
+                        send_to_all(socket, &PeerNews::Answer(answer), &[from]).await;
+                    }
                     Ok(news) => self.note_news(news),
                     Err(error) => LogEvent::PeerRefused.log(format_args!("from {from}: {error}")),
                 },
@@ -198,6 +209,12 @@
                 load.note_zone(zone, used, now);
                 readings
             }
+            PeerNews::Answer(answer) => {
+                self.state.desk.take_answer(answer);
+                return;
+            }
+            // Questions are answered where they arrive.
+            PeerNews::Ask(_) => return,
         };
         for (endpoint, reading) in readings {
             load.note_reading(endpoint, reading, now);
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -4,121 +4,198 @@
         process::GatewayState,
     },
     cassiafield::process::LogEvent,
-    cassiafield_core::process::EndpointEntry,
+    cassiafield_core::{
+        ids::{HostId, Moment},
+        process::{EndpointEntry, ListedEntry},
+    },
     std::{collections::HashSet, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
 /// Keeps the configuration and the endpoints of a host in step with the store.
+///
+/// One host of an availability zone reads the store and the others ask it, so that the store's
+/// calls grow with zones and changes rather than with hosts. A host whose speaker is silent or
+/// behind reads the store itself; one that the store turns away asks any peer.
 pub struct StoreSync {
     state: Rc<GatewayState>,
+    configuration: StoreClient,
+    endpoints: StoreClient,
+    configuration_contact: StoreContact,
+    endpoints_contact: StoreContact,
+    /// Entries that name no endpoint, by key and revision, as far as they were logged.
+    rejected: HashSet<(String, u64)>,
+}
+
+/// Which parts a host should read from the store itself.
+#[derive(Clone, Copy, Debug)]
+struct ReadNeed {
+    configuration: bool,
+    endpoints: bool,
 }
 
 impl StoreSync {
-    /// Pause between two reads of the configuration; a change must be in force within two seconds.
-    const CONFIGURATION_PAUSE: Duration = Duration::from_millis(950);
-    /// Pause between two reads of the endpoints; a leaving one must get no new work after two
-    /// seconds.
-    const ENDPOINTS_PAUSE: Duration = Duration::from_millis(850);
+    /// Pause between two reads of the store; a change must be in force, and a leaving endpoint get
+    /// no new work, within two seconds, and hosts that ask the reader add their own pause.
+    const READ_PAUSE: Duration = Duration::from_millis(800);
+    /// Pause between two questions to the speaker.
+    const ASK_PAUSE: Duration = Duration::from_millis(400);
     /// Pause after a failed read.
     const FAULT_PAUSE: Duration = Duration::from_millis(200);
+    /// Age beyond which a host does not rely on its speaker's knowledge.
+    const MAX_PEER_AGE: Duration = Duration::from_millis(1_300);
 
     /// Creates the synchronisation of a host.
     #[must_use]
-    pub const fn new(state: Rc<GatewayState>) -> Self {
-        Self { state }
-    }
-
-    fn client(&self) -> StoreClient {
-        StoreClient::new(Rc::clone(&self.state.codec), self.state.profile.store_address)
+    pub fn new(state: Rc<GatewayState>) -> Self {
+        let client = || StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
+        let (configuration, endpoints) = (client(), client());
+        Self {
+            state,
+            configuration,
+            endpoints,
+            configuration_contact: StoreContact::default(),
+            endpoints_contact: StoreContact::default(),
+            rejected: HashSet::new(),
+        }
     }
 
-    /// Keeps the configuration in step; never returns.
-    pub async fn follow_configuration(self) {
-        let mut client = self.client();
-        let mut revision = 0;
-        let mut contact = StoreContact::default();
-        let key = self.state.codec.configuration_key();
+    /// Keeps everything in step; never returns.
+    pub async fn run(mut self) {
         loop {
-            let asked = self.state.now();
-            let call = StoreCall::Get { key: key.to_owned() };
-            let answer = client.call(&call).await;
-            let pause = match contact.note(answer, "configuration") {
-                Some(StoreAnswer::Item(Some(item))) => {
-                    if item.revision == revision {
-                        self.state.confirm_configuration(asked);
-                    } else if self.take_configuration(&item, asked) {
-                        revision = item.revision;
-                    }
-                    Self::CONFIGURATION_PAUSE
+            let speaker = self.state.speaker();
+            let is_speaker = speaker == self.state.profile.host;
+            let mut need = ReadNeed { configuration: true, endpoints: true };
+            if !is_speaker {
+                need = self.ask(&speaker).await;
+            }
+            let is_done = self.read(need).await;
+            if !is_done {
+                if let Some(peer) = self.state.any_peer() {
+                    self.ask(&peer).await;
                 }
-                _ => Self::FAULT_PAUSE,
-            };
-            sleep(pause).await;
+            }
+            sleep(match (is_done, is_speaker) {
+                (false, _) => Self::FAULT_PAUSE,
+                (true, true) => Self::READ_PAUSE,
+                (true, false) => Self::ASK_PAUSE,
+            })
+            .await;
         }
     }
 
-    fn take_configuration(&self, item: &StoreItem, asked: cassiafield_core::ids::Moment) -> bool {
-        match self.state.codec.configuration(&item.value) {
-            Ok(table) => {
-                self.state.take_configuration(table, asked);
-                true
+    /// Asks a peer and takes what it knows; returns what is still to be read.
+    async fn ask(&self, peer: &HostId) -> ReadNeed {
+        let mut need = ReadNeed { configuration: true, endpoints: true };
+        let Some(found) = self.state.desk.ask(&self.state, peer).await else { return need };
+        let limit = u64::try_from(Self::MAX_PEER_AGE.as_micros()).unwrap_or(u64::MAX);
+        if let Some((revision, age)) = found.answer.configuration {
+            if revision == self.state.configuration_revision() {
+                self.state.confirm_configuration(found.asked_before(age));
+                need.configuration = age > limit;
             }
-            Err(error) => {
-                let revision = item.revision;
-                LogEvent::ListsRejected.log(format_args!("revision {revision}: {error:#}"));
-                false
+        }
+        let asked = |age| found.asked_before(age);
+        if let Some((changes, age)) = found.answer.endpoints.clone() {
+            let mut listed = self.state.listed.borrow_mut();
+            if age <= limit && listed.apply(changes) {
+                let entries = listed.entries();
+                drop(listed);
+                self.take_endpoints(entries, asked(age));
+                need.endpoints = false;
             }
         }
+        need
     }
 
-    /// Keeps the endpoints in step; never returns.
-    pub async fn follow_endpoints(self) {
-        let mut client = self.client();
-        let mut contact = StoreContact::default();
-        let mut rejected = HashSet::new();
+    /// Reads from the store what is needed; returns whether it answered.
+    async fn read(&mut self, need: ReadNeed) -> bool {
+        let asked = self.state.now();
+        let key = self.state.codec.configuration_key().to_owned();
         let prefix = self.state.codec.endpoints_prefix();
-        loop {
-            let asked = self.state.now();
-            let answer = client.list(prefix, false).await;
-            let pause = match contact.note(answer, "endpoints") {
-                Some(items) => {
-                    let entries = self.decode(&items, &mut rejected);
-                    let news = self.state.directory.borrow_mut().take_list(entries, asked);
-                    for change in news {
-                        LogEvent::EndpointChanged.log(change);
-                    }
-                    self.state.confirm_endpoints(asked);
-                    self.state.pool.sweep(self.state.now());
-                    Self::ENDPOINTS_PAUSE
+        let call = StoreCall::Get { key };
+        let (item, items) = tokio::join!(
+            async {
+                if need.configuration {
+                    Some(self.configuration.call(&call).await)
+                } else {
+                    None
+                }
+            },
+            async {
+                if need.endpoints {
+                    Some(self.endpoints.list(prefix, false).await)
+                } else {
+                    None
                 }
+            },
+        );
+        let mut is_done = true;
+        if let Some(answer) = item {
+            match self.configuration_contact.note(answer, "configuration") {
+                Some(StoreAnswer::Item(Some(item))) => self.take_configuration(&item, asked),
+                Some(_) => {}
+                None => is_done = false,
+            }
+        }
+        if let Some(answer) = items {
+            match self.endpoints_contact.note(answer, "endpoints") {
+                Some(items) => self.take_items(&items, asked),
                 None => {
                     self.state.directory.borrow_mut().list_failed();
-                    Self::FAULT_PAUSE
+                    is_done = false;
                 }
-            };
-            sleep(pause).await;
+            }
+        }
+        is_done
+    }
+
+    fn take_configuration(&self, item: &StoreItem, asked: Moment) {
+        if item.revision == self.state.configuration_revision() {
+            self.state.confirm_configuration(asked);
+            return;
+        }
+        match self.state.codec.configuration(&item.value) {
+            Ok(table) => self.state.take_configuration(table, item.revision, asked),
+            Err(error) => {
+                let revision = item.revision;
+                LogEvent::ListsRejected.log(format_args!("revision {revision}: {error:#}"));
+            }
+        }
+    }
+
+    fn take_items(&mut self, items: &[StoreItem], asked: Moment) {
+        let list = self.decode(items);
+        let mut listed = self.state.listed.borrow_mut();
+        listed.replace(list);
+        let entries = listed.entries();
+        drop(listed);
+        self.take_endpoints(entries, asked);
+    }
+
+    fn take_endpoints(&self, entries: Vec<EndpointEntry>, asked: Moment) {
+        let news = self.state.directory.borrow_mut().take_list(entries, asked);
+        for change in news {
+            LogEvent::EndpointChanged.log(change);
         }
+        self.state.confirm_endpoints(asked);
+        self.state.pool.sweep(self.state.now());
     }
 
     /// Decodes entries; each revision of one that names no endpoint is logged once.
-    fn decode(
-        &self,
-        items: &[StoreItem],
-        rejected: &mut HashSet<(String, u64)>,
-    ) -> Vec<EndpointEntry> {
-        let mut entries = Vec::with_capacity(items.len());
+    fn decode(&mut self, items: &[StoreItem]) -> Vec<ListedEntry> {
+        let mut list = Vec::with_capacity(items.len());
         for item in items {
             match self.state.codec.endpoint(&item.key, &item.value) {
-                Ok(entry) => entries.push(entry),
+                Ok(entry) => list.push(ListedEntry { revision: item.revision, entry }),
                 Err(error) => {
-                    if rejected.insert((item.key.clone(), item.revision)) {
+                    if self.rejected.insert((item.key.clone(), item.revision)) {
                         LogEvent::EntryRejected.log(format_args!("{}: {error:#}", item.key));
                     }
                 }
             }
         }
-        entries
+        list
     }
 }
 
