perf: leave a broken path before the next one is sought; place on after an outage

Change: attempts count endpoints, not sends; a resumed stream leaves its path first, may wait 0.7 s and may keep its first endpoint; the keeper renews its lease when the store is back; paths are refused only where callers would leave; moves count 2 s of waiting; refusals name the layer without room.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug)]
 struct KnownEndpoint {
     entry: EndpointEntry,
+    /// When this start of it was first listed.
+    since: Moment,
     suspect_until: Moment,
     failures: u32,
     latency_ms: f64,
@@ -73,7 +75,7 @@
         let listed: BTreeSet<EndpointId> =
             list.iter().map(|entry| entry.endpoint.clone()).collect();
         for entry in list {
-            self.take_entry(entry, &mut news);
+            self.take_entry(entry, asked, &mut news);
         }
         if asked.since(since) >= Self::LAPSE_GRACE {
             self.known.retain(|endpoint, _| {
@@ -87,7 +89,7 @@
         news
     }
 
-    fn take_entry(&mut self, entry: EndpointEntry, news: &mut Vec<DirectoryNews>) {
+    fn take_entry(&mut self, entry: EndpointEntry, now: Moment, news: &mut Vec<DirectoryNews>) {
         let endpoint = entry.endpoint.clone();
         let Some(known) = self.known.get_mut(&endpoint) else {
             news.push(DirectoryNews::Started(endpoint.clone(), entry.lifetime));
@@ -97,7 +99,7 @@
             if entry.span.is_some() {
                 news.push(DirectoryNews::Layers(endpoint.clone(), entry.span));
             }
-            self.known.insert(endpoint, KnownEndpoint::new(entry));
+            self.known.insert(endpoint, KnownEndpoint::new(entry, now));
             return;
         };
         if entry.lifetime < known.entry.lifetime {
@@ -105,7 +107,7 @@
         }
         if entry.lifetime > known.entry.lifetime || entry.address != known.entry.address {
             news.push(DirectoryNews::Started(endpoint, entry.lifetime));
-            *known = KnownEndpoint::new(entry);
+            *known = KnownEndpoint::new(entry, now);
             return;
         }
         if entry.is_leaving && !known.entry.is_leaving {
@@ -143,6 +145,12 @@
         self.known.get(endpoint).map(|known| &known.entry)
     }
 
+    /// Returns when the present start of an endpoint was first listed.
+    #[must_use]
+    pub fn known_since(&self, endpoint: &EndpointId) -> Option<Moment> {
+        self.known.get(endpoint).map(|known| known.since)
+    }
+
     /// Returns the number of endpoints known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -205,7 +213,14 @@
 }
 
 impl KnownEndpoint {
-    fn new(entry: EndpointEntry) -> Self {
-        Self { entry, suspect_until: Moment::ORIGIN, failures: 0, latency_ms: 0.0, in_flight: 0 }
+    fn new(entry: EndpointEntry, since: Moment) -> Self {
+        Self {
+            entry,
+            since,
+            suspect_until: Moment::ORIGIN,
+            failures: 0,
+            latency_ms: 0.0,
+            in_flight: 0,
+        }
     }
 }
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -47,6 +47,7 @@
     peers: HashMap<HostId, HeardUse>,
     zones: HashMap<ZoneId, HeardUse>,
     readings: HashMap<EndpointId, (Moment, EngineReading)>,
+    full: HashMap<EndpointId, Moment>,
 }
 
 /// Bookings that others told of, and when.
@@ -60,6 +61,9 @@
     /// Time after which what a peer said counts for nothing.
     const REMOTE_RETENTION: Duration = Duration::from_millis(1_500);
 
+    /// Time for which an endpoint that refused a stream for want of memory gets no other; a few
+    /// streams end within it.
+    const FULL_TIME: Duration = Duration::from_millis(40);
     /// Time after which what an endpoint reported counts for nothing.
     const READING_RETENTION: Duration = Duration::from_millis(3_500);
 
@@ -113,6 +117,18 @@
         self.readings.insert(endpoint, (now, reading));
     }
 
+    /// Records that an endpoint refused a stream for want of memory.
+    pub fn note_full(&mut self, endpoint: EndpointId, now: Moment) {
+        self.full.retain(|_, at| now.since(*at) < Self::FULL_TIME);
+        self.full.insert(endpoint, now);
+    }
+
+    /// Says whether an endpoint refused a stream for want of memory a moment ago.
+    #[must_use]
+    pub fn is_full(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        self.full.get(endpoint).is_some_and(|at| now.since(*at) < Self::FULL_TIME)
+    }
+
     /// Returns what an endpoint reported of itself a short time ago.
     #[must_use]
     pub fn reading(&self, endpoint: &EndpointId, now: Moment) -> Option<EngineReading> {
--- a/crates/cassiafield-core/src/process/layer_placement.rs
+++ b/crates/cassiafield-core/src/process/layer_placement.rs
@@ -60,9 +60,11 @@
     /// Smallest part of the memory that weights take on an endpoint placed by itself.
     const LOOSE_PART: f64 = 0.45;
     /// Time for which a move must pay, in seconds; endpoints come and go about as often.
-    const MOVE_HORIZON: f64 = 15.0;
+    const MOVE_HORIZON: f64 = 20.0;
+    /// Time for which an endpoint waits for the streams on the layers that it gives up, in seconds.
+    const MOVE_DRAIN: f64 = 2.0;
     /// Part of the zone's cost over that time that a move must save.
-    const MOVE_GAIN: f64 = 0.05;
+    const MOVE_GAIN: f64 = 0.04;
 
     /// Returns what endpoints are to hold that hold something else.
     #[must_use]
@@ -144,7 +146,7 @@
             }
             let new_layers = span.layers() - overlap(held, span).map_or(0, LayerSpan::layers);
             let load_part = f64::from(new_layers) / f64::from(self.engine.layers.max(1));
-            let load_seconds = self.engine.load_seconds * load_part;
+            let load_seconds = Self::MOVE_DRAIN + self.engine.load_seconds * load_part;
             let lost = (without.cost() - before).max(0.0) * load_seconds;
             let saved = (before - after) * (Self::MOVE_HORIZON - load_seconds) - lost;
             let least = before * Self::MOVE_GAIN * Self::MOVE_HORIZON;
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -23,6 +23,8 @@
     pub answer: u32,
     /// Endpoints that failed this request.
     pub avoided: &'a [EndpointId],
+    /// The endpoints that may be first, if the request may be sent to no others.
+    pub firsts: Option<&'a [EndpointId]>,
 }
 
 /// A path and what it is expected to cost.
@@ -41,16 +43,19 @@
 pub enum PathError {
     /// The endpoints in use do not hold all layers.
     NoCover,
-    /// Every path has an endpoint without memory for the request.
-    NoMemory,
+    /// Every path has an endpoint without memory, or a first one without a slot, for the request.
+    NoMemory {
+        /// The first layer up to which no path has room.
+        layer: u16,
+    },
 }
 
 impl fmt::Display for PathError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            PathError::NoCover => "the endpoints in use do not hold all layers",
-            PathError::NoMemory => "no path has memory for the request",
-        })
+        match self {
+            PathError::NoCover => f.write_str("the endpoints in use do not hold all layers"),
+            PathError::NoMemory { layer } => write!(f, "no path has room beyond layer {layer}"),
+        }
     }
 }
 
@@ -80,6 +85,8 @@
     free: f64,
     /// Whether it has a slot for a stream of which it is the first endpoint.
     has_slot: bool,
+    /// Whether the request may be sent to it.
+    may_be_first: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -95,7 +102,7 @@
     /// Fixed time of each further endpoint in a path for a token, in milliseconds.
     const HOP_MS: f64 = 0.2;
     /// Part of an endpoint's request memory that bookings may fill.
-    const MEMORY_PART: f64 = 0.95;
+    const MEMORY_PART: f64 = 0.97;
     /// Part of an endpoint's slots that streams may fill; hosts learn of each other's late.
     const SLOT_PART: f64 = 0.95;
     /// Cost of leaving the availability zone, as time of a token in milliseconds: bytes between
@@ -147,8 +154,9 @@
             span,
             layer_ms: step_ms * profile.step_factor * pace / layers,
             read_ms: read_ms * profile.read_factor * pace / layers,
-            free: room - taken,
+            free: if self.load.is_full(&entry.endpoint, self.now) { 0.0 } else { room - taken },
             has_slot: f64::from(used.firsts + 1) <= f64::from(entry.slots) * Self::SLOT_PART,
+            may_be_first: request.firsts.is_none_or(|firsts| firsts.contains(&entry.endpoint)),
         })
     }
 
@@ -158,20 +166,24 @@
         candidates: &[Candidate<'a>],
     ) -> Result<PlannedPath, PathError> {
         let tokens = f64::from(request.prompt + request.answer);
-        match self.cheapest(request, candidates, Some(tokens)) {
+        let (found, layer) = self.cheapest(request, candidates, Some(tokens));
+        match found {
             Some(path) => Ok(path),
-            None if self.cheapest(request, candidates, None).is_some() => Err(PathError::NoMemory),
+            None if self.cheapest(request, candidates, None).0.is_some() => {
+                Err(PathError::NoMemory { layer })
+            }
             None => Err(PathError::NoCover),
         }
     }
 
-    /// Finds the cheapest path by layers; `tokens` need memory at each endpoint, if given.
+    /// Finds the cheapest path by layers; `tokens` need memory at each endpoint, if given. Returns
+    /// also the last layer reached.
     fn cheapest(
         &self,
         request: &PathRequest<'_>,
         candidates: &[Candidate<'a>],
         tokens: Option<f64>,
-    ) -> Option<PlannedPath> {
+    ) -> (Option<PlannedPath>, u16) {
         let mut cuts: BTreeSet<u16> = BTreeSet::from([0, self.engine.layers]);
         for candidate in candidates {
             cuts.extend([candidate.span.start(), candidate.span.end()]);
@@ -185,7 +197,8 @@
             for (by, candidate) in candidates.iter().enumerate() {
                 let is_apart =
                     candidate.span.start() > cuts[at] || candidate.span.end() <= cuts[at];
-                let is_busy = tokens.is_some() && at == 0 && !candidate.has_slot;
+                let is_barred = at == 0 && !candidate.may_be_first;
+                let is_busy = is_barred || tokens.is_some() && at == 0 && !candidate.has_slot;
                 if is_apart || is_busy || is_visited(&reached, at, by) {
                     continue;
                 }
@@ -202,7 +215,8 @@
                 }
             }
         }
-        self.trace(request, candidates, &cuts, &reached)
+        let last = reached.iter().rposition(Option::is_some).map_or(0, |index| cuts[index]);
+        (self.trace(request, candidates, &cuts, &reached), last)
     }
 
     fn extend(
--- a/crates/cassiafield-core/tests/path_choice.rs
+++ b/crates/cassiafield-core/tests/path_choice.rs
@@ -5,7 +5,7 @@
 
 use {
     cassiafield_core::{
-        ids::{ModelId, Moment},
+        ids::{EndpointId, ModelId, Moment},
         process::{
             EndpointDirectory, EngineLoad, EngineReading, EngineUse, PathError, PathPlanner,
             PathRequest, PlannedPath,
@@ -19,6 +19,14 @@
 const NOW: Moment = Moment::from_millis(100_000);
 
 fn plan(directory: &EndpointDirectory, load: &EngineLoad) -> Result<PlannedPath, PathError> {
+    plan_from(directory, load, None)
+}
+
+fn plan_from(
+    directory: &EndpointDirectory,
+    load: &EngineLoad,
+    firsts: Option<&[EndpointId]>,
+) -> Result<PlannedPath, PathError> {
     let model: ModelId = "m".parse().expect("a valid name");
     let engine = engine();
     let planner = PathPlanner { directory, load, engine: &engine, now: NOW };
@@ -29,6 +37,7 @@
         prompt: 800,
         answer: 200,
         avoided: &[],
+        firsts,
     })
 }
 
@@ -74,7 +83,10 @@
     let mut load = EngineLoad::default();
     let used = EngineUse { streams: 90, firsts: 0, token_layers: 1e9 };
     load.note_zone(zone("b"), BTreeMap::from([(endpoint("f1"), used)]), NOW);
-    assert_eq!(plan(&directory, &load).map(|path| names(&path)), Err(PathError::NoMemory));
+    assert_eq!(
+        plan(&directory, &load).map(|path| names(&path)),
+        Err(PathError::NoMemory { layer: 0 })
+    );
 }
 
 #[test]
@@ -93,6 +105,34 @@
     assert_eq!(names(&path).first().map(String::as_str), Some("m1=0..10"));
 }
 
+#[test]
+fn a_request_that_may_go_to_no_other_first_endpoint_keeps_the_one_it_had() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+        entry("m1", "middle", "a", Some(span(0, 20))),
+    ]);
+    let firsts = [endpoint("m1")];
+    let load = EngineLoad::default();
+    let path = plan_from(&directory, &load, Some(&firsts)).expect("a path");
+    assert_eq!(names(&path).first().map(String::as_str), Some("m1=0..20"));
+    let others = [endpoint("f2")];
+    assert_eq!(plan_from(&directory, &load, Some(&others)).err(), Some(PathError::NoCover));
+}
+
+#[test]
+fn an_endpoint_that_refused_for_want_of_memory_rests_a_moment() {
+    let directory = directory(vec![
+        entry("f1", "fast", "a", Some(span(0, 40))),
+        entry("f2", "fast", "a", Some(span(40, 80))),
+        entry("g2", "fast", "b", Some(span(40, 80))),
+    ]);
+    let mut load = EngineLoad::default();
+    load.note_full(endpoint("f2"), NOW);
+    let path = plan(&directory, &load).expect("a path");
+    assert_eq!(names(&path), ["f1=0..40", "g2=40..80"]);
+}
+
 #[test]
 fn what_a_peer_said_long_ago_counts_no_more() {
     let directory = directory(vec![
@@ -116,7 +156,7 @@
     for name in ["f1", "f2"] {
         load.note_reading(endpoint(name), reading(1e9, 1.0), NOW);
     }
-    assert_eq!(plan(&whole, &load).map(|path| names(&path)), Err(PathError::NoMemory));
+    assert_eq!(plan(&whole, &load).map(|path| names(&path)), Err(PathError::NoMemory { layer: 0 }));
     let holed = directory(vec![entry("f1", "fast", "a", Some(span(0, 40)))]);
     assert_eq!(plan(&holed, &load).map(|path| names(&path)), Err(PathError::NoCover));
 }
--- a/crates/cassiafield-gateway/src/process/layer_keeper.rs
+++ b/crates/cassiafield-gateway/src/process/layer_keeper.rs
@@ -30,8 +30,6 @@
     orders: HashMap<(EndpointId, EndpointLifetime), PlacedOrder>,
     /// When an order last failed to reach each endpoint.
     unreached: HashMap<EndpointId, Moment>,
-    /// When each endpoint was first listed.
-    seen: HashMap<EndpointId, Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +55,7 @@
     /// Pause between two looks at the endpoints while holding the lease.
     const KEEP_PAUSE: Duration = Duration::from_millis(500);
     /// Pause between two tries to get the lease.
-    const SEEK_PAUSE: Duration = Duration::from_millis(2_500);
+    const SEEK_PAUSE: Duration = Duration::from_millis(1_200);
     /// Time for which the list of endpoints must not grow before the first orders.
     const SETTLE_TIME: Duration = Duration::from_millis(900);
     /// Time after which an order whose effect is not listed is looked into.
@@ -73,14 +71,7 @@
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
         let client = StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
-        Self {
-            state,
-            client,
-            lease: None,
-            orders: HashMap::new(),
-            unreached: HashMap::new(),
-            seen: HashMap::new(),
-        }
+        Self { state, client, lease: None, orders: HashMap::new(), unreached: HashMap::new() }
     }
 
     /// Runs for as long as the host.
@@ -92,7 +83,8 @@
                 return;
             }
             if !self.hold_lease().await {
-                sleep(Self::SEEK_PAUSE.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+                let pause = if self.lease.is_some() { Self::KEEP_PAUSE } else { Self::SEEK_PAUSE };
+                sleep(pause.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
                 continue;
             }
             let now = self.state.now();
@@ -134,25 +126,29 @@
                     self.lease = Some(HeldLease { renewed: asked, ..held });
                 }
                 Ok(_) => self.lose("the lease has ended"),
-                Err(fault) if self.state.now().since(held.renewed) >= Self::ACTING_TIME => {
-                    self.lose(&fault.to_string());
-                }
+                // The lease may live on in the store; it is renewed when the store is back.
                 Err(_) => {}
             }
-            return self.lease.is_some();
+            return self.is_acting();
         }
         self.seek(asked).await
     }
 
+    /// Says whether the lease was renewed so lately that no other host can hold it.
+    fn is_acting(&self) -> bool {
+        self.lease.is_some_and(|held| self.state.now().since(held.renewed) < Self::ACTING_TIME)
+    }
+
     fn lose(&mut self, why: &str) {
         LogEvent::KeeperLeaseLost.log(why);
         self.lease = None;
     }
 
     async fn seek(&mut self, asked: Moment) -> bool {
-        let get = StoreCall::Get { key: Self::KEY.to_owned() };
-        if !matches!(self.client.call(&get).await, Ok(StoreAnswer::Item(None))) {
-            return false;
+        // A stale answer will do: the write below is under a condition.
+        match self.client.list(Self::KEY, true).await {
+            Ok(items) if items.is_empty() => {}
+            _ => return false,
         }
         let ttl_ms = u64::try_from(Self::LEASE_TTL.as_millis()).unwrap_or(u64::MAX);
         let Ok(StoreAnswer::Lease { lease, .. }) =
@@ -180,8 +176,7 @@
         let Some(table) = self.state.table() else { return };
         for service in table.services().filter(|service| service.engine.is_some()) {
             for assignment in self.assignments(service) {
-                let held = self.lease.map(|held| self.state.now().since(held.renewed));
-                if held.is_none_or(|age| age >= Self::ACTING_TIME) {
+                if !self.is_acting() {
                     return;
                 }
                 self.order(&assignment).await;
@@ -199,13 +194,12 @@
             let is_done = entry.is_none_or(|entry| entry.span == Some(order.span));
             !is_done && now.since(order.at) < Self::ORDER_AGE
         });
-        self.seen.retain(|endpoint, _| directory.entry(endpoint).is_some());
         let mut cards = Vec::with_capacity(entries.len());
         for entry in &entries {
             let profile = entry.accelerator.as_ref().and_then(|kind| engine.accelerator(kind));
             let Some(profile) = profile else { continue };
             let ordered = self.orders.get(&(entry.endpoint.clone(), entry.lifetime));
-            let seen = *self.seen.entry(entry.endpoint.clone()).or_insert(now);
+            let seen = directory.known_since(&entry.endpoint).unwrap_or(now);
             let may_wait = now.since(seen) < Self::SUCCESSOR_WAIT;
             let is_unreached = self
                 .unreached
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -20,7 +20,7 @@
     http::{HeaderValue, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Full},
     hyper::body::Incoming,
-    std::{net::SocketAddrV4, pin::pin, rc::Rc, time::Duration},
+    std::{cell::Cell, net::SocketAddrV4, pin::pin, rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
 
@@ -33,8 +33,12 @@
     running: RunningRequest,
     /// Endpoints that failed this request.
     pub(super) avoided: Vec<EndpointId>,
-    /// Times that the request was sent to an endpoint.
+    /// Times that the request was sent.
     pub(super) sent: u32,
+    /// Endpoints that the request was sent to.
+    sent_to: Vec<EndpointId>,
+    /// Why there was no path when one was last sought in vain.
+    bottleneck: Cell<Option<PathError>>,
     model: ModelId,
     prompt: u32,
     answer: u32,
@@ -58,8 +62,8 @@
     /// Longest time from sending a request to the head of its answer; above the time that a
     /// working path takes under load, below the pause after which callers leave.
     const HEAD_LIMIT: Duration = Duration::from_millis(1_700);
-    /// Attempts that may fail without having run before the request is given up.
-    const MAX_TRIES: u32 = 4;
+    /// Times that a request may be sent in all, whichever endpoints it goes to.
+    const MAX_SENDS: u32 = 5;
     /// Part of the objective for which a request waits for memory; the rest is for the first event.
     const WAIT_PART: f64 = 0.5;
     /// Shortest pause after which a caller is told to return; the longest is three times that. Most
@@ -67,8 +71,9 @@
     const RETURN_PAUSE: Duration = Duration::from_millis(1_500);
     /// Pieces of an answer that may wait for a slow caller.
     const PIECES_WAITING: usize = 16;
-    /// Part of the longest event gap that a path's expected gap may take.
-    const GAP_PART: f64 = 0.9;
+    /// Multiple of the longest event gap on time beyond which a path is not worth taking: callers
+    /// leave after eight times that gap.
+    const MAX_GAPS: f64 = 3.0;
 
     pub(super) fn new(
         state: Rc<GatewayState>,
@@ -98,6 +103,8 @@
             running,
             avoided: Vec::new(),
             sent: 0,
+            sent_to: Vec::new(),
+            bottleneck: Cell::new(None),
             model,
             prompt,
             answer,
@@ -109,11 +116,11 @@
         let start = self.request.number(&self.state.codec.header_names().last_event).unwrap_or(0);
         let mut verdict = RequestVerdict::NotRun;
         let mut cause = RefusalCause::NoEndpoint;
-        for number in 0..Self::MAX_TRIES {
+        for number in 0..Self::MAX_SENDS {
             if !self.may_send() {
                 break;
             }
-            match self.attempt(start).await {
+            match self.attempt(start, self.first_wait()).await {
                 Ok((head, attempt, first)) => return self.relay(head, attempt, first),
                 Err(AttemptFault::NoPath(found)) => {
                     if number == 0 {
@@ -132,11 +139,11 @@
         self.give_up(verdict, cause)
     }
 
-    /// Says whether the request may be sent to one more endpoint.
+    /// Says whether the request may be sent once more.
     pub(super) fn may_send(&self) -> bool {
         let has_time = !self.time_left().is_zero();
         has_time
-            && self.sent < self.rule.attempts.max(1)
+            && self.sent < Self::MAX_SENDS
             && (self.sent == 0 || self.state.take_repeat(&self.service.service))
     }
 
@@ -148,27 +155,38 @@
         self.request.time_left(self.rule.timeout, self.state.now())
     }
 
+    /// Returns how long a request that just came may wait for memory.
+    fn first_wait(&self) -> Duration {
+        let waited = self.state.now().since(self.request.arrived);
+        self.rule.objective.mul_f64(Self::WAIT_PART).saturating_sub(waited)
+    }
+
     fn give_up(&self, verdict: RequestVerdict, cause: RefusalCause) -> Response<CallerBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
         self.state.metrics.refused(cause);
         LogEvent::RequestRefused.log(format_args!(
-            "request {} route {}: {cause}, {verdict} after {} sends; {}",
+            "request {} route {}: {cause}, {verdict} after {} sends; tokens {}+{}; {}; {}",
             self.request.id,
             self.rule.name,
             self.sent,
+            self.prompt,
+            self.answer,
+            self.bottleneck.get().map_or_else(String::new, |error| error.to_string()),
             self.state.knowledge(),
         ));
         let pause = Self::RETURN_PAUSE.mul_f64(1.0 + 2.0 * fastrand::f64());
         refusal(cause, is_not_run.then_some(pause))
     }
 
-    /// Sends the request over a path and waits for the first events after `last_event`.
+    /// Sends the request over a path and waits for the first events after `last_event`; waits up to
+    /// `wait` for memory.
     pub(super) async fn attempt(
         &mut self,
         last_event: u64,
+        wait: Duration,
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptFault> {
-        let path = self.plan_in_time().await?;
+        let path = self.plan_in_time(wait).await?;
         let Some(first) = path.route.stages().first().cloned() else {
             return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
         };
@@ -190,6 +208,9 @@
             .outgoing(&path, last_event)
             .ok_or(AttemptFault::NoPath(RefusalCause::BadRequest))?;
         self.sent += 1;
+        if !self.sent_to.contains(&first.endpoint) {
+            self.sent_to.push(first.endpoint.clone());
+        }
         let sent_at = self.state.now();
         let answer = match self.await_head(&mut channel, request, &path.route).await {
             Ok(answer) => answer,
@@ -275,13 +296,14 @@
     }
 
     /// Plans a path, and waits a short while for memory if there is none.
-    async fn plan_in_time(&self) -> Result<PlannedPath, AttemptFault> {
-        let limit = self.rule.objective.mul_f64(Self::WAIT_PART).min(self.time_left());
+    async fn plan_in_time(&self, wait: Duration) -> Result<PlannedPath, AttemptFault> {
+        let began = self.state.now();
+        let limit = wait.min(self.time_left());
         let mut has_waited = false;
         loop {
             let planned = self.plan();
             let now = self.state.now();
-            let left = limit.saturating_sub(now.since(self.request.arrived));
+            let left = limit.saturating_sub(now.since(began));
             let is_full = matches!(planned, Err(AttemptFault::NoPath(RefusalCause::Overloaded)));
             if !is_full || left.is_zero() {
                 return planned;
@@ -302,6 +324,8 @@
         let load = self.state.load.borrow();
         let planner =
             PathPlanner { directory: &directory, load: &load, engine, now: self.state.now() };
+        let most = usize::try_from(self.rule.attempts.max(1)).unwrap_or(usize::MAX);
+        let has_all = self.sent_to.len() >= most;
         let request = PathRequest {
             model: &self.model,
             service: &self.service.service,
@@ -309,11 +333,13 @@
             prompt: self.prompt,
             answer: self.answer,
             avoided: &self.avoided,
+            firsts: has_all.then_some(&self.sent_to[..]),
         };
         let path = planner.plan(&request).map_err(|error| {
+            self.bottleneck.set(Some(error));
             AttemptFault::NoPath(match error {
                 PathError::NoCover => RefusalCause::NoEndpoint,
-                PathError::NoMemory => RefusalCause::Overloaded,
+                PathError::NoMemory { .. } => RefusalCause::Overloaded,
             })
         })?;
         if self.sent == 0 && self.is_too_slow(engine, &path) {
@@ -322,10 +348,10 @@
         Ok(path)
     }
 
-    /// Says whether the path's events would come too slowly to be on time.
+    /// Says whether the path's events would come so slowly that callers would leave.
     fn is_too_slow(&self, engine: &EngineProfile, path: &PlannedPath) -> bool {
         let gap_ms = path.token_ms * f64::from(engine.stride.max(1));
-        self.rule.event_gap.is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::GAP_PART)
+        self.rule.event_gap.is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::MAX_GAPS)
     }
 
     fn outgoing(&self, path: &PlannedPath, last_event: u64) -> Option<Request<Full<Bytes>>> {
@@ -373,10 +399,12 @@
         ));
         if is_misdirected || answer.headers().contains_key(&names.not_run) {
             self.state.endpoint_refused(&endpoint, is_misdirected);
-            if !is_misdirected && &endpoint != first {
-                self.state.is_alive(&endpoint).await;
+            if !is_misdirected && self.state.is_alive(&endpoint).await {
+                let now = self.state.now();
+                self.state.load.borrow_mut().note_full(endpoint, now);
+            } else {
+                self.avoided.push(endpoint);
             }
-            self.avoided.push(endpoint);
             return AttemptFault::NotRun;
         }
         let (mut parts, body) = answer.into_parts();
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -163,17 +163,23 @@
 /// Passes the events of a stream on to its caller, over other paths when one fails.
 pub(super) struct StreamPump {
     call: StreamCall,
-    attempt: StreamAttempt,
+    /// The path in use; none while the next one is sought.
+    attempt: Option<StreamAttempt>,
+    /// The last event passed on.
+    last: Option<u64>,
     sender: mpsc::Sender<Result<Bytes, AnswerAborted>>,
 }
 
 impl StreamPump {
+    /// Longest wait for memory while a caller waits for its next event.
+    const RESUME_WAIT: Duration = Duration::from_millis(700);
+
     pub(super) const fn new(
         call: StreamCall,
         attempt: StreamAttempt,
         sender: mpsc::Sender<Result<Bytes, AnswerAborted>>,
     ) -> Self {
-        Self { call, attempt, sender }
+        Self { call, attempt: Some(attempt), last: None, sender }
     }
 
     /// Runs until the stream is complete, is given up, or the caller leaves.
@@ -187,7 +193,7 @@
             () = self.relay(first) => {}
         }
         let Self { call, attempt, .. } = self;
-        if call.running().is_complete() {
+        if let Some(attempt) = attempt.filter(|_| call.running().is_complete()) {
             attempt.close(&call.state).await;
         }
     }
@@ -197,6 +203,7 @@
         loop {
             match next {
                 PieceOutcome::Events(events) => {
+                    self.last = self.attempt.as_ref().and_then(|attempt| attempt.splitter.last());
                     if !events.is_empty() && self.sender.send(Ok(events)).await.is_err() {
                         return;
                     }
@@ -205,48 +212,57 @@
                     self.call.running().complete();
                     return;
                 }
-                PieceOutcome::Fault(fault) => {
-                    self.call.note_fault(&self.attempt, &fault);
-                    if !self.resume(&fault).await {
+                PieceOutcome::Fault(fault) => match self.resume(&fault).await {
+                    Some(events) => {
+                        next = PieceOutcome::Events(events);
+                        continue;
+                    }
+                    None => {
                         self.abort().await;
                         return;
                     }
-                }
+                },
             }
             let time_left = self.call.time_left();
-            next = self.attempt.next_piece(&self.call.state, time_left).await;
+            let Some(attempt) = self.attempt.as_mut() else { return };
+            next = attempt.next_piece(&self.call.state, time_left).await;
         }
     }
 
-    /// Goes on over another path; returns whether that worked.
-    async fn resume(&mut self, fault: &PieceFault) -> bool {
+    /// Goes on over another path; returns its first events.
+    async fn resume(&mut self, fault: &PieceFault) -> Option<Bytes> {
+        // The path is left first: what it holds at its endpoints may be what the next one needs.
+        if let Some(attempt) = self.attempt.take() {
+            self.call.note_fault(&attempt, fault);
+        }
         if matches!(fault, PieceFault::Late) {
-            return false;
+            return None;
         }
-        let Some(last) = self.attempt.splitter.last() else { return false };
+        let last = self.last?;
         while self.call.may_resume() {
-            match self.call.attempt(last).await {
+            match self.call.attempt(last, Self::RESUME_WAIT).await {
                 Ok((_, attempt, events)) => {
-                    self.attempt = attempt;
                     LogEvent::StreamResumed.log(format_args!(
                         "request {} after event {last} over {}",
                         self.call.request.id,
-                        self.attempt.describe(),
+                        attempt.describe(),
                     ));
-                    return events.is_empty() || self.sender.send(Ok(events)).await.is_ok();
+                    self.attempt = Some(attempt);
+                    return Some(events);
                 }
                 Err(AttemptFault::NotRun | AttemptFault::Lost) => {}
-                Err(AttemptFault::NoPath(_) | AttemptFault::Failed(_)) => return false,
+                Err(AttemptFault::NoPath(_) | AttemptFault::Failed(_)) => return None,
             }
         }
-        false
+        None
     }
 
     async fn abort(&self) {
         LogEvent::StreamGivenUp.log(format_args!(
-            "request {} after event {:?}; {}",
+            "request {} after event {:?}, {} sends; {}",
             self.call.request.id,
-            self.attempt.splitter.last(),
+            self.last,
+            self.call.sent,
             self.call.state.knowledge(),
         ));
         // The caller may have left already; then there is nobody to tell.
