--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -10,11 +10,11 @@
     anyhow::Context as _,
     cassiafield::process::LogEvent,
     http::StatusCode,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         runtime::Builder,
         signal::unix::{signal, SignalKind},
-        task::{spawn_local, LocalSet},
+        task::{spawn_local, AbortHandle, LocalSet},
         time::sleep,
     },
 };
@@ -45,35 +45,46 @@
     /// Returns why the host cannot start.
     pub fn run(self) -> anyhow::Result<()> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, self.serve())
+        LocalSet::new().block_on(&runtime, async {
+            let mut terminate = signal(SignalKind::terminate()).context("cannot catch SIGTERM")?;
+            let mut reload = signal(SignalKind::hangup()).context("cannot catch SIGHUP")?;
+            let host = self.start().await?;
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => break,
+                    // The settings in use hold for the life of the process.
+                    _ = reload.recv() => LogEvent::SettingsReloaded.log("nothing to change"),
+                }
+            }
+            host.close().await;
+            Ok(())
+        })
     }
 
-    async fn serve(self) -> anyhow::Result<()> {
+    /// Starts serving; must be called within a [`LocalSet`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the host cannot start.
+    pub async fn start(self) -> anyhow::Result<RunningHost> {
         let state = self.state;
         let profile = &state.profile;
-        let mut terminate = signal(SignalKind::terminate()).context("cannot catch SIGTERM")?;
-        let mut reload = signal(SignalKind::hangup()).context("cannot catch SIGHUP")?;
         let most = profile.max_descriptors.saturating_sub(Self::SPARE_DESCRIPTORS).max(64);
         let callers = CallerListener::bind(profile.caller_address, most)
             .with_context(|| format!("cannot listen on {}", profile.caller_address))?;
         let ready = SmallServer::bind(profile.ready_address)
             .await
             .with_context(|| format!("cannot listen on {}", profile.ready_address))?;
+        let caller_address = callers.address()?;
+        let ready_address = ready.address()?;
         LogEvent::HostStarted.log(format_args!(
-            "host {} zone {} callers {} store {}",
-            profile.host, profile.zone, profile.caller_address, profile.store_address,
+            "host {} zone {} callers {caller_address} store {}",
+            profile.host, profile.zone, profile.store_address,
         ));
         Self::spawn_background(&state, ready).await;
-        spawn_local(callers.serve(Rc::new(HostService::new(Rc::clone(&state)))));
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                // The settings in use hold for the life of the process.
-                _ = reload.recv() => LogEvent::SettingsReloaded.log("nothing to change"),
-            }
-        }
-        Self::stop(&state).await;
-        Ok(())
+        let service = Rc::new(HostService::new(Rc::clone(&state)));
+        let listener = spawn_local(callers.serve(service)).abort_handle();
+        Ok(RunningHost { state, listener, caller_address, ready_address })
     }
 
     async fn spawn_background(state: &Rc<GatewayState>, ready: SmallServer) {
@@ -102,21 +113,45 @@
         spawn_local(Rc::clone(&link).keep_listed());
         spawn_local(link.exchange());
     }
+}
+
+/// A host that serves.
+pub struct RunningHost {
+    state: Rc<GatewayState>,
+    listener: AbortHandle,
+    caller_address: SocketAddr,
+    ready_address: SocketAddr,
+}
+
+impl RunningHost {
+    /// Returns where callers connect.
+    #[must_use]
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where the host says whether it is ready.
+    #[must_use]
+    pub const fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
 
-    /// Lets everything that runs end, within the platform's limit.
-    async fn stop(state: &GatewayState) {
+    /// Stops: sends callers away, and lets everything that runs end within the platform's limit.
+    pub async fn close(self) {
+        let state = &self.state;
         state.begin_stop();
         let began = state.now();
-        let limit = state.profile.stop_grace.saturating_sub(Self::STOP_MARGIN);
+        let limit = state.profile.stop_grace.saturating_sub(GatewayServer::STOP_MARGIN);
         LogEvent::HostStopping.log(format_args!("{} requests run", state.running_count()));
         loop {
-            sleep(Self::STOP_CHECK).await;
+            sleep(GatewayServer::STOP_CHECK).await;
             let passed = state.now().since(began);
             let is_done = passed >= GatewayState::STOP_NOTICE && state.running_count() == 0;
             if is_done || passed >= limit {
                 break;
             }
         }
+        self.listener.abort();
         LogEvent::HostStopped.log(format_args!("{} requests cut", state.running_count()));
     }
 }
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -20,7 +20,7 @@
     boot_clock::BootClock,
     engine_watch::EngineWatch,
     gateway_metrics::GatewayMetrics,
-    gateway_server::GatewayServer,
+    gateway_server::{GatewayServer, RunningHost},
     gateway_state::GatewayState,
     host_profile::HostProfile,
     layer_keeper::LayerKeeper,
--- a/crates/cassiafield-gateway/src/process/small_server.rs
+++ b/crates/cassiafield-gateway/src/process/small_server.rs
@@ -5,7 +5,13 @@
     http::{Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{convert::Infallible, io, net::SocketAddrV4, rc::Rc, time::Duration},
+    std::{
+        convert::Infallible,
+        io,
+        net::{SocketAddr, SocketAddrV4},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         net::TcpListener,
         task::spawn_local,
@@ -31,6 +37,10 @@
         Ok(Self { listener: TcpListener::bind(address).await? })
     }
 
+    pub(super) fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Answers every request by its path; never returns.
     pub(super) async fn serve(self, answer: Rc<PathAnswer>) {
         loop {
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -33,6 +33,9 @@
     running: RunningRequest,
     /// Endpoints that failed this request.
     pub(super) avoided: Vec<EndpointId>,
+    /// Endpoints of paths that fell silent though all their endpoints live; they are used again if
+    /// there is no other path.
+    doubted: Vec<EndpointId>,
     /// Times that the request was sent.
     pub(super) sent: u32,
     /// Endpoints that the request was sent to.
@@ -102,6 +105,7 @@
             request,
             running,
             avoided: Vec::new(),
+            doubted: Vec::new(),
             sent: 0,
             sent_to: Vec::new(),
             bottleneck: Cell::new(None),
@@ -219,7 +223,11 @@
                 return Err(AttemptFault::NotRun);
             }
             // A path may be silent because of any of its endpoints; those at fault were found.
-            Err(ChannelFault::Silent) => return Err(AttemptFault::Lost),
+            Err(ChannelFault::Silent) => {
+                let stages = path.route.stages().iter();
+                self.doubted.extend(stages.map(|stage| stage.endpoint.clone()));
+                return Err(AttemptFault::Lost);
+            }
             Err(fault) => return Err(self.channel_failed(&first.endpoint, &fault)),
         };
         let echoed = answer.headers().get(&self.state.codec.header_names().request_id);
@@ -335,7 +343,13 @@
             avoided: &self.avoided,
             firsts: has_all.then_some(&self.sent_to[..]),
         };
-        let path = planner.plan(&request).map_err(|error| {
+        let both: Vec<EndpointId> = self.avoided.iter().chain(&self.doubted).cloned().collect();
+        let first_choice = PathRequest { avoided: &both, ..request.clone() };
+        let planned = match planner.plan(&first_choice) {
+            Err(_) if !self.doubted.is_empty() => planner.plan(&request),
+            planned => planned,
+        };
+        let path = planned.map_err(|error| {
             self.bottleneck.set(Some(error));
             AttemptFault::NoPath(match error {
                 PathError::NoCover => RefusalCause::NoEndpoint,
@@ -450,6 +464,10 @@
             self.state.knowledge(),
         ));
         self.avoided.extend(fault.blamed(attempt));
+        if fault.is_unexplained() {
+            let stages = attempt.route.stages().iter();
+            self.doubted.extend(stages.map(|stage| stage.endpoint.clone()));
+        }
     }
 
     /// Returns the guard that counts the request as running.
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -54,7 +54,12 @@
 }
 
 impl PieceFault {
-    /// Returns the endpoints that the next path should not use.
+    /// Says whether a path fell silent though all its endpoints live.
+    pub(super) fn is_unexplained(&self) -> bool {
+        matches!(self, PieceFault::Stalled(silent) if silent.is_empty())
+    }
+
+    /// Returns the endpoints that the next path must not use.
     pub(super) fn blamed(&self, attempt: &StreamAttempt) -> Vec<EndpointId> {
         match self {
             PieceFault::Stalled(silent) => silent.clone(),
