feat: bound the log and show requests by organisation

Cause: a flood of one event could fill the log; metrics knew no organisations. Conclusion: on-call engineers can count by organisation; cost not yet measured by itself.

--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -97,10 +97,12 @@
         match SmallServer::bind(state.profile.metrics_address).await {
             Ok(server) => {
                 let metrics = Rc::clone(state);
-                spawn_local(server.serve(Rc::new(move |_| match metrics.metrics.text() {
-                    Ok(text) => (StatusCode::OK, text),
-                    Err(error) => {
-                        (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
+                spawn_local(server.serve(Rc::new(move |_| {
+                    match metrics.metrics.text(metrics.reading()) {
+                        Ok(text) => (StatusCode::OK, text),
+                        Err(error) => {
+                            (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
+                        }
                     }
                 })));
             }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -4,7 +4,7 @@
         process::{
             knowledge_desk::KnowledgeDesk, running_request::DispatchedRequest,
             suspect_probe::SuspectProbe, BookedLoad, BootClock, GatewayMetrics, HostProfile,
-            RunningRequest, WaitingRoom,
+            HostReading, RunningRequest, WaitingRoom,
         },
     },
     cassiafield::process::LogEvent,
@@ -314,6 +314,18 @@
         (!peers.is_empty()).then(|| peers[fastrand::usize(..peers.len())].clone())
     }
 
+    /// Returns what the host knows and does now, for metrics.
+    #[must_use]
+    pub fn reading(&self) -> HostReading {
+        let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
+        HostReading {
+            configuration_age: seconds(self.configuration_age()),
+            endpoints_age: seconds(self.endpoints_age()),
+            endpoints: self.directory.borrow().len() as f64,
+            running: f64::from(self.running.get()),
+        }
+    }
+
     /// Describes how old the host's knowledge is, for the log.
     #[must_use]
     pub fn knowledge(&self) -> String {
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -19,7 +19,7 @@
 pub use self::{
     boot_clock::BootClock,
     engine_watch::EngineWatch,
-    gateway_metrics::GatewayMetrics,
+    gateway_metrics::{GatewayMetrics, HostReading},
     gateway_server::{GatewayServer, RunningHost},
     gateway_state::GatewayState,
     host_profile::HostProfile,
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -141,13 +141,19 @@
         };
         let service = service.clone();
         let running = self.state.running();
-        if service.engine.is_some() && rule.kind.is_stream() {
+        let (organisation, kind) = (request.organisation.clone(), rule.kind);
+        let arrived = request.arrived;
+        let answer = if service.engine.is_some() && rule.kind.is_stream() {
             let call = StreamCall::new(Rc::clone(&self.state), rule, service, request, running);
             call.run().await
         } else {
             let call = PlainCall::new(Rc::clone(&self.state), rule, service, request, running);
             call.run().await
-        }
+        };
+        let time = self.state.now().since(arrived);
+        let status = answer.status().as_u16();
+        self.state.metrics.answered(organisation.as_ref(), kind, status, time);
+        answer
     }
 
     fn refuse(&self, parts: &Parts, cause: RefusalCause) -> Response<CallerBody> {
--- /dev/null
+++ b/crates/cassiafield/src/process/line_budget.rs
@@ -0,0 +1,58 @@
+use {
+    crate::process::LogEvent,
+    std::{
+        collections::HashMap,
+        sync::{Mutex, OnceLock, PoisonError},
+        time::{Duration, Instant},
+    },
+};
+
+/// Limits the lines of one event in a second, and counts those that were left out.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    window: Mutex<LineWindow>,
+}
+
+#[derive(Debug, Default)]
+struct LineWindow {
+    began: Option<Instant>,
+    lines: u32,
+    left_out: u32,
+}
+
+impl LineBudget {
+    /// Lines of one event in a second. A host takes some tens of requests a second, each with a few
+    /// decisions; only floods of one event exceed it.
+    pub const LINES_PER_SECOND: u32 = 200;
+
+    /// Returns the budget of an event, which lives as long as the process.
+    #[must_use]
+    pub fn of(event: LogEvent) -> &'static Self {
+        static BUDGETS: OnceLock<HashMap<LogEvent, LineBudget>> = OnceLock::new();
+        static SPARE: OnceLock<LineBudget> = OnceLock::new();
+        let budgets = BUDGETS.get_or_init(|| {
+            LogEvent::ALL.iter().map(|&event| (event, LineBudget::default())).collect()
+        });
+        budgets.get(&event).unwrap_or_else(|| SPARE.get_or_init(LineBudget::default))
+    }
+
+    /// Takes the right to write one line at `now`; returns the lines that were left out in the
+    /// second before, or `None` if this one is to be left out.
+    pub fn take(&self, now: Instant) -> Option<u32> {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_over = window
+            .began
+            .is_none_or(|began| now.saturating_duration_since(began) >= Duration::from_secs(1));
+        let mut left_out = 0;
+        if is_over {
+            left_out = window.left_out;
+            *window = LineWindow { began: Some(now), lines: 0, left_out: 0 };
+        }
+        if window.lines >= Self::LINES_PER_SECOND {
+            window.left_out += 1;
+            return None;
+        }
+        window.lines += 1;
+        Some(left_out)
+    }
+}
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -1,4 +1,7 @@
-use std::fmt;
+use {
+    crate::process::LineBudget,
+    std::{fmt, time::Instant},
+};
 
 /// How serious an event is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,11 +94,20 @@
     1701 PeerRefused Warning "A message from a peer failed its check.";
     1702 PeerFailed Info "A peer does not answer.";
     1801 CheckpointFailed Warning "The usage record could not be written; it will be tried again.";
+    1901 LinesLeftOut Warning "Lines of an event were left out, since there were too many in a second.";
 }
 
 impl LogEvent {
-    /// Logs the event at its own level with a detail.
+    /// Logs the event at its own level with a detail, unless its lines of this second are used up.
     pub fn log(self, detail: impl fmt::Display) {
+        let Some(left_out) = LineBudget::of(self).take(Instant::now()) else { return };
+        if left_out > 0 {
+            LogEvent::LinesLeftOut.write(format_args!("{left_out} lines of {self:?}"));
+        }
+        self.write(detail);
+    }
+
+    fn write(self, detail: impl fmt::Display) {
         let number = self.number();
         match self.level() {
             EventLevel::Info => tracing::info!(number, name = ?self, %detail),
--- a/crates/cassiafield/src/process/mod.rs
+++ b/crates/cassiafield/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod entry_server;
 mod entry_settings;
 mod host_clock;
+mod line_budget;
 mod log_event;
 mod log_setup;
 mod model_line;
@@ -25,6 +26,7 @@
     entry_server::EntryServer,
     entry_settings::{EntrySettings, LogFormat, SettingFault},
     host_clock::HostClock,
+    line_budget::LineBudget,
     log_event::{EventLevel, LogEvent},
     log_setup::start_log,
     route_hold::RouteHold,
