--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        ids::{EndpointId, Moment, ServiceId},
+        ids::{EndpointId, Moment, ServiceId, ZoneId},
         process::{EndpointEntry, EndpointLifetime},
         request::LayerSpan,
     },
@@ -51,6 +51,19 @@
     in_flight: u32,
 }
 
+/// What an endpoint of a plain service is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceChoice<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The host's availability zone.
+    pub zone: &'a ZoneId,
+    /// Endpoints that the request has been tried at.
+    pub avoided: &'a [EndpointId],
+    /// Whether the request may run at most once.
+    pub runs_once: bool,
+}
+
 /// Every endpoint as the platform's list and this host's own requests show it.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
@@ -65,6 +78,10 @@
     const FIRST_SUSPICION: Duration = Duration::from_millis(700);
     /// Longest time for which an endpoint is avoided after a failure.
     const MAX_SUSPICION: Duration = Duration::from_secs(6);
+    /// Expected wait that an endpoint in another availability zone must save, in milliseconds.
+    const ZONE_COST_MS: f64 = 25.0;
+    /// Cost of an endpoint that failed, in milliseconds; above any expected wait.
+    const DOUBT_COST_MS: f64 = 60_000.0;
     /// Weight of the newest answer in the mean answer time.
     const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -169,10 +186,29 @@
         self.known.get(endpoint).is_none_or(|known| now < known.suspect_until)
     }
 
-    /// Returns the mean answer time of an endpoint in milliseconds, and its running requests.
+    /// Chooses the endpoint of a service with the least expected wait.
+    ///
+    /// An endpoint that failed is tried again by requests that may be repeated; those that may not
+    /// go there only when there is no other.
     #[must_use]
-    pub fn answer_load(&self, endpoint: &EndpointId) -> (f64, u32) {
-        self.known.get(endpoint).map_or((0.0, 0), |known| (known.latency_ms, known.in_flight))
+    pub fn choose(&self, choice: &ServiceChoice<'_>, now: Moment) -> Option<&EndpointEntry> {
+        let allowed = self.known.values().filter(|known| {
+            let entry = &known.entry;
+            &entry.service == choice.service
+                && !entry.is_leaving
+                && !choice.avoided.contains(&entry.endpoint)
+        });
+        let cost = |known: &KnownEndpoint| {
+            let slots = f64::from(known.entry.slots.max(1));
+            let load = 1.0 + f64::from(known.in_flight) / slots;
+            let is_near = &known.entry.zone == choice.zone;
+            let is_doubted = now < known.suspect_until || choice.runs_once && known.failures > 0;
+            known.latency_ms * load
+                + if is_near { 0.0 } else { Self::ZONE_COST_MS }
+                + if is_doubted { Self::DOUBT_COST_MS } else { 0.0 }
+        };
+        let best = allowed.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        best.map(|known| &known.entry)
     }
 
     /// Records that a request was sent to an endpoint.
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -30,7 +30,7 @@
 pub use self::{
     allowance_book::{AllowanceBook, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
-    endpoint_directory::{DirectoryNews, EndpointDirectory},
+    endpoint_directory::{DirectoryNews, EndpointDirectory, ServiceChoice},
     endpoint_entry::{EndpointEntry, EndpointLifetime},
     endpoint_health::EndpointHealth,
     endpoint_pace::EndpointPace,
--- a/crates/cassiafield-core/tests/endpoint_directory.rs
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -5,9 +5,10 @@
 use {
     cassiafield_core::{
         ids::Moment,
-        process::{DirectoryNews, EndpointDirectory, EndpointLifetime},
+        process::{DirectoryNews, EndpointDirectory, EndpointLifetime, ServiceChoice},
     },
-    engine_support::{endpoint, entry, service, span},
+    engine_support::{endpoint, entry, service, span, zone},
+    std::time::Duration,
 };
 
 fn at(millis: u64) -> Moment {
@@ -86,3 +87,34 @@
     directory.succeeded(&endpoint("e1"), None);
     assert!(!directory.is_suspect(&endpoint("e1"), at(now)));
 }
+
+/// The pattern of an endpoint that takes requests and never answers while its entry stays sound:
+/// each filing sent there is lost.
+#[test]
+fn an_endpoint_that_lost_a_filing_gets_no_other_until_a_lookup_came_back() {
+    let mut directory = EndpointDirectory::default();
+    let list = vec![entry("e1", "fast", "a", None), entry("e2", "fast", "b", None)];
+    directory.take_list(list, at(0));
+    let chosen = |directory: &EndpointDirectory, runs_once: bool, now: Moment| {
+        let (service, zone) = (service(), zone("a"));
+        let choice = ServiceChoice { service: &service, zone: &zone, avoided: &[], runs_once };
+        directory.choose(&choice, now).map(|entry| entry.endpoint.to_string())
+    };
+    assert_eq!(chosen(&directory, true, at(1)).as_deref(), Some("e1"));
+    directory.failed(&endpoint("e1"), at(1));
+    let later = at(60_000);
+    assert_eq!(chosen(&directory, true, later).as_deref(), Some("e2"));
+    assert_eq!(chosen(&directory, false, later).as_deref(), Some("e1"));
+    directory.succeeded(&endpoint("e1"), Some(Duration::from_millis(5)));
+    assert_eq!(chosen(&directory, true, later).as_deref(), Some("e1"));
+}
+
+#[test]
+fn when_every_endpoint_has_failed_one_is_tried_all_the_same() {
+    let mut directory = EndpointDirectory::default();
+    directory.take_list(vec![entry("e1", "fast", "a", None)], at(0));
+    directory.failed(&endpoint("e1"), at(1));
+    let (service, zone) = (service(), zone("a"));
+    let choice = ServiceChoice { service: &service, zone: &zone, avoided: &[], runs_once: true };
+    assert!(directory.choose(&choice, at(2)).is_some());
+}
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -10,7 +10,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::EndpointId,
-        process::EndpointEntry,
+        process::{EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
         version::{RouteRule, ServiceRule},
     },
@@ -131,27 +131,14 @@
         self.request.time_left(self.rule.timeout, self.state.now())
     }
 
-    /// Chooses the endpoint with the least expected wait, in this availability zone if it can.
     fn choose(&self, avoided: &[EndpointId]) -> Option<EndpointEntry> {
-        /// Expected wait that another availability zone must save, in milliseconds.
-        const ZONE_COST_MS: f64 = 25.0;
-        /// Cost of an endpoint that failed a moment ago, in milliseconds.
-        const SUSPECT_COST_MS: f64 = 2_000.0;
-        let directory = self.state.directory.borrow();
-        let now = self.state.now();
-        let cost = |entry: &EndpointEntry| {
-            let (latency_ms, in_flight) = directory.answer_load(&entry.endpoint);
-            let load = 1.0 + f64::from(in_flight) / f64::from(entry.slots.max(1));
-            let zone = if entry.zone == self.state.profile.zone { 0.0 } else { ZONE_COST_MS };
-            let suspect =
-                if directory.is_suspect(&entry.endpoint, now) { SUSPECT_COST_MS } else { 0.0 };
-            latency_ms * load + zone + suspect
+        let choice = ServiceChoice {
+            service: &self.service.service,
+            zone: &self.state.profile.zone,
+            avoided,
+            runs_once: !self.rule.kind.is_repeatable(),
         };
-        directory
-            .live_entries(&self.service.service)
-            .filter(|entry| !avoided.contains(&entry.endpoint))
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
-            .cloned()
+        self.state.directory.borrow().choose(&choice, self.state.now()).cloned()
     }
 
     async fn try_once(&self, entry: &EndpointEntry, sent: &mut u32) -> TryOutcome {
