fix: never leave a layer of a zone without an endpoint that could hold it

Cause (ZoneModel, a new model of a zone's engines in virtual time; placement of 1 fast, 3 middle and 8 slow endpoints without one middle): a move shrank an endpoint from ten layers to eight for more memory a layer and left two layers held by nobody, since a hole cost only 2.5 times a slow layer. Change: a layer that no endpoint of the zone holds costs ten times what carrying it outside costs.

--- a/crates/cassiafield-core/src/process/zone_value.rs
+++ b/crates/cassiafield-core/src/process/zone_value.rs
@@ -26,6 +26,9 @@
 impl ZoneValue {
     /// Step factor that counts where no endpoint of the zone has memory; above that of any kind.
     const OUTSIDE_FACTOR: f64 = 40.0;
+    /// Cost of a layer that no endpoint of the zone holds, in multiples of what carrying it outside
+    /// costs: a zone that is cut off serves nothing without it.
+    const HOLE_COST: f64 = 10.0;
     /// Part of a zone's memory for requests, spread evenly over all layers, that is demanded. The
     /// rest is what the loss of an endpoint and uneven layers cost.
     const DEMAND_PART: f64 = 0.4;
@@ -46,7 +49,9 @@
         Self {
             demand: (tokens * Self::DEMAND_PART).max(1.0),
             holders: vec![Vec::new(); layers],
-            cost: Self::OUTSIDE_FACTOR * (1.0 + Self::LOSS_WEIGHT) * f64::from(engine.layers),
+            cost: Self::OUTSIDE_FACTOR
+                * (Self::HOLE_COST + Self::LOSS_WEIGHT)
+                * f64::from(engine.layers),
         }
     }
 
@@ -116,7 +121,11 @@
             let index = holders.partition_point(|held| held.factor < own.factor);
             holders.insert(index, own);
         }
-        let whole = self.carried_cost(&holders);
+        let whole = if holders.is_empty() {
+            Self::OUTSIDE_FACTOR * Self::HOLE_COST
+        } else {
+            self.carried_cost(&holders)
+        };
         let most = holders.iter().enumerate().max_by(|(_, a), (_, b)| {
             let weight = |held: &LayerHolder| held.tokens.min(self.demand) / held.factor;
             weight(a).total_cmp(&weight(b))
--- a/crates/cassiafield-standin/src/lib.rs
+++ b/crates/cassiafield-standin/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`EngineStandin`] | a model engine whose answers can be checked by [`ToyModel`] |
 //! | [`ServiceStandin`] | a plain service that records its runs |
 //! | [`PathRelay`] | a network path that can be cut, silenced and delayed |
+//! | [`ZoneModel`] | the engines of a zone with layers, passes and memory, in virtual time |
 //! | [`LocalFleet`] | all of them with one entry host, in one process |
 
 mod engine_standin;
@@ -31,6 +32,7 @@
 mod service_standin;
 mod standin_http;
 mod toy_model;
+mod zone_model;
 
 pub use self::{
     engine_standin::{EngineFault, EngineSpec, EngineStandin},
@@ -40,4 +42,5 @@
     platform_standin::PlatformStandin,
     service_standin::{ServiceSpec, ServiceStandin},
     toy_model::ToyModel,
+    zone_model::{ModelOutcome, ModelTraffic, ZoneModel},
 };
