perf: fewer store calls in an outage; idle connections within the endpoint's bound

Change: hosts with a speaker rest 1.6 s after a failed read and go on asking it; the speaker retries at once. A host keeps its part of half an endpoint's connections idle.

--- a/crates/cassiafield-gateway/src/connection/channel_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/channel_pool.rs
@@ -38,8 +38,10 @@
     /// Part of the stated idle time after which a channel carries no request that must run at most
     /// once, in percent.
     const ONCE_PERCENT: u32 = 40;
-    /// Idle channels kept for an endpoint.
+    /// Idle channels kept for an endpoint at most.
     const MAX_IDLE: usize = 16;
+    /// Part of the connections that an endpoint takes from all hosts that may be idle, as a divisor.
+    const IDLE_DIVISOR: usize = 2;
 
     /// Returns an idle channel, or a new one.
     ///
@@ -96,6 +98,14 @@
         })
     }
 
+    /// Returns how many idle channels one of `hosts` hosts may keep to an endpoint that takes
+    /// `max_connections` from all of them.
+    #[must_use]
+    pub fn idle_share(max_connections: u32, hosts: usize) -> usize {
+        let all = usize::try_from(max_connections).unwrap_or(usize::MAX);
+        (all / Self::IDLE_DIVISOR / hosts.max(1)).clamp(1, Self::MAX_IDLE)
+    }
+
     /// Drops idle channels that are closed or have been idle too long.
     pub fn sweep(&self, now: Moment) {
         self.idle.borrow_mut().retain(|_, channels| {
@@ -125,11 +135,11 @@
         true
     }
 
-    /// Gives the channel back once its answer has been read to the end.
-    pub fn close(self, pool: &ChannelPool, now: Moment) {
+    /// Gives the channel back once its answer has been read to the end, unless `most` are idle.
+    pub fn close(self, pool: &ChannelPool, most: usize, now: Moment) {
         let mut idle = pool.idle.borrow_mut();
         let channels = idle.entry(self.address).or_default();
-        if channels.len() < ChannelPool::MAX_IDLE {
+        if channels.len() < most {
             let Self { channel, idle_limit, .. } = self;
             channels.push(IdleChannel { channel, since: now, idle_limit });
         }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -12,7 +12,7 @@
         ids::{EndpointId, HostId, Moment, ServiceId},
         process::{EndpointDirectory, EngineLoad, KnowledgeAge, ListedEntries, RetryAllotment},
         request::StageRoute,
-        version::{CallerLimits, RouteTable},
+        version::{CallerLimits, RouteTable, ServiceRule},
     },
     std::{
         cell::{Cell, RefCell},
@@ -278,6 +278,12 @@
         }
     }
 
+    /// Returns how many idle channels this host may keep to one endpoint of a service.
+    #[must_use]
+    pub fn idle_share(&self, service: &ServiceRule) -> usize {
+        ChannelPool::idle_share(service.max_connections, self.hosts_alive.get())
+    }
+
     /// Returns the endpoint that listens at an address.
     #[must_use]
     pub fn endpoint_at(&self, address: SocketAddrV4) -> Option<EndpointId> {
--- a/crates/cassiafield-gateway/src/process/host_profile.rs
+++ b/crates/cassiafield-gateway/src/process/host_profile.rs
@@ -20,12 +20,6 @@
     pub metrics_address: SocketAddrV4,
     /// The platform's store.
     pub store_address: SocketAddrV4,
-    /// Writes a second that the store takes from all hosts.
-    pub store_writes: f64,
-    /// Reads a second that the store takes from all hosts.
-    pub store_reads: f64,
-    /// Interval at which endpoints renew their entries.
-    pub heartbeat: Duration,
     /// Time after which a key that was taken away must not be served any more.
     pub revocation_limit: Duration,
     /// Time from the signal to stop until the process is killed.
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -25,6 +25,8 @@
     endpoints_contact: StoreContact,
     /// Entries that name no endpoint, by key and revision, as far as they were logged.
     rejected: HashSet<(String, u64)>,
+    /// When the store last failed to answer this host.
+    failed: Option<Moment>,
 }
 
 /// Which parts a host should read from the store itself.
@@ -42,6 +44,9 @@
     const ASK_PAUSE: Duration = Duration::from_millis(400);
     /// Pause after a failed read.
     const FAULT_PAUSE: Duration = Duration::from_millis(200);
+    /// Pause between two reads of a store that does not answer, on hosts that have a speaker: every
+    /// call counts, and the speaker notices first that the store is back.
+    const OUTAGE_PAUSE: Duration = Duration::from_millis(1_600);
     /// Age beyond which a host does not rely on its speaker's knowledge.
     const MAX_PEER_AGE: Duration = Duration::from_millis(1_300);
 
@@ -57,6 +62,7 @@
             configuration_contact: StoreContact::default(),
             endpoints_contact: StoreContact::default(),
             rejected: HashSet::new(),
+            failed: None,
         }
     }
 
@@ -69,21 +75,28 @@
             if !is_speaker {
                 need = self.ask(&speaker).await;
             }
-            let is_done = self.read(need).await;
+            let is_done = self.may_read(is_speaker) && self.read(need).await;
             if !is_done {
                 if let Some(peer) = self.state.any_peer() {
                     self.ask(&peer).await;
                 }
             }
-            sleep(match (is_done, is_speaker) {
-                (false, _) => Self::FAULT_PAUSE,
+            let pause = match (is_done, is_speaker) {
                 (true, true) => Self::READ_PAUSE,
-                (true, false) => Self::ASK_PAUSE,
-            })
-            .await;
+                (_, false) => Self::ASK_PAUSE,
+                (false, true) => Self::FAULT_PAUSE,
+            };
+            sleep(pause).await;
         }
     }
 
+    /// Says whether this host should call the store now.
+    fn may_read(&self, is_speaker: bool) -> bool {
+        let now = self.state.now();
+        let is_resting = self.failed.is_some_and(|at| now.since(at) < Self::OUTAGE_PAUSE);
+        is_speaker || !is_resting
+    }
+
     /// Asks a peer and takes what it knows; returns what is still to be read.
     async fn ask(&self, peer: &HostId) -> ReadNeed {
         let mut need = ReadNeed { configuration: true, endpoints: true };
@@ -147,6 +160,7 @@
                 }
             }
         }
+        self.failed = if is_done { None } else { Some(self.state.now()) };
         is_done
     }
 
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -211,7 +211,8 @@
             Ok(Err(_)) | Err(_) => return self.failed(entry, &ChannelFault::Silent),
         };
         if may_keep && channel.channel.settle(Self::SETTLE_LIMIT).await {
-            channel.close(&self.state.pool, self.state.now());
+            let most = self.state.idle_share(&self.service);
+            channel.close(&self.state.pool, most, self.state.now());
         }
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected || parts.headers.contains_key(&names.not_run) {
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -155,12 +155,12 @@
             .join(",")
     }
 
-    async fn close(mut self, state: &GatewayState) {
+    async fn close(mut self, state: &GatewayState, most: usize) {
         /// Time for a channel to notice that its answer has been read to the end.
         const SETTLE_LIMIT: Duration = Duration::from_millis(2);
         self.booked.close();
         if self.may_keep && self.channel.channel.settle(SETTLE_LIMIT).await {
-            self.channel.close(&state.pool, state.now());
+            self.channel.close(&state.pool, most, state.now());
         }
     }
 }
@@ -199,7 +199,8 @@
         }
         let Self { call, attempt, .. } = self;
         if let Some(attempt) = attempt.filter(|_| call.running().is_complete()) {
-            attempt.close(&call.state).await;
+            let most = call.state.idle_share(&call.service);
+            attempt.close(&call.state, most).await;
         }
     }
 
