--- a/crates/cassiafield-core/src/process/knowledge_age.rs
+++ b/crates/cassiafield-core/src/process/data_age.rs
@@ -5,19 +5,19 @@
 /// The clock must count the time that the host is suspended.
 ///
 /// ```
-/// use {cassiafield_core::{ids::Moment, process::KnowledgeAge}, std::time::Duration};
-/// let mut age = KnowledgeAge::default();
+/// use {cassiafield_core::{ids::Moment, process::DataAge}, std::time::Duration};
+/// let mut age = DataAge::default();
 /// assert!(!age.is_within(Duration::from_secs(3), Moment::ORIGIN));
 /// age.renew(Moment::ORIGIN);
 /// assert!(age.is_within(Duration::from_secs(3), Moment::from_millis(2_900)));
 /// assert!(!age.is_within(Duration::from_secs(3), Moment::from_millis(3_100)));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub struct KnowledgeAge {
+pub struct DataAge {
     asked: Option<Moment>,
 }
 
-impl KnowledgeAge {
+impl DataAge {
     /// Records an answer that was current at some time after `asked`.
     pub fn renew(&mut self, asked: Moment) {
         self.asked = self.asked.max(Some(asked));
--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
-        process::{EndpointEntry, EndpointLifetime},
+        process::{EndpointEntry, EndpointIncarnation},
         request::LayerSpan,
     },
     std::{
@@ -13,9 +13,9 @@
 
 /// A change of what a host believes of an endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum DirectoryNews {
+pub enum DirectoryChange {
     /// The endpoint is new, or has started again.
-    Started(EndpointId, EndpointLifetime),
+    Started(EndpointId, EndpointIncarnation),
     /// The endpoint takes no new work.
     Leaving(EndpointId),
     /// The endpoint is no longer listed.
@@ -24,18 +24,18 @@
     Layers(EndpointId, Option<LayerSpan>),
 }
 
-impl fmt::Display for DirectoryNews {
+impl fmt::Display for DirectoryChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            DirectoryNews::Started(endpoint, lifetime) => {
-                write!(f, "endpoint {endpoint} started, lifetime {}", lifetime.0)
+            DirectoryChange::Started(endpoint, incarnation) => {
+                write!(f, "endpoint {endpoint} started, incarnation {}", incarnation.0)
             }
-            DirectoryNews::Leaving(endpoint) => write!(f, "endpoint {endpoint} is leaving"),
-            DirectoryNews::Gone(endpoint) => write!(f, "endpoint {endpoint} is gone"),
-            DirectoryNews::Layers(endpoint, Some(span)) => {
+            DirectoryChange::Leaving(endpoint) => write!(f, "endpoint {endpoint} is leaving"),
+            DirectoryChange::Gone(endpoint) => write!(f, "endpoint {endpoint} is gone"),
+            DirectoryChange::Layers(endpoint, Some(span)) => {
                 write!(f, "endpoint {endpoint} holds layers {span}")
             }
-            DirectoryNews::Layers(endpoint, None) => write!(f, "endpoint {endpoint} is empty"),
+            DirectoryChange::Layers(endpoint, None) => write!(f, "endpoint {endpoint} is empty"),
         }
     }
 }
@@ -86,52 +86,57 @@
     const LATENCY_WEIGHT: f64 = 0.2;
 
     /// Takes a whole list that was asked for at `asked`.
-    pub fn take_list(&mut self, list: Vec<EndpointEntry>, asked: Moment) -> Vec<DirectoryNews> {
+    pub fn take_list(&mut self, list: Vec<EndpointEntry>, asked: Moment) -> Vec<DirectoryChange> {
         let since = *self.listed_since.get_or_insert(asked);
-        let mut news = Vec::new();
+        let mut changes = Vec::new();
         let listed: BTreeSet<EndpointId> =
             list.iter().map(|entry| entry.endpoint.clone()).collect();
         for entry in list {
-            self.take_entry(entry, asked, &mut news);
+            self.take_entry(entry, asked, &mut changes);
         }
         if asked.since(since) >= Self::LAPSE_GRACE {
             self.known.retain(|endpoint, _| {
                 let is_listed = listed.contains(endpoint);
                 if !is_listed {
-                    news.push(DirectoryNews::Gone(endpoint.clone()));
+                    changes.push(DirectoryChange::Gone(endpoint.clone()));
                 }
                 is_listed
             });
         }
-        news
+        changes
     }
 
-    fn take_entry(&mut self, entry: EndpointEntry, now: Moment, news: &mut Vec<DirectoryNews>) {
+    fn take_entry(
+        &mut self,
+        entry: EndpointEntry,
+        now: Moment,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
         let endpoint = entry.endpoint.clone();
         let Some(known) = self.known.get_mut(&endpoint) else {
-            news.push(DirectoryNews::Started(endpoint.clone(), entry.lifetime));
+            changes.push(DirectoryChange::Started(endpoint.clone(), entry.incarnation));
             if entry.is_leaving {
-                news.push(DirectoryNews::Leaving(endpoint.clone()));
+                changes.push(DirectoryChange::Leaving(endpoint.clone()));
             }
             if entry.span.is_some() {
-                news.push(DirectoryNews::Layers(endpoint.clone(), entry.span));
+                changes.push(DirectoryChange::Layers(endpoint.clone(), entry.span));
             }
             self.known.insert(endpoint, KnownEndpoint::new(entry, now));
             return;
         };
-        if entry.lifetime < known.entry.lifetime {
+        if entry.incarnation < known.entry.incarnation {
             return;
         }
-        if entry.lifetime > known.entry.lifetime || entry.address != known.entry.address {
-            news.push(DirectoryNews::Started(endpoint, entry.lifetime));
+        if entry.incarnation > known.entry.incarnation || entry.address != known.entry.address {
+            changes.push(DirectoryChange::Started(endpoint, entry.incarnation));
             *known = KnownEndpoint::new(entry, now);
             return;
         }
         if entry.is_leaving && !known.entry.is_leaving {
-            news.push(DirectoryNews::Leaving(endpoint.clone()));
+            changes.push(DirectoryChange::Leaving(endpoint.clone()));
         }
         if entry.span != known.entry.span {
-            news.push(DirectoryNews::Layers(endpoint, entry.span));
+            changes.push(DirectoryChange::Layers(endpoint, entry.span));
         }
         let is_leaving = known.entry.is_leaving || entry.is_leaving;
         known.entry = EndpointEntry { is_leaving, ..entry };
@@ -202,10 +207,10 @@
             let slots = f64::from(known.entry.slots.max(1));
             let load = 1.0 + f64::from(known.in_flight) / slots;
             let is_near = &known.entry.zone == choice.zone;
-            let is_doubted = now < known.suspect_until || choice.runs_once && known.failures > 0;
+            let is_suspected = now < known.suspect_until || choice.runs_once && known.failures > 0;
             known.latency_ms * load
                 + if is_near { 0.0 } else { Self::ZONE_COST_MS }
-                + if is_doubted { Self::DOUBT_COST_MS } else { 0.0 }
+                + if is_suspected { Self::DOUBT_COST_MS } else { 0.0 }
         };
         let best = allowed.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.map(|known| &known.entry)
--- a/crates/cassiafield-core/src/process/endpoint_entry.rs
+++ b/crates/cassiafield-core/src/process/endpoint_entry.rs
@@ -10,7 +10,7 @@
 /// One start of an endpoint; a higher one of the same endpoint is later.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct EndpointLifetime(pub u64);
+pub struct EndpointIncarnation(pub u64);
 
 /// What an endpoint says of itself in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,7 +19,7 @@
     /// The endpoint.
     pub endpoint: EndpointId,
     /// Which of its starts said so.
-    pub lifetime: EndpointLifetime,
+    pub incarnation: EndpointIncarnation,
     /// The service that it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -34,7 +34,7 @@
     pub accelerator: Option<AcceleratorKind>,
     /// The layers that it holds, if any.
     pub span: Option<LayerSpan>,
-    /// Number of orders that it has accepted in this lifetime.
+    /// Number of orders that it has accepted in this incarnation.
     pub orders: u64,
     /// Version of its software.
     pub software: CompactString,
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -35,7 +35,7 @@
 
 /// What one stream has booked at the endpoints of its route.
 #[derive(Debug)]
-pub struct LoadTicket {
+pub struct LoadReservation {
     /// Endpoints with tokens times layers, in the order of the route.
     parts: Vec<(EndpointId, f64)>,
 }
@@ -69,7 +69,7 @@
 
     /// Books a stream of `tokens` on a route.
     #[must_use]
-    pub fn book(&mut self, route: &StageRoute, tokens: u32) -> LoadTicket {
+    pub fn book(&mut self, route: &StageRoute, tokens: u32) -> LoadReservation {
         let mut parts = Vec::with_capacity(route.stages().len());
         for (index, stage) in route.stages().iter().enumerate() {
             let amount = f64::from(tokens) * f64::from(stage.span.layers());
@@ -79,11 +79,11 @@
             used.token_layers += amount;
             parts.push((stage.endpoint.clone(), amount));
         }
-        LoadTicket { parts }
+        LoadReservation { parts }
     }
 
     /// Gives back what a stream has booked.
-    pub fn release(&mut self, ticket: LoadTicket) {
+    pub fn release(&mut self, ticket: LoadReservation) {
         for (index, (endpoint, amount)) in ticket.parts.into_iter().enumerate() {
             if let Some(used) = self.own.get_mut(&endpoint) {
                 used.streams = used.streams.saturating_sub(1);
@@ -148,8 +148,8 @@
 
     /// Returns the peers heard of a short time ago.
     pub fn peers(&self, now: Moment) -> impl Iterator<Item = &HostId> {
-        let recent = move |news: &HeardUse| now.since(news.heard) < Self::REMOTE_RETENTION;
-        self.peers.iter().filter(move |(_, news)| recent(news)).map(|(host, _)| host)
+        let recent = move |heard: &HeardUse| now.since(heard.heard) < Self::REMOTE_RETENTION;
+        self.peers.iter().filter(move |(_, heard)| recent(heard)).map(|(host, _)| host)
     }
 
     /// Returns what this host and its peers in the availability zone have booked together.
@@ -157,7 +157,7 @@
     pub fn zone_total(&self, now: Moment) -> BTreeMap<EndpointId, EngineUse> {
         let mut total = self.own.clone();
         let recent = self.peers.values().filter(|n| now.since(n.heard) < Self::REMOTE_RETENTION);
-        for (endpoint, used) in recent.flat_map(|news| &news.used) {
+        for (endpoint, used) in recent.flat_map(|heard| &heard.used) {
             total.entry(endpoint.clone()).or_default().add(*used);
         }
         total
@@ -167,9 +167,9 @@
     #[must_use]
     pub fn total(&self, endpoint: &EndpointId, now: Moment) -> EngineUse {
         let mut total = self.own.get(endpoint).copied().unwrap_or_default();
-        for news in self.peers.values().chain(self.zones.values()) {
-            if now.since(news.heard) < Self::REMOTE_RETENTION {
-                total.add(news.used.get(endpoint).copied().unwrap_or_default());
+        for heard in self.peers.values().chain(self.zones.values()) {
+            if now.since(heard.heard) < Self::REMOTE_RETENTION {
+                total.add(heard.used.get(endpoint).copied().unwrap_or_default());
             }
         }
         total
--- a/crates/cassiafield-core/src/process/layer_placement.rs
+++ b/crates/cassiafield-core/src/process/layer_placement.rs
@@ -9,7 +9,7 @@
 
 /// An endpoint that layers may be placed on.
 #[derive(Clone, Debug, PartialEq)]
-pub struct PlacementCard {
+pub struct PlacementCandidate {
     /// The endpoint.
     pub endpoint: EndpointId,
     /// Its availability zone.
@@ -47,7 +47,7 @@
 
 /// The endpoints of one zone while their layers are decided.
 struct ZonePlan<'a> {
-    cards: Vec<&'a PlacementCard>,
+    candidates: Vec<&'a PlacementCandidate>,
     spans: Vec<Option<LayerSpan>>,
     value: ZoneValue,
 }
@@ -68,42 +68,43 @@
 
     /// Returns what endpoints are to hold that hold something else.
     #[must_use]
-    pub fn assign(&self, cards: &[PlacementCard]) -> Vec<LayerAssignment> {
-        let mut zones: BTreeMap<&ZoneId, Vec<&PlacementCard>> = BTreeMap::new();
-        for card in cards {
-            zones.entry(&card.zone).or_default().push(card);
+    pub fn assign(&self, candidates: &[PlacementCandidate]) -> Vec<LayerAssignment> {
+        let mut zones: BTreeMap<&ZoneId, Vec<&PlacementCandidate>> = BTreeMap::new();
+        for candidate in candidates {
+            zones.entry(&candidate.zone).or_default().push(candidate);
         }
-        zones.into_values().flat_map(|cards| self.assign_zone(cards)).collect()
+        zones.into_values().flat_map(|candidates| self.assign_zone(candidates)).collect()
     }
 
-    fn assign_zone(&self, mut cards: Vec<&PlacementCard>) -> Vec<LayerAssignment> {
-        cards.sort_by(|a, b| {
+    fn assign_zone(&self, mut candidates: Vec<&PlacementCandidate>) -> Vec<LayerAssignment> {
+        candidates.sort_by(|a, b| {
             let pace = a.profile.step_factor.total_cmp(&b.profile.step_factor);
             pace.then_with(|| a.endpoint.cmp(&b.endpoint))
         });
-        let spans: Vec<_> = cards.iter().map(|card| card.held).collect();
-        let value = ZoneValue::new(self.engine, cards.iter().map(|card| &card.profile));
-        let mut plan = ZonePlan { cards, spans, value };
+        let spans: Vec<_> = candidates.iter().map(|candidate| candidate.held).collect();
+        let value =
+            ZoneValue::new(self.engine, candidates.iter().map(|candidate| &candidate.profile));
+        let mut plan = ZonePlan { candidates, spans, value };
         if plan.spans.iter().all(Option::is_none) {
             self.place_copies(&mut plan);
         } else {
-            for (card, span) in plan.cards.iter().zip(&plan.spans) {
+            for (candidate, span) in plan.candidates.iter().zip(&plan.spans) {
                 if let Some(span) = span {
-                    plan.value.add(self.engine, &card.profile, *span);
+                    plan.value.add(self.engine, &candidate.profile, *span);
                 }
             }
         }
-        for index in 0..plan.cards.len() {
-            if plan.spans[index].is_none() && !plan.cards[index].is_waiting {
+        for index in 0..plan.candidates.len() {
+            if plan.spans[index].is_none() && !plan.candidates[index].is_waiting {
                 self.place_single(&mut plan, index);
             }
         }
         self.move_one(&mut plan);
-        let placed = plan.cards.iter().zip(&plan.spans);
-        let changed = placed.filter(|(card, span)| span.is_some() && card.held != **span);
+        let placed = plan.candidates.iter().zip(&plan.spans);
+        let changed = placed.filter(|(candidate, span)| span.is_some() && candidate.held != **span);
         changed
-            .filter_map(|(card, span)| {
-                let endpoint = card.endpoint.clone();
+            .filter_map(|(candidate, span)| {
+                let endpoint = candidate.endpoint.clone();
                 span.map(|span| LayerAssignment { endpoint, span })
             })
             .collect()
@@ -112,8 +113,8 @@
     /// Builds whole copies from the front of the endpoints for as long as there are enough.
     fn place_copies(&self, plan: &mut ZonePlan<'_>) {
         let mut start = 0;
-        while let Some(taken) = self.copy_size(&plan.cards[start..]) {
-            let spans = self.copy_spans(&plan.cards[start..start + taken]);
+        while let Some(taken) = self.copy_size(&plan.candidates[start..]) {
+            let spans = self.copy_spans(&plan.candidates[start..start + taken]);
             for (offset, span) in spans.into_iter().enumerate() {
                 self.set_span(plan, start + offset, Some(span));
             }
@@ -123,21 +124,21 @@
 
     /// Places one endpoint where it helps most.
     fn place_single(&self, plan: &mut ZonePlan<'_>, index: usize) {
-        let best = self.best_span(&plan.value, &plan.cards[index].profile);
+        let best = self.best_span(&plan.value, &plan.candidates[index].profile);
         self.set_span(plan, index, best.map(|(span, _)| span));
     }
 
     /// Moves the one endpoint whose move pays most, unless another one still loads: while it
     /// loads, an endpoint serves only the layers that it keeps.
     fn move_one(&self, plan: &mut ZonePlan<'_>) {
-        if plan.cards.iter().any(|card| card.is_loading) {
+        if plan.candidates.iter().any(|candidate| candidate.is_loading) {
             return;
         }
         let before = plan.value.cost();
         let mut best: Option<(f64, usize, LayerSpan)> = None;
-        for index in 0..plan.cards.len() {
-            let Some(held) = plan.cards[index].held else { continue };
-            let profile = &plan.cards[index].profile;
+        for index in 0..plan.candidates.len() {
+            let Some(held) = plan.candidates[index].held else { continue };
+            let profile = &plan.candidates[index].profile;
             let mut without = plan.value.clone();
             without.remove(self.engine, profile, held);
             let Some((span, after)) = self.best_span(&without, profile) else { continue };
@@ -160,7 +161,7 @@
     }
 
     fn set_span(&self, plan: &mut ZonePlan<'_>, index: usize, span: Option<LayerSpan>) {
-        let profile = &plan.cards[index].profile;
+        let profile = &plan.candidates[index].profile;
         if let Some(held) = plan.spans[index] {
             plan.value.remove(self.engine, profile, held);
         }
@@ -187,43 +188,44 @@
     ///
     /// All endpoints of the slowest kind needed are used when a roomy copy needs some of them
     /// and a tight one would do without.
-    fn copy_size(&self, cards: &[&PlacementCard]) -> Option<usize> {
+    fn copy_size(&self, candidates: &[&PlacementCandidate]) -> Option<usize> {
         let within = |part: f64| {
             let mut layers = 0;
-            cards.iter().position(|card| {
-                layers += self.engine.layers_within(&card.profile, part);
+            candidates.iter().position(|candidate| {
+                layers += self.engine.layers_within(&candidate.profile, part);
                 layers >= self.engine.layers
             })
         };
         let tight = within(Self::TIGHT_PART)? + 1;
         let Some(roomy) = within(Self::ROOMY_PART).map(|index| index + 1) else {
-            return Some(self.same_kind_end(cards, tight));
+            return Some(self.same_kind_end(candidates, tight));
         };
-        let slowest = cards[tight - 1].profile.step_factor;
-        if cards[roomy - 1].profile.step_factor > slowest {
-            return Some(self.same_kind_end(cards, tight));
+        let slowest = candidates[tight - 1].profile.step_factor;
+        if candidates[roomy - 1].profile.step_factor > slowest {
+            return Some(self.same_kind_end(candidates, tight));
         }
         Some(roomy)
     }
 
-    /// Returns the end of the run of cards that are as fast as the one before `end`.
-    fn same_kind_end(&self, cards: &[&PlacementCard], end: usize) -> usize {
-        let pace = cards[end - 1].profile.step_factor;
-        let more = cards[end..].iter().take_while(|card| card.profile.step_factor <= pace);
+    /// Returns the end of the run of candidates that are as fast as the one before `end`.
+    fn same_kind_end(&self, candidates: &[&PlacementCandidate], end: usize) -> usize {
+        let pace = candidates[end - 1].profile.step_factor;
+        let more =
+            candidates[end..].iter().take_while(|candidate| candidate.profile.step_factor <= pace);
         end + more.count()
     }
 
     /// Splits all layers over the endpoints of a copy by their memory.
-    fn copy_spans(&self, cards: &[&PlacementCard]) -> Vec<LayerSpan> {
-        let most: Vec<u16> = cards
+    fn copy_spans(&self, candidates: &[&PlacementCandidate]) -> Vec<LayerSpan> {
+        let most: Vec<u16> = candidates
             .iter()
-            .map(|card| self.engine.layers_within(&card.profile, Self::TIGHT_PART))
+            .map(|candidate| self.engine.layers_within(&candidate.profile, Self::TIGHT_PART))
             .collect();
-        let mut counts = vec![0_u16; cards.len()];
+        let mut counts = vec![0_u16; candidates.len()];
         for _ in 0..self.engine.layers {
-            let open = (0..cards.len()).filter(|&index| counts[index] < most[index]);
+            let open = (0..candidates.len()).filter(|&index| counts[index] < most[index]);
             let next = open.max_by(|&a, &b| {
-                let room = |i: usize| cards[i].profile.memory_mb / f64::from(counts[i] + 1);
+                let room = |i: usize| candidates[i].profile.memory_mb / f64::from(counts[i] + 1);
                 room(a).total_cmp(&room(b))
             });
             if let Some(index) = next {
@@ -231,7 +233,7 @@
             }
         }
         let mut start = 0;
-        let mut spans = Vec::with_capacity(cards.len());
+        let mut spans = Vec::with_capacity(candidates.len());
         for count in counts {
             spans.extend(LayerSpan::try_from((start, start + count)));
             start += count;
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowance_book;
 mod allowance_share;
+mod data_age;
 mod demand_meter;
 mod endpoint_directory;
 mod endpoint_entry;
@@ -13,15 +14,14 @@
 mod engine_profile;
 mod fair_queue;
 mod floor_hold;
-mod knowledge_age;
 mod layer_placement;
 mod listed_entries;
 mod loan_message;
 mod ordinal_holder;
 mod path_planner;
 mod rate_bucket;
-mod retry_allotment;
 mod retry_budget;
+mod retry_quota;
 mod route_planner;
 mod slot_share;
 mod usage_record;
@@ -30,25 +30,25 @@
 pub use self::{
     allowance_book::{AllowanceBook, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
-    endpoint_directory::{DirectoryNews, EndpointDirectory, ServiceChoice},
-    endpoint_entry::{EndpointEntry, EndpointLifetime},
+    data_age::DataAge,
+    endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
+    endpoint_entry::{EndpointEntry, EndpointIncarnation},
     endpoint_health::EndpointHealth,
     endpoint_pace::EndpointPace,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
-    engine_load::{EngineLoad, EngineReading, EngineUse, LoadTicket},
+    engine_load::{EngineLoad, EngineReading, EngineUse, LoadReservation},
     engine_profile::{AcceleratorProfile, EngineProfile},
     fair_queue::FairQueue,
     floor_hold::FloorHold,
-    knowledge_age::KnowledgeAge,
-    layer_placement::{LayerAssignment, LayerPlacement, PlacementCard},
+    layer_placement::{LayerAssignment, LayerPlacement, PlacementCandidate},
     listed_entries::{ListChanges, ListedEntries, ListedEntry},
     loan_message::{LoanAnswer, LoanAsk, LoanGrant, LoanRef, LoanReturn, LoanWant},
     ordinal_holder::{OrdinalHolder, RenewalResult},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
-    retry_allotment::RetryAllotment,
     retry_budget::RetryBudget,
+    retry_quota::RetryQuota,
     route_planner::{PlanError, RoutePlanner, RouteRequest, RouteRoom},
     slot_share::{LocalLimit, SlotDemand, SlotShare},
     usage_record::{RequestClass, UsageCount, UsageEnd, UsageRecord, LATENCY_BOUNDS_MS},
--- a/crates/cassiafield-core/src/process/retry_allotment.rs
+++ b/crates/cassiafield-core/src/process/retry_quota.rs
@@ -3,27 +3,27 @@
     std::{collections::VecDeque, time::Duration},
 };
 
-/// A host's part of the repeats that all hosts together may send to a service in a window.
+/// A host's part of the retries that all hosts together may send to a service in a window.
 ///
 /// The fleet's bound in any window is `ratio` of the requests plus `slack`. A host spends `ratio`
 /// of its own requests and an equal part of the slack, less a margin.
 #[derive(Clone, Debug)]
-pub struct RetryAllotment {
+pub struct RetryQuota {
     ratio: f64,
     slack: f64,
     window: Duration,
     requests: VecDeque<Moment>,
-    repeats: VecDeque<Moment>,
+    retries: VecDeque<Moment>,
 }
 
-impl RetryAllotment {
+impl RetryQuota {
     /// Part of the bound that is used; the rest covers windows that are counted differently.
     const SAFETY: f64 = 0.7;
 
     /// Creates the part of one host.
     #[must_use]
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
-        Self { ratio, slack, window, requests: VecDeque::new(), repeats: VecDeque::new() }
+        Self { ratio, slack, window, requests: VecDeque::new(), retries: VecDeque::new() }
     }
 
     /// Records a request's first attempt.
@@ -32,20 +32,20 @@
         self.requests.push_back(now);
     }
 
-    /// Takes the right to send one repeat, if there is one, with the slack split over `hosts`.
+    /// Takes the right to send one retry, if there is one, with the slack split over `hosts`.
     pub fn take(&mut self, hosts: usize, now: Moment) -> bool {
         self.trim(now);
         let own = self.ratio * self.requests.len() as f64;
         let bound = (own + self.slack / hosts.max(1) as f64) * Self::SAFETY;
-        let is_granted = (self.repeats.len() as f64) + 1.0 <= bound;
+        let is_granted = (self.retries.len() as f64) + 1.0 <= bound;
         if is_granted {
-            self.repeats.push_back(now);
+            self.retries.push_back(now);
         }
         is_granted
     }
 
     fn trim(&mut self, now: Moment) {
-        for queue in [&mut self.requests, &mut self.repeats] {
+        for queue in [&mut self.requests, &mut self.retries] {
             while queue.front().is_some_and(|&at| now.since(at) >= self.window) {
                 queue.pop_front();
             }
--- a/crates/cassiafield-core/tests/endpoint_directory.rs
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -5,7 +5,7 @@
 use {
     cassiafield_core::{
         ids::Moment,
-        process::{DirectoryNews, EndpointDirectory, EndpointLifetime, ServiceChoice},
+        process::{DirectoryChange, EndpointDirectory, EndpointIncarnation, ServiceChoice},
     },
     engine_support::{endpoint, entry, service, span, zone},
     std::time::Duration,
@@ -23,8 +23,8 @@
 fn an_entry_that_goes_missing_while_the_list_is_read_is_gone() {
     let mut directory = EndpointDirectory::default();
     directory.take_list(vec![entry("e1", "fast", "a", None)], at(0));
-    let news = directory.take_list(Vec::new(), at(5_000));
-    assert_eq!(news, [DirectoryNews::Gone(endpoint("e1"))]);
+    let changes = directory.take_list(Vec::new(), at(5_000));
+    assert_eq!(changes, [DirectoryChange::Gone(endpoint("e1"))]);
     assert!(!is_live(&directory, "e1"));
 }
 
@@ -48,11 +48,11 @@
     directory.take_list(vec![leaving], at(0));
     assert!(!is_live(&directory, "e1"));
     directory.take_list(vec![entry("e1", "fast", "a", Some(span(0, 8)))], at(1_000));
-    assert!(!is_live(&directory, "e1"), "the same lifetime is not live again");
+    assert!(!is_live(&directory, "e1"), "the same incarnation is not live again");
     let mut again = entry("e1", "fast", "a", None);
-    again.lifetime = EndpointLifetime(2);
-    let news = directory.take_list(vec![again], at(2_000));
-    assert_eq!(news, [DirectoryNews::Started(endpoint("e1"), EndpointLifetime(2))]);
+    again.incarnation = EndpointIncarnation(2);
+    let changes = directory.take_list(vec![again], at(2_000));
+    assert_eq!(changes, [DirectoryChange::Started(endpoint("e1"), EndpointIncarnation(2))]);
     assert!(is_live(&directory, "e1"));
 }
 
@@ -60,10 +60,10 @@
 fn a_late_entry_of_an_earlier_start_changes_nothing() {
     let mut directory = EndpointDirectory::default();
     let mut second = entry("e1", "fast", "a", None);
-    second.lifetime = EndpointLifetime(2);
+    second.incarnation = EndpointIncarnation(2);
     directory.take_list(vec![second], at(0));
-    let news = directory.take_list(vec![entry("e1", "fast", "a", Some(span(0, 8)))], at(1_000));
-    assert!(news.is_empty());
+    let changes = directory.take_list(vec![entry("e1", "fast", "a", Some(span(0, 8)))], at(1_000));
+    assert!(changes.is_empty());
     assert_eq!(directory.entry(&endpoint("e1")).and_then(|entry| entry.span), None);
 }
 
--- a/crates/cassiafield-core/tests/engine_support/mod.rs
+++ b/crates/cassiafield-core/tests/engine_support/mod.rs
@@ -6,8 +6,8 @@
     cassiafield_core::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
         process::{
-            AcceleratorProfile, EndpointDirectory, EndpointEntry, EndpointLifetime, EngineProfile,
-            PlacementCard,
+            AcceleratorProfile, EndpointDirectory, EndpointEntry, EndpointIncarnation,
+            EngineProfile, PlacementCandidate,
         },
         request::LayerSpan,
     },
@@ -73,8 +73,8 @@
 }
 
 /// An endpoint of `kind` in zone `a` that holds `held`.
-pub(crate) fn card(name: &str, kind: &str, held: Option<LayerSpan>) -> PlacementCard {
-    PlacementCard {
+pub(crate) fn candidate(name: &str, kind: &str, held: Option<LayerSpan>) -> PlacementCandidate {
+    PlacementCandidate {
         endpoint: endpoint(name),
         zone: zone("a"),
         profile: profile(kind),
@@ -94,7 +94,7 @@
     let number = name.bytes().fold(0_u16, |sum, byte| sum.wrapping_mul(31) + u16::from(byte));
     EndpointEntry {
         endpoint: endpoint(name),
-        lifetime: EndpointLifetime(1),
+        incarnation: EndpointIncarnation(1),
         service: service(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number.max(1)),
         zone: zone(zone_name),
--- a/crates/cassiafield-core/tests/repeat_budget.rs
+++ b/crates/cassiafield-core/tests/retry_quota.rs
@@ -1,7 +1,7 @@
-//! Repeats when every request fails at once, on all hosts, while callers repeat on their own.
+//! Retries when every request fails at once, on all hosts, while callers retry on their own.
 
 use {
-    cassiafield_core::{ids::Moment, process::RetryAllotment},
+    cassiafield_core::{ids::Moment, process::RetryQuota},
     std::time::Duration,
 };
 
@@ -9,12 +9,11 @@
 const SLACK: f64 = 200.0;
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// Returns the most repeats that all hosts send in any window while each request fails, and the
+/// Returns the most retries that all hosts send in any window while each request fails, and the
 /// bound of that window.
 fn worst_excess(hosts: usize, per_second: u64, seconds: u64) -> f64 {
-    let mut allotments: Vec<_> =
-        (0..hosts).map(|_| RetryAllotment::new(RATIO, SLACK, WINDOW)).collect();
-    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    let mut quotas: Vec<_> = (0..hosts).map(|_| RetryQuota::new(RATIO, SLACK, WINDOW)).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for millis in 0..seconds * 1_000 {
         let now = Moment::from_millis(millis);
         if millis * per_second % 1_000 >= per_second {
@@ -22,10 +21,10 @@
         }
         let host = requests.len() % hosts;
         requests.push(now);
-        allotments[host].request(now);
+        quotas[host].request(now);
         for _ in 0..3 {
-            if allotments[host].take(hosts, now) {
-                repeats.push(now);
+            if quotas[host].take(hosts, now) {
+                retries.push(now);
             }
         }
     }
@@ -34,7 +33,7 @@
     };
     let excess = requests
         .iter()
-        .map(|&end| in_window(&repeats, end) - (RATIO * in_window(&requests, end) + SLACK));
+        .map(|&end| in_window(&retries, end) - (RATIO * in_window(&requests, end) + SLACK));
     excess.fold(f64::MIN, f64::max)
 }
 
@@ -48,7 +47,7 @@
 
 #[test]
 fn a_host_without_requests_still_has_its_part_of_the_slack() {
-    let mut allotment = RetryAllotment::new(RATIO, SLACK, WINDOW);
-    let taken = (0..1_000).filter(|_| allotment.take(10, Moment::ORIGIN)).count();
+    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW);
+    let taken = (0..1_000).filter(|_| quota.take(10, Moment::ORIGIN)).count();
     assert!((1..=20).contains(&taken), "{taken}");
 }
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -36,7 +36,7 @@
     fn head_limit(&self) -> usize;
 
     /// Says whether callers are better served by other hosts, so that idle connections are closed.
-    fn sends_callers_away(&self) -> bool;
+    fn redirects_callers(&self) -> bool;
 }
 
 /// Accepts connections of callers.
@@ -170,7 +170,7 @@
         seen = found;
         idle = if is_idle { idle + CallerListener::IDLE_CHECK } else { Duration::ZERO };
         let limit = service.idle_limit() + CallerListener::IDLE_MARGIN;
-        if idle >= limit || (is_idle && service.sends_callers_away()) {
+        if idle >= limit || (is_idle && service.redirects_callers()) {
             return;
         }
     }
--- a/crates/cassiafield-gateway/src/process/waiting_room.rs
+++ b/crates/cassiafield-gateway/src/process/admission_queue.rs
@@ -12,13 +12,13 @@
 ///
 /// No more may wait than are likely to get memory in time, by how many streams ended lately.
 #[derive(Debug, Default)]
-pub struct WaitingRoom {
+pub struct AdmissionQueue {
     notify: Notify,
     waiting: Cell<u32>,
     ended: RefCell<VecDeque<Moment>>,
 }
 
-impl WaitingRoom {
+impl AdmissionQueue {
     /// Time over which ended streams are counted.
     const WINDOW: Duration = Duration::from_secs(1);
     /// Longest time between two looks for memory that other hosts' streams have left.
--- a/crates/cassiafield-gateway/src/process/engine_watch.rs
+++ b/crates/cassiafield-gateway/src/process/engine_watch.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{ChannelFault, HttpChannel},
         process::{
-            suspect_probe::{ask_report, SuspectProbe},
+            health_probe::{ask_report, HealthProbe},
             GatewayState,
         },
     },
@@ -31,7 +31,7 @@
     pub async fn run(mut self) {
         loop {
             sleep(Self::ROUND_PAUSE).await;
-            if self.state.is_speaker() {
+            if self.state.is_zone_leader() {
                 self.read_all().await;
             } else {
                 self.channels.clear();
@@ -47,7 +47,7 @@
             self.state.metrics.probed();
             let asked = ask_report(&self.state, address, channel);
             let now = self.state.now();
-            match timeout(SuspectProbe::LIMIT, asked).await {
+            match timeout(HealthProbe::LIMIT, asked).await {
                 Ok(Ok(report)) => {
                     let mut load = self.state.load.borrow_mut();
                     load.note_reading(endpoint.clone(), report.reading, now);
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -28,7 +28,7 @@
     organisations: RefCell<HashSet<OrganisationId>>,
     gauges: [Gauge; 4],
     refused: IntCounterVec,
-    repeats: IntCounterVec,
+    retries: IntCounterVec,
     channels: IntCounter,
     probes: IntCounter,
 }
@@ -87,7 +87,7 @@
             organisations: RefCell::default(),
             gauges,
             refused: vector("cassiafield_refused_total", "Requests refused or failed", "cause"),
-            repeats: vector("cassiafield_repeats_total", "Repeats asked for", "granted"),
+            retries: vector("cassiafield_retries_total", "Retries asked for", "granted"),
             channels: counter("cassiafield_channels_total", "Connections opened to endpoints"),
             probes: counter("cassiafield_probes_total", "Endpoints asked whether they live"),
             registry,
@@ -130,9 +130,9 @@
         self.refused.with_label_values(&[cause.name()]).inc();
     }
 
-    /// Counts a repeat that was asked for.
-    pub fn repeat_asked(&self, is_granted: bool) {
-        self.repeats.with_label_values(&[if is_granted { "yes" } else { "no" }]).inc();
+    /// Counts a retry that was asked for.
+    pub fn retry_asked(&self, is_granted: bool) {
+        self.retries.with_label_values(&[if is_granted { "yes" } else { "no" }]).inc();
     }
 
     /// Counts a connection to an endpoint.
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{CallerListener, PlatformCodec},
         process::{
-            small_server::SmallServer, EngineWatch, GatewayState, HostProfile, LayerKeeper,
+            small_server::SmallServer, EngineWatch, GatewayState, HostProfile, LayerPlacer,
             PeerLink, StoreSync,
         },
         request::HostService,
@@ -109,7 +109,7 @@
             Err(error) => LogEvent::MetricsUnavailable.log(error),
         }
         spawn_local(StoreSync::new(Rc::clone(state)).run());
-        spawn_local(LayerKeeper::new(Rc::clone(state)).run());
+        spawn_local(LayerPlacer::new(Rc::clone(state)).run());
         spawn_local(EngineWatch::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).keep_listed());
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -2,15 +2,15 @@
     crate::{
         connection::{ChannelFault, ChannelPool, PlatformCodec},
         process::{
-            knowledge_desk::KnowledgeDesk, running_request::DispatchedRequest,
-            suspect_probe::SuspectProbe, BookedLoad, BootClock, GatewayMetrics, HostProfile,
-            HostReading, RunningRequest, WaitingRoom,
+            health_probe::HealthProbe, running_request::DispatchedRequest,
+            state_exchange::StateExchange, AdmissionQueue, BootClock, GatewayMetrics, HostProfile,
+            HostReading, ReservedLoad, RunningRequest,
         },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId},
-        process::{EndpointDirectory, EngineLoad, KnowledgeAge, ListedEntries, RetryAllotment},
+        process::{DataAge, EndpointDirectory, EngineLoad, ListedEntries, RetryQuota},
         request::StageRoute,
         version::{CallerLimits, RouteTable, ServiceRule},
     },
@@ -38,18 +38,18 @@
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Streams that wait for memory at model endpoints.
-    pub waiting: WaitingRoom,
+    pub waiting: AdmissionQueue,
     pub(super) running: Cell<u32>,
     pub(super) hosts_alive: Cell<usize>,
-    pub(super) desk: KnowledgeDesk,
+    pub(super) exchange: StateExchange,
     pub(super) listed: RefCell<ListedEntries>,
     configuration_revision: Cell<u64>,
-    pub(super) probe: SuspectProbe,
+    pub(super) probe: HealthProbe,
     clock: BootClock,
     table: RefCell<Option<Rc<RouteTable>>>,
-    configuration_age: Cell<KnowledgeAge>,
-    endpoints_age: Cell<KnowledgeAge>,
-    allotments: RefCell<HashMap<ServiceId, RetryAllotment>>,
+    configuration_age: Cell<DataAge>,
+    endpoints_age: Cell<DataAge>,
+    quotas: RefCell<HashMap<ServiceId, RetryQuota>>,
     stop_began: Cell<Option<Moment>>,
 }
 
@@ -75,18 +75,18 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             metrics: GatewayMetrics::new(),
-            waiting: WaitingRoom::default(),
+            waiting: AdmissionQueue::default(),
             running: Cell::new(0),
             hosts_alive: Cell::new(1),
-            desk: KnowledgeDesk::default(),
+            exchange: StateExchange::default(),
             listed: RefCell::default(),
             configuration_revision: Cell::new(0),
-            probe: SuspectProbe::default(),
+            probe: HealthProbe::default(),
             clock: BootClock,
             table: RefCell::default(),
             configuration_age: Cell::default(),
             endpoints_age: Cell::default(),
-            allotments: RefCell::default(),
+            quotas: RefCell::default(),
             stop_began: Cell::new(None),
         }
     }
@@ -177,7 +177,7 @@
     /// Says whether callers are better served by other hosts: this one stops, or has known nothing
     /// new for a while and may soon have to refuse keys.
     #[must_use]
-    pub fn sends_callers_away(&self) -> bool {
+    pub fn redirects_callers(&self) -> bool {
         let has_table = self.table.borrow().is_some();
         self.is_stopping() || has_table && !self.is_ready()
     }
@@ -221,32 +221,32 @@
 
     /// Books a stream of `tokens` on a route until the guard is dropped.
     #[must_use]
-    pub fn book(self: &Rc<Self>, route: &StageRoute, tokens: u32) -> BookedLoad {
+    pub fn book(self: &Rc<Self>, route: &StageRoute, tokens: u32) -> ReservedLoad {
         let ticket = self.load.borrow_mut().book(route, tokens);
-        BookedLoad::new(Rc::clone(self), ticket)
+        ReservedLoad::new(Rc::clone(self), ticket)
     }
 
     /// Records the first attempt of a request to a service.
     pub fn note_request(&self, service: &ServiceId) {
         let now = self.now();
-        self.allotment(service, |allotment| allotment.request(now));
+        self.quota(service, |quota| quota.request(now));
     }
 
     /// Takes the right to send one request to a service again.
-    pub fn take_repeat(&self, service: &ServiceId) -> bool {
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
         let (hosts, now) = (self.hosts_alive.get(), self.now());
-        let is_granted = self.allotment(service, |allotment| allotment.take(hosts, now));
-        self.metrics.repeat_asked(is_granted);
+        let is_granted = self.quota(service, |quota| quota.take(hosts, now));
+        self.metrics.retry_asked(is_granted);
         is_granted
     }
 
-    fn allotment<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryAllotment) -> T) -> T {
-        let mut allotments = self.allotments.borrow_mut();
+    fn quota<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryQuota) -> T) -> T {
+        let mut quotas = self.quotas.borrow_mut();
         let profile = &self.profile;
-        let allotment = allotments.entry(service.clone()).or_insert_with(|| {
-            RetryAllotment::new(profile.retry_ratio, profile.retry_slack, profile.retry_window)
+        let quota = quotas.entry(service.clone()).or_insert_with(|| {
+            RetryQuota::new(profile.retry_ratio, profile.retry_slack, profile.retry_window)
         });
-        act(allotment)
+        act(quota)
     }
 
     /// Records that a request at an endpoint failed without an answer.
@@ -297,19 +297,19 @@
         self.probe.silent(self, route).await
     }
 
-    /// Returns the host that speaks for the availability zone: the first by name of those that are
+    /// Returns the host that leads the availability zone: the first by name of those that are
     /// heard.
     #[must_use]
-    pub fn speaker(&self) -> HostId {
+    pub fn zone_leader(&self) -> HostId {
         let load = self.load.borrow();
         let first = load.peers(self.now()).min().filter(|peer| **peer < self.profile.host);
         first.unwrap_or(&self.profile.host).clone()
     }
 
-    /// Says whether this host speaks for its availability zone.
+    /// Says whether this host leads its availability zone.
     #[must_use]
-    pub fn is_speaker(&self) -> bool {
-        self.speaker() == self.profile.host
+    pub fn is_zone_leader(&self) -> bool {
+        self.zone_leader() == self.profile.host
     }
 
     /// Returns some other host of the availability zone that is heard.
@@ -336,7 +336,7 @@
     #[must_use]
     pub fn knowledge(&self) -> String {
         let now = self.now();
-        let age = |age: KnowledgeAge| {
+        let age = |age: DataAge| {
             age.at(now).map_or_else(|| "none".to_owned(), |age| format!("{}ms", age.as_millis()))
         };
         format!(
--- a/crates/cassiafield-gateway/src/process/suspect_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -16,7 +16,7 @@
 
 /// Asks model endpoints whether they live, at most once in a while each.
 #[derive(Debug, Default)]
-pub(crate) struct SuspectProbe {
+pub(crate) struct HealthProbe {
     asked: RefCell<HashMap<EndpointId, ProbeResult>>,
 }
 
@@ -26,7 +26,7 @@
     is_alive: bool,
 }
 
-impl SuspectProbe {
+impl HealthProbe {
     /// Time for which an answer counts.
     const RESULT_AGE: Duration = Duration::from_millis(800);
     /// Longest time for an answer; endpoints answer without queueing.
@@ -84,7 +84,7 @@
 ) -> anyhow::Result<EndpointReport> {
     let mut open = match channel.take() {
         Some(open) if open.is_ready() => open,
-        _ => HttpChannel::connect(address, SuspectProbe::LIMIT).await?,
+        _ => HttpChannel::connect(address, HealthProbe::LIMIT).await?,
     };
     let wire = state.codec.report_request();
     let request = Request::builder()
@@ -92,7 +92,7 @@
         .uri(wire.target)
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
-    let answer = open.send(request, SuspectProbe::LIMIT).await?;
+    let answer = open.send(request, HealthProbe::LIMIT).await?;
     let body = answer.into_body().collect().await?.to_bytes();
     let report = state.codec.report(&body)?;
     *channel = Some(open);
--- a/crates/cassiafield-gateway/src/process/host_profile.rs
+++ b/crates/cassiafield-gateway/src/process/host_profile.rs
@@ -24,11 +24,11 @@
     pub revocation_limit: Duration,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
-    /// Repeats allowed for each request, over all hosts.
+    /// Retries allowed for each request, over all hosts.
     pub retry_ratio: f64,
-    /// Further repeats allowed in a window, over all hosts.
+    /// Further retries allowed in a window, over all hosts.
     pub retry_slack: f64,
-    /// The window in which repeats are counted.
+    /// The window in which retries are counted.
     pub retry_window: Duration,
     /// Open descriptors that the process may have.
     pub max_descriptors: usize,
--- a/crates/cassiafield-gateway/src/process/layer_keeper.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -11,7 +11,7 @@
     cassiafield_core::{
         ids::{EndpointId, Moment},
         process::{
-            EndpointEntry, EndpointLifetime, LayerAssignment, LayerPlacement, PlacementCard,
+            EndpointEntry, EndpointIncarnation, LayerAssignment, LayerPlacement, PlacementCandidate,
         },
         request::LayerSpan,
         version::ServiceRule,
@@ -23,11 +23,11 @@
 };
 
 /// Tells empty model endpoints which layers to hold, on the one host that holds the lease.
-pub struct LayerKeeper {
+pub struct LayerPlacer {
     state: Rc<GatewayState>,
     client: StoreClient,
     lease: Option<HeldLease>,
-    orders: HashMap<(EndpointId, EndpointLifetime), PlacedOrder>,
+    orders: HashMap<(EndpointId, EndpointIncarnation), PlacedOrder>,
     /// When an order last failed to reach each endpoint.
     unreached: HashMap<EndpointId, Moment>,
 }
@@ -45,9 +45,9 @@
     at: Moment,
 }
 
-impl LayerKeeper {
+impl LayerPlacer {
     /// Key that the host with the lease holds.
-    const KEY: &'static str = "cassiafield/layer-keeper";
+    const KEY: &'static str = "cassiafield/layer-placer";
     /// Time to live of the lease.
     const LEASE_TTL: Duration = Duration::from_secs(4);
     /// Part of the lease's life for which its holder acts, so that it stops before another starts.
@@ -67,7 +67,7 @@
     /// Longest time for an order's answer.
     const ORDER_LIMIT: Duration = Duration::from_millis(600);
 
-    /// Creates the keeper of a host.
+    /// Creates the placer of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
         let client = StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
@@ -110,7 +110,7 @@
     async fn hand_back(&mut self) {
         if let Some(held) = self.lease.take() {
             let ended = self.client.call(&StoreCall::Revoke { lease: held.lease }).await;
-            LogEvent::KeeperLeaseLost.log(format_args!("handed back: {ended:?}"));
+            LogEvent::PlacerLeaseLost.log(format_args!("handed back: {ended:?}"));
         }
     }
 
@@ -140,7 +140,7 @@
     }
 
     fn lose(&mut self, why: &str) {
-        LogEvent::KeeperLeaseLost.log(why);
+        LogEvent::PlacerLeaseLost.log(why);
         self.lease = None;
     }
 
@@ -166,7 +166,7 @@
         if self.client.call(&put).await != Ok(StoreAnswer::Written) {
             return false;
         }
-        LogEvent::KeeperLeaseTaken.log(format_args!("lease {lease}"));
+        LogEvent::PlacerLeaseTaken.log(format_args!("lease {lease}"));
         self.lease = Some(HeldLease { lease, renewed: asked });
         true
     }
@@ -189,23 +189,23 @@
         let now = self.state.now();
         let directory = self.state.directory.borrow();
         let entries: Vec<&EndpointEntry> = directory.live_entries(&service.service).collect();
-        self.orders.retain(|(endpoint, lifetime), order| {
-            let entry = directory.entry(endpoint).filter(|entry| entry.lifetime == *lifetime);
+        self.orders.retain(|(endpoint, incarnation), order| {
+            let entry = directory.entry(endpoint).filter(|entry| entry.incarnation == *incarnation);
             let is_done = entry.is_none_or(|entry| entry.span == Some(order.span));
             !is_done && now.since(order.at) < Self::ORDER_AGE
         });
-        let mut cards = Vec::with_capacity(entries.len());
+        let mut candidates = Vec::with_capacity(entries.len());
         for entry in &entries {
             let profile = entry.accelerator.as_ref().and_then(|kind| engine.accelerator(kind));
             let Some(profile) = profile else { continue };
-            let ordered = self.orders.get(&(entry.endpoint.clone(), entry.lifetime));
+            let ordered = self.orders.get(&(entry.endpoint.clone(), entry.incarnation));
             let seen = directory.known_since(&entry.endpoint).unwrap_or(now);
             let may_wait = now.since(seen) < Self::SUCCESSOR_WAIT;
             let is_unreached = self
                 .unreached
                 .get(&entry.endpoint)
                 .is_some_and(|&at| now.since(at) < Self::UNREACHED_PAUSE);
-            cards.push(PlacementCard {
+            candidates.push(PlacementCandidate {
                 endpoint: entry.endpoint.clone(),
                 zone: entry.zone.clone(),
                 profile: profile.clone(),
@@ -215,13 +215,13 @@
                     || may_wait && entries.iter().any(|old| may_be_replaced_by(old, entry)),
             });
         }
-        LayerPlacement { engine }.assign(&cards)
+        LayerPlacement { engine }.assign(&candidates)
     }
 
     async fn order(&mut self, assignment: &LayerAssignment) {
         let entry = self.state.directory.borrow().entry(&assignment.endpoint).cloned();
         let Some(entry) = entry else { return };
-        let key = (entry.endpoint.clone(), entry.lifetime);
+        let key = (entry.endpoint.clone(), entry.incarnation);
         let at = self.state.now();
         self.orders.insert(key.clone(), PlacedOrder { span: assignment.span, at });
         let result = timeout(Self::ORDER_LIMIT, self.send_order(&entry, assignment.span)).await;
@@ -306,5 +306,5 @@
 /// of the same availability zone and kind, and has not started after it.
 fn may_be_replaced_by(old: &EndpointEntry, new: &EndpointEntry) -> bool {
     let is_alike = old.zone == new.zone && old.accelerator == new.accelerator;
-    is_alike && old.span.is_some() && new.span.is_none() && old.lifetime <= new.lifetime
+    is_alike && old.span.is_some() && new.span.is_none() && old.incarnation <= new.incarnation
 }
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{StoreAnswer, StoreCall, StoreClient},
         process::{
-            knowledge_desk::{KnowledgeAnswer, KnowledgeAsk, KnowledgeDesk},
+            state_exchange::{StateExchange, StateQuery, StateReply},
             GatewayState,
         },
     },
@@ -33,18 +33,18 @@
 /// What a host tells other hosts.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub(crate) enum PeerNews {
+pub(crate) enum PeerMessage {
     /// What the host has booked, to the hosts of its availability zone.
     Host { host: HostId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
     /// What all hosts of an availability zone have booked, to the hosts of other zones.
     Zone { zone: ZoneId, used: BTreeMap<EndpointId, EngineUse>, readings: Readings },
     /// A question for what the other host knows from the store.
-    Ask(KnowledgeAsk),
+    Query(StateQuery),
     /// The answer to a question.
-    Answer(KnowledgeAnswer),
+    Reply(StateReply),
 }
 
-/// What endpoints reported to the zone's speaker.
+/// What endpoints reported to the zone's leader.
 type Readings = BTreeMap<EndpointId, EngineReading>;
 
 /// Tells the other hosts of the availability zone what this one has booked, and listens to them.
@@ -61,11 +61,11 @@
     /// Pause between two renewals of the entry.
     const RENEW_PAUSE: Duration = Duration::from_millis(1_800);
     /// Pause between two messages to peers.
-    const NEWS_PAUSE: Duration = Duration::from_millis(150);
+    const MESSAGE_PAUSE: Duration = Duration::from_millis(150);
     /// Messages to peers for each message to other availability zones.
-    const ZONE_NEWS_TICKS: u32 = 2;
+    const ZONE_MESSAGE_TICKS: u32 = 2;
     /// Largest message, in bytes; it fits one datagram.
-    const MAX_NEWS_BYTES: usize = 60 * 1_024;
+    const MAX_MESSAGE_BYTES: usize = 60 * 1_024;
 
     /// Creates the link of a host.
     #[must_use]
@@ -137,7 +137,7 @@
             }
         }
         self.state.hosts_alive.set(hosts.max(1));
-        self.state.desk.set_peers(peers);
+        self.state.exchange.set_peers(peers);
         *self.others.borrow_mut() = others;
     }
 
@@ -150,71 +150,74 @@
                 return;
             }
         };
-        self.state.desk.open(Rc::clone(&socket));
-        tokio::join!(self.send_news(&socket), self.take_news(&socket));
+        self.state.exchange.open(Rc::clone(&socket));
+        tokio::join!(self.send_messages(&socket), self.receive_messages(&socket));
     }
 
-    async fn send_news(&self, socket: &UdpSocket) {
+    async fn send_messages(&self, socket: &UdpSocket) {
         let mut ticks: u32 = 0;
         loop {
-            sleep(Self::NEWS_PAUSE).await;
+            sleep(Self::MESSAGE_PAUSE).await;
             ticks = ticks.wrapping_add(1);
-            let is_speaker = self.state.is_speaker();
+            let is_zone_leader = self.state.is_zone_leader();
             let now = self.state.now();
-            let readings =
-                if is_speaker { self.state.load.borrow().readings(now) } else { Readings::new() };
+            let readings = if is_zone_leader {
+                self.state.load.borrow().readings(now)
+            } else {
+                Readings::new()
+            };
             let used = self.state.load.borrow().own().clone();
             let host = self.state.profile.host.clone();
-            let news = PeerNews::Host { host, used, readings: readings.clone() };
-            let peers = self.state.desk.addresses();
-            send_to_all(socket, &news, &peers).await;
-            if is_speaker && ticks.is_multiple_of(Self::ZONE_NEWS_TICKS) {
+            let message = PeerMessage::Host { host, used, readings: readings.clone() };
+            let peers = self.state.exchange.addresses();
+            send_to_all(socket, &message, &peers).await;
+            if is_zone_leader && ticks.is_multiple_of(Self::ZONE_MESSAGE_TICKS) {
                 let used = self.state.load.borrow().zone_total(now);
                 let zone = self.state.profile.zone.clone();
                 let others = self.others.borrow().clone();
-                send_to_all(socket, &PeerNews::Zone { zone, used, readings }, &others).await;
+                send_to_all(socket, &PeerMessage::Zone { zone, used, readings }, &others).await;
             }
         }
     }
 
-    async fn take_news(&self, socket: &UdpSocket) {
-        let mut buffer = vec![0; Self::MAX_NEWS_BYTES];
+    async fn receive_messages(&self, socket: &UdpSocket) {
+        let mut buffer = vec![0; Self::MAX_MESSAGE_BYTES];
         loop {
             match socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match rmp_serde::from_slice(&buffer[..length]) {
-                    Ok(PeerNews::Ask(ask)) => {
-                        let answer = KnowledgeDesk::answer(&self.state, ask);
-                        send_to_all(socket, &PeerNews::Answer(answer), &[from]).await;
+                    Ok(PeerMessage::Query(query)) => {
+                        let answer = StateExchange::reply(&self.state, query);
+                        send_to_all(socket, &PeerMessage::Reply(answer), &[from]).await;
                     }
-                    Ok(news) => self.note_news(news),
+                    Ok(message) => self.note_message(message),
                     Err(error) => LogEvent::PeerRefused.log(format_args!("from {from}: {error}")),
                 },
                 Err(error) => {
                     LogEvent::PeerFailed.log(error);
-                    sleep(Self::NEWS_PAUSE).await;
+                    sleep(Self::MESSAGE_PAUSE).await;
                 }
             }
         }
     }
 
-    fn note_news(&self, news: PeerNews) {
+    fn note_message(&self, message: PeerMessage) {
         let now = self.state.now();
         let mut load = self.state.load.borrow_mut();
-        let readings = match news {
-            PeerNews::Host { host, used, readings } => {
+        let readings = match message {
+            PeerMessage::Host { host, used, readings } => {
                 load.note_peer(host, used, now);
                 readings
             }
-            PeerNews::Zone { zone, used, readings } => {
+            PeerMessage::Zone { zone, used, readings } => {
                 load.note_zone(zone, used, now);
                 readings
             }
-            PeerNews::Answer(answer) => {
-                self.state.desk.take_answer(answer);
+            PeerMessage::Reply(answer) => {
+                self.state.exchange.take_reply(answer);
                 return;
             }
             // Questions are answered where they arrive.
-            PeerNews::Ask(_) => return,
+            PeerMessage::Query(_) => return,
         };
         for (endpoint, reading) in readings {
             load.note_reading(endpoint, reading, now);
@@ -222,11 +225,11 @@
     }
 }
 
-async fn send_to_all(socket: &UdpSocket, news: &PeerNews, addresses: &[SocketAddr]) {
+async fn send_to_all(socket: &UdpSocket, message: &PeerMessage, addresses: &[SocketAddr]) {
     if addresses.is_empty() {
         return;
     }
-    let bytes = match rmp_serde::to_vec(news) {
+    let bytes = match rmp_serde::to_vec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
             LogEvent::PeerFailed.log(format_args!("message not written: {error}"));
--- a/crates/cassiafield-gateway/src/process/running_request.rs
+++ b/crates/cassiafield-gateway/src/process/running_request.rs
@@ -1,6 +1,6 @@
 use {
     crate::process::GatewayState,
-    cassiafield_core::{ids::EndpointId, process::LoadTicket},
+    cassiafield_core::{ids::EndpointId, process::LoadReservation},
     std::{cell::Cell, rc::Rc},
 };
 
@@ -35,13 +35,13 @@
 }
 
 /// Memory and streams booked for one attempt; given back when it is dropped.
-pub struct BookedLoad {
+pub struct ReservedLoad {
     state: Rc<GatewayState>,
-    ticket: Option<LoadTicket>,
+    ticket: Option<LoadReservation>,
 }
 
-impl BookedLoad {
-    pub(super) const fn new(state: Rc<GatewayState>, ticket: LoadTicket) -> Self {
+impl ReservedLoad {
+    pub(super) const fn new(state: Rc<GatewayState>, ticket: LoadReservation) -> Self {
         Self { state, ticket: Some(ticket) }
     }
 
@@ -54,7 +54,7 @@
     }
 }
 
-impl Drop for BookedLoad {
+impl Drop for ReservedLoad {
     fn drop(&mut self) {
         self.close();
     }
--- a/crates/cassiafield-gateway/src/process/knowledge_desk.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -1,5 +1,5 @@
 use {
-    crate::process::{peer_link::PeerNews, GatewayState},
+    crate::process::{peer_link::PeerMessage, GatewayState},
     cassiafield_core::{
         ids::{HostId, Moment},
         process::ListChanges,
@@ -17,7 +17,7 @@
 /// Asks a peer what it knows from the store.
 #[derive(Clone, Copy, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub(crate) struct KnowledgeAsk {
+pub(crate) struct StateQuery {
     nonce: u64,
     /// Newest revision of an endpoint's entry that the asking host has.
     newest_entry: u64,
@@ -29,7 +29,7 @@
 /// the knowledge as asked for that long before its own question.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub(crate) struct KnowledgeAnswer {
+pub(crate) struct StateReply {
     nonce: u64,
     /// Revision of the configuration and its age in microseconds.
     pub(super) configuration: Option<(u64, u64)>,
@@ -39,27 +39,27 @@
 
 /// Questions to peers that wait for answers, and where peers are.
 #[derive(Debug, Default)]
-pub(crate) struct KnowledgeDesk {
+pub(crate) struct StateExchange {
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, SocketAddr>>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<KnowledgeAnswer>>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<StateReply>>>,
     next: Cell<u64>,
 }
 
 /// An answer and when the question was asked.
-pub(super) struct PeerKnowledge {
-    pub(super) answer: KnowledgeAnswer,
+pub(super) struct PeerState {
+    pub(super) answer: StateReply,
     asked: Moment,
 }
 
-impl PeerKnowledge {
+impl PeerState {
     /// Returns when knowledge of an age in the answer was current at the latest.
     pub(super) fn asked_before(&self, age_micros: u64) -> Moment {
         Moment::from_micros(self.asked.as_micros().saturating_sub(age_micros))
     }
 }
 
-impl KnowledgeDesk {
+impl StateExchange {
     /// Longest time for an answer; peers are in the same availability zone.
     const LIMIT: Duration = Duration::from_millis(120);
 
@@ -78,14 +78,14 @@
     }
 
     /// Asks a peer; returns `None` if it is not known or does not answer.
-    pub(super) async fn ask(&self, state: &GatewayState, peer: &HostId) -> Option<PeerKnowledge> {
+    pub(super) async fn query(&self, state: &GatewayState, peer: &HostId) -> Option<PeerState> {
         let socket = self.socket.borrow().clone()?;
         let address = *self.peers.borrow().get(peer)?;
         let nonce = self.next.get().wrapping_add(1);
         self.next.set(nonce);
         let newest_entry = state.listed.borrow().newest();
-        let news = PeerNews::Ask(KnowledgeAsk { nonce, newest_entry });
-        let bytes = rmp_serde::to_vec(&news).ok()?;
+        let message = PeerMessage::Query(StateQuery { nonce, newest_entry });
+        let bytes = rmp_serde::to_vec(&message).ok()?;
         let (sender, receiver) = oneshot::channel();
         self.pending.borrow_mut().insert(nonce, sender);
         let asked = state.now();
@@ -94,21 +94,21 @@
             Err(_) => None,
         };
         self.pending.borrow_mut().remove(&nonce);
-        answer.map(|answer| PeerKnowledge { answer, asked })
+        answer.map(|answer| PeerState { answer, asked })
     }
 
     /// Returns what this host knows, as an answer.
-    pub(super) fn answer(state: &GatewayState, ask: KnowledgeAsk) -> KnowledgeAnswer {
+    pub(super) fn reply(state: &GatewayState, query: StateQuery) -> StateReply {
         let age = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        let changes = state.listed.borrow().changes_since(ask.newest_entry);
+        let changes = state.listed.borrow().changes_since(query.newest_entry);
         let configuration =
             state.configuration_age().map(|found| (state.configuration_revision(), age(found)));
         let endpoints = state.endpoints_age().map(|found| (changes, age(found)));
-        KnowledgeAnswer { nonce: ask.nonce, configuration, endpoints }
+        StateReply { nonce: query.nonce, configuration, endpoints }
     }
 
     /// Hands an answer to the question that waits for it; late ones are dropped.
-    pub(super) fn take_answer(&self, answer: KnowledgeAnswer) {
+    pub(super) fn take_reply(&self, answer: StateReply) {
         if let Some(sender) = self.pending.borrow_mut().remove(&answer.nonce) {
             // The question may have been given up meanwhile.
             drop(sender.send(answer));
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -15,7 +15,7 @@
 /// Keeps the configuration and the endpoints of a host in step with the store.
 ///
 /// One host of an availability zone reads the store and the others ask it, so that the store's
-/// calls grow with zones and changes rather than with hosts. A host whose speaker is silent or
+/// calls grow with zones and changes rather than with hosts. A host whose zone leader is silent or
 /// behind reads the store itself; one that the store turns away asks any peer.
 pub struct StoreSync {
     state: Rc<GatewayState>,
@@ -40,14 +40,14 @@
     /// Pause between two reads of the store; a change must be in force, and a leaving endpoint get
     /// no new work, within two seconds, and hosts that ask the reader add their own pause.
     const READ_PAUSE: Duration = Duration::from_millis(800);
-    /// Pause between two questions to the speaker.
-    const ASK_PAUSE: Duration = Duration::from_millis(400);
+    /// Pause between two questions to the zone leader.
+    const QUERY_PAUSE: Duration = Duration::from_millis(400);
     /// Pause after a failed read.
     const FAULT_PAUSE: Duration = Duration::from_millis(200);
-    /// Pause between two reads of a store that does not answer, on hosts that have a speaker: every
-    /// call counts, and the speaker notices first that the store is back.
+    /// Pause between two reads of a store that does not answer, on hosts that have a zone leader: every
+    /// call counts, and the zone leader notices first that the store is back.
     const OUTAGE_PAUSE: Duration = Duration::from_millis(1_600);
-    /// Age beyond which a host does not rely on its speaker's knowledge.
+    /// Age beyond which a host does not rely on its zone leader's knowledge.
     const MAX_PEER_AGE: Duration = Duration::from_millis(1_300);
 
     /// Creates the synchronisation of a host.
@@ -69,21 +69,21 @@
     /// Keeps everything in step; never returns.
     pub async fn run(mut self) {
         loop {
-            let speaker = self.state.speaker();
-            let is_speaker = speaker == self.state.profile.host;
+            let leader = self.state.zone_leader();
+            let is_zone_leader = leader == self.state.profile.host;
             let mut need = ReadNeed { configuration: true, endpoints: true };
-            if !is_speaker {
-                need = self.ask(&speaker).await;
+            if !is_zone_leader {
+                need = self.query(&leader).await;
             }
-            let is_done = self.may_read(is_speaker) && self.read(need).await;
+            let is_done = self.may_read(is_zone_leader) && self.read(need).await;
             if !is_done {
                 if let Some(peer) = self.state.any_peer() {
-                    self.ask(&peer).await;
+                    self.query(&peer).await;
                 }
             }
-            let pause = match (is_done, is_speaker) {
+            let pause = match (is_done, is_zone_leader) {
                 (true, true) => Self::READ_PAUSE,
-                (_, false) => Self::ASK_PAUSE,
+                (_, false) => Self::QUERY_PAUSE,
                 (false, true) => Self::FAULT_PAUSE,
             };
             sleep(pause).await;
@@ -91,16 +91,16 @@
     }
 
     /// Says whether this host should call the store now.
-    fn may_read(&self, is_speaker: bool) -> bool {
+    fn may_read(&self, is_zone_leader: bool) -> bool {
         let now = self.state.now();
         let is_resting = self.failed.is_some_and(|at| now.since(at) < Self::OUTAGE_PAUSE);
-        is_speaker || !is_resting
+        is_zone_leader || !is_resting
     }
 
     /// Asks a peer and takes what it knows; returns what is still to be read.
-    async fn ask(&self, peer: &HostId) -> ReadNeed {
+    async fn query(&self, peer: &HostId) -> ReadNeed {
         let mut need = ReadNeed { configuration: true, endpoints: true };
-        let Some(found) = self.state.desk.ask(&self.state, peer).await else { return need };
+        let Some(found) = self.state.exchange.query(&self.state, peer).await else { return need };
         let limit = u64::try_from(Self::MAX_PEER_AGE.as_micros()).unwrap_or(u64::MAX);
         if let Some((revision, age)) = found.answer.configuration {
             if revision == self.state.configuration_revision() {
@@ -188,8 +188,8 @@
     }
 
     fn take_endpoints(&self, entries: Vec<EndpointEntry>, asked: Moment) {
-        let news = self.state.directory.borrow_mut().take_list(entries, asked);
-        for change in news {
+        let changes = self.state.directory.borrow_mut().take_list(entries, asked);
+        for change in changes {
             LogEvent::EndpointChanged.log(change);
         }
         self.state.confirm_endpoints(asked);
--- a/crates/cassiafield-gateway/src/request/caller_request.rs
+++ b/crates/cassiafield-gateway/src/request/caller_request.rs
@@ -23,7 +23,7 @@
     /// Its body.
     pub body: Bytes,
     /// How long the caller will wait, counted from `arrived`.
-    pub patience: Option<Duration>,
+    pub deadline: Option<Duration>,
     /// The organisation that it counts for.
     pub organisation: Option<OrganisationId>,
 }
@@ -59,14 +59,14 @@
     /// Returns the time left until the caller, or the route, gives up.
     #[must_use]
     pub fn time_left(&self, route_limit: Duration, now: Moment) -> Duration {
-        let limit = self.patience.map_or(route_limit, |patience| patience.min(route_limit));
+        let limit = self.deadline.map_or(route_limit, |deadline| deadline.min(route_limit));
         limit.saturating_sub(now.since(self.arrived))
     }
 
     /// Returns the caller's own time left, in milliseconds.
     #[must_use]
-    pub fn patience_left_ms(&self, now: Moment) -> Option<u64> {
-        let left = self.patience?.saturating_sub(now.since(self.arrived));
+    pub fn deadline_left_ms(&self, now: Moment) -> Option<u64> {
+        let left = self.deadline?.saturating_sub(now.since(self.arrived));
         Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
     }
 
@@ -88,7 +88,7 @@
     #[must_use]
     pub fn outgoing_headers(&self, names: &HeaderNames, endpoint: &str, now: Moment) -> HeaderMap {
         let mut headers = self.headers.clone();
-        if let Some(left_ms) = self.patience_left_ms(now) {
+        if let Some(left_ms) = self.deadline_left_ms(now) {
             headers.insert(names.deadline.clone(), HeaderValue::from(left_ms));
         }
         if let Ok(value) = HeaderValue::from_str(endpoint) {
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -32,8 +32,8 @@
 }
 
 impl HostService {
-    /// Pause after which a caller is told to return when the host cannot serve at all.
-    const NOT_READY_PAUSE: Duration = Duration::from_millis(400);
+    /// Pause after which a caller is told to retry when the host cannot serve at all.
+    const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
     /// Creates the service over a host's state.
     #[must_use]
@@ -64,7 +64,7 @@
 
     /// Tells a caller to use another connection for its next request if other hosts serve it better.
     fn mark_close(&self, answer: &mut Response<CallerBody>) {
-        if self.state.sends_callers_away() {
+        if self.state.redirects_callers() {
             let close = header::HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
@@ -93,7 +93,7 @@
             None
         };
         let id = text(&names.request_id).ok_or(RefusalCause::BadRequest)?.into();
-        let patience = text(&names.deadline).and_then(|value| value.trim().parse().ok());
+        let deadline = text(&names.deadline).and_then(|value| value.trim().parse().ok());
         let target = parts.uri.path_and_query().map_or(path, |target| target.as_str()).into();
         let mut headers = parts.headers.clone();
         strip_hop_headers(&mut headers);
@@ -111,7 +111,7 @@
             target,
             headers,
             body: bytes::Bytes::new(),
-            patience: patience.map(Duration::from_millis),
+            deadline: deadline.map(Duration::from_millis),
             organisation,
         };
         Ok(AllowedRequest { table, rule, request })
@@ -137,7 +137,7 @@
         let AllowedRequest { table, rule, request } = allowed;
         let draw = fastrand::u64(..);
         let Some(service) = rule.target(draw).and_then(|service| table.service(service)) else {
-            return refusal(RefusalCause::NoEndpoint, Some(Self::NOT_READY_PAUSE));
+            return refusal(RefusalCause::NoEndpoint, Some(Self::NOT_READY_RETRY_AFTER));
         };
         let service = service.clone();
         let running = self.state.running();
@@ -166,11 +166,13 @@
             parts.uri.path(),
             self.state.knowledge(),
         ));
-        let come_back = match cause {
-            RefusalCause::NotReady | RefusalCause::StoreUnavailable => Some(Self::NOT_READY_PAUSE),
+        let retry_after = match cause {
+            RefusalCause::NotReady | RefusalCause::StoreUnavailable => {
+                Some(Self::NOT_READY_RETRY_AFTER)
+            }
             _ => None,
         };
-        refusal(cause, come_back)
+        refusal(cause, retry_after)
     }
 }
 
@@ -194,7 +196,7 @@
         self.state.limits().head_bytes
     }
 
-    fn sends_callers_away(&self) -> bool {
-        self.state.sends_callers_away()
+    fn redirects_callers(&self) -> bool {
+        self.state.redirects_callers()
     }
 }
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -51,8 +51,8 @@
     const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
     /// Endpoints that may refuse or be out of reach before the call is given up.
     const MAX_TRIES: u32 = 4;
-    /// Pause after which a caller is told to return, doubled at random.
-    const RETURN_PAUSE: Duration = Duration::from_millis(60);
+    /// Pause after which a caller is told to retry, doubled at random.
+    const RETRY_AFTER: Duration = Duration::from_millis(60);
 
     pub(super) fn new(
         state: Rc<GatewayState>,
@@ -75,7 +75,7 @@
             if sent >= self.rule.attempts.max(1) || self.time_left().is_zero() {
                 break;
             }
-            if sent > 0 && !self.state.take_repeat(&self.service.service) {
+            if sent > 0 && !self.state.take_retry(&self.service.service) {
                 break;
             }
             let Some(entry) = self.choose(&avoided) else { break };
@@ -123,7 +123,7 @@
             self.rule.name,
             self.state.knowledge(),
         ));
-        let pause = Self::RETURN_PAUSE.mul_f64(1.0 + fastrand::f64());
+        let pause = Self::RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
         refusal(cause, (verdict == RequestVerdict::NotRun).then_some(pause))
     }
 
--- a/crates/cassiafield-gateway/src/request/refusal_reply.rs
+++ b/crates/cassiafield-gateway/src/request/refusal_reply.rs
@@ -6,23 +6,23 @@
     std::time::Duration,
 };
 
-/// Returns the answer to a request that is refused or has failed, with when to come back.
-pub(super) fn refusal(cause: RefusalCause, come_back: Option<Duration>) -> Response<CallerBody> {
+/// Returns the answer to a request that is refused or has failed, with when to retry.
+pub(super) fn refusal(cause: RefusalCause, retry_after: Option<Duration>) -> Response<CallerBody> {
     let status = StatusCode::from_u16(cause.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    reply(status, cause.name(), come_back)
+    reply(status, cause.name(), retry_after)
 }
 
 /// Returns an answer of the host's own with a short text.
 pub(super) fn reply(
     status: StatusCode,
     text: &'static str,
-    come_back: Option<Duration>,
+    retry_after: Option<Duration>,
 ) -> Response<CallerBody> {
     let mut response = Response::new(CallerBody::whole(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Some(value) = come_back
+    if let Some(value) = retry_after
         .and_then(|pause| HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64())).ok())
     {
         headers.insert(header::RETRY_AFTER, value);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -35,7 +35,7 @@
     pub(super) avoided: Vec<EndpointId>,
     /// Endpoints of paths that fell silent though all their endpoints live; they are used again if
     /// there is no other path.
-    doubted: Vec<EndpointId>,
+    suspected: Vec<EndpointId>,
     /// Times that the request was sent.
     pub(super) sent: u32,
     /// Endpoints that the request was sent to.
@@ -69,9 +69,9 @@
     const MAX_SENDS: u32 = 5;
     /// Part of the objective for which a request waits for memory; the rest is for the first event.
     const WAIT_PART: f64 = 0.5;
-    /// Shortest pause after which a caller is told to return; the longest is three times that. Most
-    /// streams that run now end within it, and callers come back one by one.
-    const RETURN_PAUSE: Duration = Duration::from_millis(1_500);
+    /// Shortest pause after which a caller is told to retry; the longest is three times that. Most
+    /// streams that run now end within it, and callers return one by one.
+    const RETRY_AFTER: Duration = Duration::from_millis(1_500);
     /// Pieces of an answer that may wait for a slow caller.
     const PIECES_WAITING: usize = 16;
     /// Multiple of the longest event gap on time beyond which a path is not worth taking: callers
@@ -105,7 +105,7 @@
             request,
             running,
             avoided: Vec::new(),
-            doubted: Vec::new(),
+            suspected: Vec::new(),
             sent: 0,
             sent_to: Vec::new(),
             bottleneck: Cell::new(None),
@@ -148,7 +148,7 @@
         let has_time = !self.time_left().is_zero();
         has_time
             && self.sent < Self::MAX_SENDS
-            && (self.sent == 0 || self.state.take_repeat(&self.service.service))
+            && (self.sent == 0 || self.state.take_retry(&self.service.service))
     }
 
     pub(super) fn may_resume(&self) -> bool {
@@ -179,7 +179,7 @@
             self.bottleneck.get().map_or_else(String::new, |error| error.to_string()),
             self.state.knowledge(),
         ));
-        let pause = Self::RETURN_PAUSE.mul_f64(1.0 + 2.0 * fastrand::f64());
+        let pause = Self::RETRY_AFTER.mul_f64(1.0 + 2.0 * fastrand::f64());
         refusal(cause, is_not_run.then_some(pause))
     }
 
@@ -225,7 +225,7 @@
             // A path may be silent because of any of its endpoints; those at fault were found.
             Err(ChannelFault::Silent) => {
                 let stages = path.route.stages().iter();
-                self.doubted.extend(stages.map(|stage| stage.endpoint.clone()));
+                self.suspected.extend(stages.map(|stage| stage.endpoint.clone()));
                 return Err(AttemptFault::Lost);
             }
             Err(fault) => return Err(self.channel_failed(&first.endpoint, &fault)),
@@ -343,10 +343,10 @@
             avoided: &self.avoided,
             firsts: has_all.then_some(&self.sent_to[..]),
         };
-        let both: Vec<EndpointId> = self.avoided.iter().chain(&self.doubted).cloned().collect();
+        let both: Vec<EndpointId> = self.avoided.iter().chain(&self.suspected).cloned().collect();
         let first_choice = PathRequest { avoided: &both, ..request.clone() };
         let planned = match planner.plan(&first_choice) {
-            Err(_) if !self.doubted.is_empty() => planner.plan(&request),
+            Err(_) if !self.suspected.is_empty() => planner.plan(&request),
             planned => planned,
         };
         let path = planned.map_err(|error| {
@@ -464,9 +464,9 @@
             self.state.knowledge(),
         ));
         self.avoided.extend(fault.blamed(attempt));
-        if fault.is_unexplained() {
+        if fault.has_no_culprit() {
             let stages = attempt.route.stages().iter();
-            self.doubted.extend(stages.map(|stage| stage.endpoint.clone()));
+            self.suspected.extend(stages.map(|stage| stage.endpoint.clone()));
         }
     }
 
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::PooledChannel,
-        process::{BookedLoad, GatewayState},
+        process::{GatewayState, ReservedLoad},
         request::{
             stream_call::{AttemptFault, StreamCall},
             AnswerAborted,
@@ -26,7 +26,7 @@
     pub(super) body: Incoming,
     pub(super) splitter: EventSplitter,
     pub(super) route: StageRoute,
-    pub(super) booked: BookedLoad,
+    pub(super) booked: ReservedLoad,
 }
 
 /// What came next of a stream.
@@ -55,7 +55,7 @@
 
 impl PieceFault {
     /// Says whether a path fell silent though all its endpoints live.
-    pub(super) fn is_unexplained(&self) -> bool {
+    pub(super) fn has_no_culprit(&self) -> bool {
         matches!(self, PieceFault::Stalled(silent) if silent.is_empty())
     }
 
--- a/crates/cassiafield-standin/src/zone_model.rs
+++ b/crates/cassiafield-standin/src/zone_model.rs
@@ -3,7 +3,7 @@
         ids::{EndpointId, ModelId, Moment, ZoneId},
         process::{
             AcceleratorProfile, EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile,
-            LoadTicket, PathPlanner, PathRequest,
+            LoadReservation, PathPlanner, PathRequest,
         },
         request::LayerSpan,
     },
@@ -79,7 +79,7 @@
 #[derive(Debug)]
 struct ModelStream {
     path: Vec<(EndpointId, LayerSpan)>,
-    ticket: Option<LoadTicket>,
+    ticket: Option<LoadReservation>,
     hop: usize,
     prompt: u32,
     /// Prompt tokens that the endpoint at `hop` has still to read.
--- a/crates/cassiafield-standin/tests/zone_model.rs
+++ b/crates/cassiafield-standin/tests/zone_model.rs
@@ -5,8 +5,8 @@
     cassiafield_core::{
         ids::ZoneId,
         process::{
-            AcceleratorProfile, EndpointEntry, EndpointLifetime, EngineProfile, LayerPlacement,
-            PlacementCard,
+            AcceleratorProfile, EndpointEntry, EndpointIncarnation, EngineProfile, LayerPlacement,
+            PlacementCandidate,
         },
         request::LayerSpan,
     },
@@ -56,15 +56,15 @@
     "a".parse().expect("a valid name")
 }
 
-fn cards((fast, middle, slow): (usize, usize, usize)) -> Vec<PlacementCard> {
+fn candidates((fast, middle, slow): (usize, usize, usize)) -> Vec<PlacementCandidate> {
     let engine = engine();
     let kinds = [("fast", fast), ("middle", middle), ("slow", slow)];
-    let mut cards = Vec::new();
+    let mut candidates = Vec::new();
     for (kind, count) in kinds {
         let kind = kind.parse().expect("a valid name");
         let profile = engine.accelerator(&kind).expect("a kind of the engine").clone();
         for number in 0..count {
-            cards.push(PlacementCard {
+            candidates.push(PlacementCandidate {
                 endpoint: format!("{kind}-{number}").parse().expect("a valid name"),
                 zone: zone(),
                 profile: profile.clone(),
@@ -74,61 +74,65 @@
             });
         }
     }
-    cards
+    candidates
 }
 
-/// The placement that the keeper settles on.
-fn placed(mut cards: Vec<PlacementCard>) -> Vec<PlacementCard> {
+/// The placement that the placer settles on.
+fn placed(mut candidates: Vec<PlacementCandidate>) -> Vec<PlacementCandidate> {
     let engine = engine();
     for _ in 0..20 {
-        let orders = LayerPlacement { engine: &engine }.assign(&cards);
+        let orders = LayerPlacement { engine: &engine }.assign(&candidates);
         if orders.is_empty() {
             break;
         }
         for order in orders {
-            let card = cards.iter_mut().find(|card| card.endpoint == order.endpoint);
-            card.expect("a known endpoint").held = Some(order.span);
+            let candidate =
+                candidates.iter_mut().find(|candidate| candidate.endpoint == order.endpoint);
+            candidate.expect("a known endpoint").held = Some(order.span);
         }
     }
-    cards
+    candidates
 }
 
 /// Cuts the layers over the endpoints by `weight`.
 fn cut(
-    mut cards: Vec<PlacementCard>,
+    mut candidates: Vec<PlacementCandidate>,
     weight: fn(&AcceleratorProfile) -> f64,
-) -> Vec<PlacementCard> {
-    let total: f64 = cards.iter().map(|card| weight(&card.profile)).sum();
+) -> Vec<PlacementCandidate> {
+    let total: f64 = candidates.iter().map(|candidate| weight(&candidate.profile)).sum();
     let (mut start, mut sum) = (0_u16, 0.0);
-    for card in &mut cards {
-        sum += weight(&card.profile);
+    for candidate in &mut candidates {
+        sum += weight(&candidate.profile);
         let end = (80.0 * sum / total).round() as u16;
-        card.held = LayerSpan::try_from((start, end)).ok();
+        candidate.held = LayerSpan::try_from((start, end)).ok();
         start = end;
     }
-    cards
+    candidates
 }
 
-fn equal_cuts(cards: Vec<PlacementCard>) -> Vec<PlacementCard> {
-    cut(cards, |_| 1.0)
+fn equal_cuts(candidates: Vec<PlacementCandidate>) -> Vec<PlacementCandidate> {
+    cut(candidates, |_| 1.0)
 }
 
-fn fast_only(cards: Vec<PlacementCard>) -> Vec<PlacementCard> {
-    let fast = cards.into_iter().filter(|card| card.profile.kind.as_str() != "slow").collect();
+fn fast_only(candidates: Vec<PlacementCandidate>) -> Vec<PlacementCandidate> {
+    let fast = candidates
+        .into_iter()
+        .filter(|candidate| candidate.profile.kind.as_str() != "slow")
+        .collect();
     cut(fast, |profile| profile.memory_mb)
 }
 
-fn play(cards: &[PlacementCard], rate: f64, seed: u64) -> ModelOutcome {
-    let entries = (1_u16..).zip(cards).map(|(port, card)| EndpointEntry {
-        endpoint: card.endpoint.clone(),
-        lifetime: EndpointLifetime(1),
+fn play(candidates: &[PlacementCandidate], rate: f64, seed: u64) -> ModelOutcome {
+    let entries = (1_u16..).zip(candidates).map(|(port, candidate)| EndpointEntry {
+        endpoint: candidate.endpoint.clone(),
+        incarnation: EndpointIncarnation(1),
         service: "writers".parse().expect("a valid name"),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
         zone: zone(),
         is_leaving: false,
         slots: 192,
-        accelerator: Some(card.profile.kind.clone()),
-        span: card.held,
+        accelerator: Some(candidate.profile.kind.clone()),
+        span: candidate.held,
         orders: 1,
         software: "v1".into(),
     });
@@ -144,16 +148,16 @@
 }
 
 /// Mean part on time over three seeds.
-fn part(cards: &[PlacementCard], rate: f64) -> f64 {
-    (1..=3).map(|seed| play(cards, rate, seed).on_time_part()).sum::<f64>() / 3.0
+fn part(candidates: &[PlacementCandidate], rate: f64) -> f64 {
+    (1..=3).map(|seed| play(candidates, rate, seed).on_time_part()).sum::<f64>() / 3.0
 }
 
 #[test]
 fn every_stream_has_one_end_and_a_seed_repeats() {
-    let cards = placed(cards(ZONES[1]));
-    let outcome = play(&cards, USUAL_RATE, 7);
+    let candidates = placed(candidates(ZONES[1]));
+    let outcome = play(&candidates, USUAL_RATE, 7);
     assert_eq!(outcome.asked, outcome.on_time + outcome.late + outcome.refused);
-    assert_eq!(outcome, play(&cards, USUAL_RATE, 7));
+    assert_eq!(outcome, play(&candidates, USUAL_RATE, 7));
 }
 
 #[test]
@@ -161,9 +165,9 @@
     for zone in ZONES {
         for factor in [1.0, 1.5] {
             let rate = USUAL_RATE * factor;
-            let own = part(&placed(cards(zone)), rate);
-            let equal = part(&equal_cuts(cards(zone)), rate);
-            let fast = part(&fast_only(cards(zone)), rate);
+            let own = part(&placed(candidates(zone)), rate);
+            let equal = part(&equal_cuts(candidates(zone)), rate);
+            let fast = part(&fast_only(candidates(zone)), rate);
             println!("{zone:?} x {factor}: placed {own:.2}, equal {equal:.2}, fast {fast:.2}");
             assert!(own >= equal, "{zone:?} x {factor}: {own:.3} against {equal:.3}");
             assert!(own >= fast, "{zone:?} x {factor}: {own:.3} against {fast:.3}");
@@ -175,12 +179,12 @@
 #[test]
 fn after_the_loss_of_any_endpoint_the_zone_still_serves_more_than_a_copy_of_fast_ones() {
     for zone in ZONES {
-        let whole = placed(cards(zone));
+        let whole = placed(candidates(zone));
         for lost in 0..zone.0 + zone.1 {
             let mut left = whole.clone();
             left.remove(lost);
             let own = part(&placed(left), USUAL_RATE);
-            let mut fast = fast_only(cards(zone));
+            let mut fast = fast_only(candidates(zone));
             fast.remove(lost);
             let broken = part(&fast, USUAL_RATE);
             println!("{zone:?} without {lost}: placed {own:.2}, fast only {broken:.2}");
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -76,8 +76,8 @@
     1304 EndpointChanged Info "The list of endpoints has changed.";
     1305 EntryRejected Warning "An entry of the list of endpoints names no endpoint to use.";
     1306 LayersOrdered Info "An endpoint was ordered to hold layers.";
-    1307 KeeperLeaseTaken Info "The host places layers for all endpoints.";
-    1308 KeeperLeaseLost Info "The host places layers no longer.";
+    1307 PlacerLeaseTaken Info "The host places layers for all endpoints.";
+    1308 PlacerLeaseLost Info "The host places layers no longer.";
     1401 StreamResumed Info "A stream goes on over another route.";
     1402 StreamGivenUp Warning "A stream ended before its answer was complete.";
     1403 FrameDropped Info "A token frame was late, doubled or of another stream.";
