fix: a host that starts again does not spend the slack of retries twice

All hosts were restarted in turn within the window; each new process had a fresh part of the slack, and counted one host until it had read the list. Change: a process has no slack until it has run for a whole window; 0.88 of the part instead of 0.95. Before: the new test hosts_that_start_again_do_not_spend_the_slack_twice fails. After: it passes.

--- a/crates/cassiafield-core/src/process/retry_quota.rs
+++ b/crates/cassiafield-core/src/process/retry_quota.rs
@@ -6,24 +6,26 @@
 /// A host's part of the retries that all hosts together may send to a service in a window.
 ///
 /// The fleet's bound in any window is `ratio` of the requests plus `slack`. A host spends `ratio`
-/// of its own requests and an equal part of the slack, less a margin.
+/// of its own requests and an equal part of the slack, less a margin. The part of the slack counts
+/// only after a whole window, since the process before at the same host may have spent it.
 #[derive(Clone, Debug)]
 pub struct RetryQuota {
     ratio: f64,
     slack: f64,
     window: Duration,
+    began: Moment,
     requests: VecDeque<Moment>,
     retries: VecDeque<Moment>,
 }
 
 impl RetryQuota {
     /// Part of the bound that is used; the rest covers windows that are counted differently.
-    const SAFETY: f64 = 0.95;
+    const SAFETY: f64 = 0.88;
 
-    /// Creates the part of one host.
+    /// Creates the part of one host whose process started at `began`.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
-        Self { ratio, slack, window, requests: VecDeque::new(), retries: VecDeque::new() }
+    pub fn new(ratio: f64, slack: f64, window: Duration, began: Moment) -> Self {
+        Self { ratio, slack, window, began, requests: VecDeque::new(), retries: VecDeque::new() }
     }
 
     /// Records a request's first attempt.
@@ -36,7 +38,9 @@
     pub fn take(&mut self, hosts: usize, now: Moment) -> bool {
         self.trim(now);
         let own = self.ratio * self.requests.len() as f64;
-        let bound = (own + self.slack / hosts.max(1) as f64) * Self::SAFETY;
+        let is_settled = now.since(self.began) >= self.window;
+        let slack = if is_settled { self.slack / hosts.max(1) as f64 } else { 0.0 };
+        let bound = (own + slack) * Self::SAFETY;
         let is_granted = (self.retries.len() as f64) + 1.0 <= bound;
         if is_granted {
             self.retries.push_back(now);
--- a/crates/cassiafield-core/tests/retry_quota.rs
+++ b/crates/cassiafield-core/tests/retry_quota.rs
@@ -12,10 +12,20 @@
 /// Returns the most retries that all hosts send in any window while each request fails, and the
 /// bound of that window.
 fn worst_excess(hosts: usize, per_second: u64, seconds: u64) -> f64 {
-    let mut quotas: Vec<_> = (0..hosts).map(|_| RetryQuota::new(RATIO, SLACK, WINDOW)).collect();
+    worst_excess_with(hosts, per_second, seconds, u64::MAX)
+}
+
+/// The same while one host after the other starts again, one every `restart_ms`.
+fn worst_excess_with(hosts: usize, per_second: u64, seconds: u64, restart_ms: u64) -> f64 {
+    let mut quotas: Vec<_> =
+        (0..hosts).map(|_| RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN)).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for millis in 0..seconds * 1_000 {
         let now = Moment::from_millis(millis);
+        if millis > 0 && millis % restart_ms == 0 {
+            let host = usize::try_from(millis / restart_ms).unwrap_or(0) % hosts;
+            quotas[host] = RetryQuota::new(RATIO, SLACK, WINDOW, now);
+        }
         if millis * per_second % 1_000 >= per_second {
             continue;
         }
@@ -45,10 +55,22 @@
     }
 }
 
+/// The pattern of a rolling restart while an endpoint fails: what a process has spent is not known
+/// to the next one at its host.
+#[test]
+fn hosts_that_start_again_do_not_spend_the_slack_twice() {
+    for restart_ms in [300, 1_000, 2_000] {
+        let excess = worst_excess_with(9, 90, 40, restart_ms);
+        assert!(excess <= 0.0, "one restart every {restart_ms} ms: {excess} over");
+    }
+}
+
 #[test]
 fn a_host_without_requests_still_has_its_part_of_the_slack() {
-    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW);
-    let taken = (0..1_000).filter(|_| quota.take(10, Moment::ORIGIN)).count();
+    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN);
+    let settled = Moment::ORIGIN + WINDOW;
+    let taken = (0..1_000).filter(|_| quota.take(10, settled)).count();
+    assert!(!quota.take(10, settled));
     assert!((1..=20).contains(&taken), "{taken}");
 }
 
@@ -56,7 +78,7 @@
 /// after a while of usual traffic.
 #[test]
 fn the_streams_of_one_zone_may_all_go_on_at_once() {
-    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW);
+    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN);
     for millis in (0..10_000).step_by(110) {
         quota.request(Moment::from_millis(millis));
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -46,6 +46,8 @@
     configuration_revision: Cell<u64>,
     pub(super) probe: HealthProbe,
     clock: BootClock,
+    /// When the process started.
+    began: Moment,
     table: RefCell<Option<Rc<RouteTable>>>,
     configuration_age: Cell<DataAge>,
     endpoints_age: Cell<DataAge>,
@@ -83,6 +85,7 @@
             configuration_revision: Cell::new(0),
             probe: HealthProbe::default(),
             clock: BootClock,
+            began: BootClock.now(),
             table: RefCell::default(),
             configuration_age: Cell::default(),
             endpoints_age: Cell::default(),
@@ -244,7 +247,12 @@
         let mut quotas = self.quotas.borrow_mut();
         let profile = &self.profile;
         let quota = quotas.entry(service.clone()).or_insert_with(|| {
-            RetryQuota::new(profile.retry_ratio, profile.retry_slack, profile.retry_window)
+            RetryQuota::new(
+                profile.retry_ratio,
+                profile.retry_slack,
+                profile.retry_window,
+                self.began,
+            )
         });
         act(quota)
     }
