fix: give the slack of retries at once where no process ran before

Change: the platform says whether the whole system starts for the first time; then no process before can have spent the slack. Conclusion: only hosts that start again wait a window for their part of the slack.

--- a/crates/cassiafield-core/src/process/retry_quota.rs
+++ b/crates/cassiafield-core/src/process/retry_quota.rs
@@ -13,7 +13,8 @@
     ratio: f64,
     slack: f64,
     window: Duration,
-    began: Moment,
+    /// When the process started, if another one ran at the host before it.
+    began: Option<Moment>,
     requests: VecDeque<Moment>,
     retries: VecDeque<Moment>,
 }
@@ -22,9 +23,10 @@
     /// Part of the bound that is used; the rest covers windows that are counted differently.
     const SAFETY: f64 = 0.88;
 
-    /// Creates the part of one host whose process started at `began`.
+    /// Creates the part of one host whose process started at `began`; `None` if no process ran there
+    /// before it.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64, window: Duration, began: Moment) -> Self {
+    pub fn new(ratio: f64, slack: f64, window: Duration, began: Option<Moment>) -> Self {
         Self { ratio, slack, window, began, requests: VecDeque::new(), retries: VecDeque::new() }
     }
 
@@ -38,7 +40,7 @@
     pub fn take(&mut self, hosts: usize, now: Moment) -> bool {
         self.trim(now);
         let own = self.ratio * self.requests.len() as f64;
-        let is_settled = now.since(self.began) >= self.window;
+        let is_settled = self.began.is_none_or(|began| now.since(began) >= self.window);
         let slack = if is_settled { self.slack / hosts.max(1) as f64 } else { 0.0 };
         let bound = (own + slack) * Self::SAFETY;
         let is_granted = (self.retries.len() as f64) + 1.0 <= bound;
--- a/crates/cassiafield-core/tests/retry_quota.rs
+++ b/crates/cassiafield-core/tests/retry_quota.rs
@@ -18,13 +18,13 @@
 /// The same while one host after the other starts again, one every `restart_ms`.
 fn worst_excess_with(hosts: usize, per_second: u64, seconds: u64, restart_ms: u64) -> f64 {
     let mut quotas: Vec<_> =
-        (0..hosts).map(|_| RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN)).collect();
+        (0..hosts).map(|_| RetryQuota::new(RATIO, SLACK, WINDOW, None)).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for millis in 0..seconds * 1_000 {
         let now = Moment::from_millis(millis);
         if millis > 0 && millis % restart_ms == 0 {
             let host = usize::try_from(millis / restart_ms).unwrap_or(0) % hosts;
-            quotas[host] = RetryQuota::new(RATIO, SLACK, WINDOW, now);
+            quotas[host] = RetryQuota::new(RATIO, SLACK, WINDOW, Some(now));
         }
         if millis * per_second % 1_000 >= per_second {
             continue;
@@ -67,7 +67,7 @@
 
 #[test]
 fn a_host_without_requests_still_has_its_part_of_the_slack() {
-    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN);
+    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, None);
     let settled = Moment::ORIGIN + WINDOW;
     let taken = (0..1_000).filter(|_| quota.take(10, settled)).count();
     assert!(!quota.take(10, settled));
@@ -78,7 +78,7 @@
 /// after a while of usual traffic.
 #[test]
 fn the_streams_of_one_zone_may_all_go_on_at_once() {
-    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, Moment::ORIGIN);
+    let mut quota = RetryQuota::new(RATIO, SLACK, WINDOW, None);
     for millis in (0..10_000).step_by(110) {
         quota.request(Moment::from_millis(millis));
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -251,7 +251,7 @@
                 profile.retry_ratio,
                 profile.retry_slack,
                 profile.retry_window,
-                self.began,
+                (!profile.is_first_start).then_some(self.began),
             )
         });
         act(quota)
--- a/crates/cassiafield-gateway/src/process/host_profile.rs
+++ b/crates/cassiafield-gateway/src/process/host_profile.rs
@@ -24,6 +24,8 @@
     pub revocation_limit: Duration,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
+    /// Whether the whole system starts for the first time, so that no process ran before this one.
+    pub is_first_start: bool,
     /// Retries allowed for each request, over all hosts.
     pub retry_ratio: f64,
     /// Further retries allowed in a window, over all hosts.
