fix: an isolated host keeps its permits between slow renewal rounds

With silent peers in the zone, asked one after the other, the gap was certain. Change: rounds are paced by their starts; after a round without the store, store and peers are asked at once; store and peer calls have one limit for the whole call. The bound of 3 s is unchanged.

--- a/crates/cassiafield-core/src/process/ordinal_holder.rs
+++ b/crates/cassiafield-core/src/process/ordinal_holder.rs
@@ -30,8 +30,15 @@
 impl OrdinalHolder {
     /// Time that a lease lasts without renewal.
     pub const LEASE_TTL: Duration = Duration::from_secs(15);
-    /// Time between renewals.
+    /// Time from the start of a round that renewed the lease to the next one.
     pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
+    /// Time from the start of a round without the store to the next one.
+    const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+    /// Longest time that a round may take while the store is out of reach.
+    ///
+    /// Two such rounds with the pause between them fit into the time for which a round without
+    /// the store permits to go on.
+    pub const ROUND_LIMIT: Duration = Duration::from_millis(1_250);
     /// Time by which the holder's view of its lease ends before the store's.
     const LEASE_MARGIN: Duration = Duration::from_millis(500);
     /// Time for which a round without the store permits to go on.
@@ -89,6 +96,18 @@
         self.may_spend(now) && now >= self.permits_from
     }
 
+    /// Returns when the round after one that began at `sent` is due.
+    ///
+    /// Rounds are paced by their starts, so that slow answers do not use up the time for which
+    /// the last round without the store permits to go on.
+    #[must_use]
+    pub fn next_round(result: RenewalResult, sent: Moment) -> Moment {
+        match result {
+            RenewalResult::Renewed => sent + Self::RENEWAL_INTERVAL,
+            RenewalResult::Unreachable | RenewalResult::Gone => sent + Self::RETRY_INTERVAL,
+        }
+    }
+
     /// Takes the result of a renewal round that began at `sent`.
     pub fn renewal(&mut self, result: RenewalResult, sent: Moment) {
         match result {
--- a/crates/cassiafield-core/tests/ordinal_holders.rs
+++ b/crates/cassiafield-core/tests/ordinal_holders.rs
@@ -167,3 +167,23 @@
     assert!(!holder.may_permit(start + Duration::from_secs(3)));
     assert!(holder.may_permit(start + Duration::from_secs(9)));
 }
+
+/// Rounds run one after the other on a busy host while the store is silent.
+#[test]
+fn slow_rounds_without_the_store_leave_no_gap_in_the_floors() {
+    const LATENESS: Duration = Duration::from_millis(250);
+    const STEP: Duration = Duration::from_millis(10);
+    let start = Moment::from_millis(1_000);
+    let mut holder = OrdinalHolder::taken(1, start, start);
+    let mut sent = start + OrdinalHolder::RENEWAL_INTERVAL;
+    for round in 0..20 {
+        let end = sent + OrdinalHolder::ROUND_LIMIT;
+        let mut now = sent;
+        while now < end {
+            assert!(holder.may_permit(now), "round {round}: no permits at {now:?}");
+            now = now + STEP;
+        }
+        holder.renewal(RenewalResult::Unreachable, sent);
+        sent = OrdinalHolder::next_round(RenewalResult::Unreachable, sent).max(end) + LATENESS;
+    }
+}
--- a/crates/cassiafield/src/connection/etcd_store.rs
+++ b/crates/cassiafield/src/connection/etcd_store.rs
@@ -26,8 +26,7 @@
     pub fn new(base: impl Into<String>) -> Self {
         let agent = AgentBuilder::new()
             .timeout_connect(STORE_TIMEOUT)
-            .timeout_read(STORE_TIMEOUT)
-            .timeout_write(STORE_TIMEOUT)
+            .timeout(STORE_TIMEOUT)
             .redirects(0)
             .build();
         Self { base: base.into(), agent }
--- a/crates/cassiafield/src/connection/peer_client.rs
+++ b/crates/cassiafield/src/connection/peer_client.rs
@@ -125,8 +125,7 @@
     pub fn new(host: HostId, seal: PeerSeal) -> Self {
         let agent = AgentBuilder::new()
             .timeout_connect(Self::CONNECT_TIMEOUT)
-            .timeout_read(Self::ANSWER_TIMEOUT)
-            .timeout_write(Self::ANSWER_TIMEOUT)
+            .timeout(Self::ANSWER_TIMEOUT)
             .max_idle_connections(256)
             .max_idle_connections_per_host(2)
             .redirects(0)
--- a/crates/cassiafield/src/process/ordinal_keeper.rs
+++ b/crates/cassiafield/src/process/ordinal_keeper.rs
@@ -29,6 +29,8 @@
     lease: Option<LeaseId>,
     revision: u64,
     next_renewal: Moment,
+    /// Whether the last round found neither the store nor a peer that reaches it.
+    isolated: bool,
 }
 
 impl OrdinalKeeper {
@@ -39,7 +41,8 @@
     const HAND_BACK_TRIES: u32 = 3;
 
     pub(crate) fn new(host: Arc<EntryHost>) -> Self {
-        Self { host, lease: None, revision: 0, next_renewal: Moment::ORIGIN }
+        let next_renewal = Moment::ORIGIN;
+        Self { host, lease: None, revision: 0, next_renewal, isolated: false }
     }
 
     /// Takes an ordinal or renews the one that is held, if it is time.
@@ -47,18 +50,19 @@
         if self.host.clock.now() < self.next_renewal {
             return;
         }
-        let interval = if self.lease.is_some() { self.renew(agent) } else { self.take() };
-        self.next_renewal = self.host.clock.now() + interval;
+        self.next_renewal = match self.lease {
+            Some(lease) => self.renew(agent, lease),
+            None => {
+                let pause = self.take();
+                self.host.clock.now() + pause
+            }
+        };
     }
 
-    fn renew(&mut self, agent: &PeerAgent) -> Duration {
-        let Some(lease) = self.lease else { return Self::RETRY_INTERVAL };
+    fn renew(&mut self, agent: &PeerAgent, lease: LeaseId) -> Moment {
         let sent = self.host.clock.now();
-        let result = match self.host.store.keep_lease(lease) {
-            Ok(true) => RenewalResult::Renewed,
-            Ok(false) => RenewalResult::Gone,
-            Err(_) => agent.relay_renewal(LeaseRelay { lease }),
-        };
+        let result = self.ask_renewal(agent, lease);
+        self.isolated = result == RenewalResult::Unreachable;
         let result = match result {
             RenewalResult::Gone if self.reclaim() => RenewalResult::Renewed,
             other => other,
@@ -67,11 +71,37 @@
             LogEvent::OrdinalLost.log(lease);
             self.host.allowances.set_holder(None);
             self.lease = None;
-            return Duration::ZERO;
+            return self.host.clock.now();
+        }
+        OrdinalHolder::next_round(result, sent)
+    }
+
+    /// Renews the lease at the store, or through peers if it does not answer.
+    ///
+    /// After a round without the store both are asked at once, which keeps the next round within
+    /// [`OrdinalHolder::ROUND_LIMIT`].
+    fn ask_renewal(&self, agent: &PeerAgent, lease: LeaseId) -> RenewalResult {
+        let relay = LeaseRelay { lease };
+        if !self.isolated {
+            return self.ask_store(lease).unwrap_or_else(|| agent.relay_renewal(relay));
         }
-        match result {
-            RenewalResult::Renewed => OrdinalHolder::RENEWAL_INTERVAL,
-            _ => Self::RETRY_INTERVAL,
+        thread::scope(|scope| {
+            let peers = scope.spawn(|| agent.relay_renewal(relay));
+            let direct = self.ask_store(lease);
+            let relayed = peers.join().unwrap_or(RenewalResult::Unreachable);
+            direct.unwrap_or(relayed)
+        })
+    }
+
+    /// Renews the lease at the store; `None` if the store does not answer.
+    fn ask_store(&self, lease: LeaseId) -> Option<RenewalResult> {
+        match self.host.store.keep_lease(lease) {
+            Ok(true) => Some(RenewalResult::Renewed),
+            Ok(false) => Some(RenewalResult::Gone),
+            Err(error) => {
+                LogEvent::StoreUnreachable.log(error);
+                None
+            }
         }
     }
 
--- a/crates/cassiafield/src/process/peer_agent.rs
+++ b/crates/cassiafield/src/process/peer_agent.rs
@@ -153,19 +153,25 @@
         lock(&self.asks).spend(1.0, self.host.clock.now()).is_ok()
     }
 
-    /// Renews a lease through peers of the zone, since the store is out of this host's reach.
+    /// Renews a lease through all peers of the zone at once, since the store is out of this host's reach.
     pub(crate) fn relay_renewal(&self, relay: LeaseRelay) -> RenewalResult {
-        let mut result = RenewalResult::Unreachable;
         let zone = &self.host.settings.zone;
         let peers = self.host.peers.reachable(self.host.clock.now());
-        for peer in peers.iter().filter(|peer| &peer.zone == zone) {
-            match self.client.renew(&peer.address, relay) {
-                Ok(LeaseWord::Renewed) => return RenewalResult::Renewed,
-                Ok(LeaseWord::Gone) => result = RenewalResult::Gone,
-                Ok(LeaseWord::Unreachable) | Err(_) => {}
-            }
+        let near = peers.iter().filter(|peer| &peer.zone == zone);
+        let words: Vec<_> = thread::scope(|scope| {
+            let client = &self.client;
+            let calls = near.map(|peer| scope.spawn(move || client.renew(&peer.address, relay)));
+            let calls: Vec<_> = calls.collect();
+            calls.into_iter().filter_map(|call| call.join().ok()?.ok()).collect()
+        });
+        let has = |word| words.contains(&word);
+        if has(LeaseWord::Renewed) {
+            RenewalResult::Renewed
+        } else if has(LeaseWord::Gone) {
+            RenewalResult::Gone
+        } else {
+            RenewalResult::Unreachable
         }
-        result
     }
 }
 
