--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -89,15 +89,23 @@
     may_be_first: bool,
 }
 
+/// A way from the first layer up to a cut.
 #[derive(Clone, Copy)]
 struct Reached {
     cost: f64,
     token_ms: f64,
     first_ms: f64,
+    /// The cut at which its last stage begins.
     from: usize,
+    /// Which of the ways to that cut it goes on from.
+    way: usize,
+    /// The candidate that runs its last stage.
     by: usize,
 }
 
+/// The cheapest ways to each cut, cheapest first.
+type ReachedWays = Vec<Vec<Reached>>;
+
 impl<'a> PathPlanner<'a> {
     /// Fixed time of each further endpoint in a path for a token, in milliseconds.
     const HOP_MS: f64 = 0.2;
@@ -108,6 +116,9 @@
     /// Cost of leaving the availability zone, as time of a token in milliseconds: bytes between
     /// zones share one pipe, and a zone may be cut off.
     const ZONE_CROSSING_MS: f64 = 4.0;
+    /// Ways to a layer that are kept, each with another last endpoint: the cheapest one may have
+    /// used the only endpoint that could go on.
+    const KEPT_WAYS: usize = 3;
 
     /// Chooses the path with the least time of a token.
     ///
@@ -189,17 +200,18 @@
             cuts.extend([candidate.span.start(), candidate.span.end()]);
         }
         let cuts: Vec<u16> = cuts.into_iter().collect();
-        let mut reached: Vec<Option<Reached>> = vec![None; cuts.len()];
+        let mut reached: ReachedWays = vec![Vec::new(); cuts.len()];
         for at in 0..cuts.len() {
-            if at > 0 && reached[at].is_none() {
-                continue;
-            }
             for (by, candidate) in candidates.iter().enumerate() {
                 let is_apart =
                     candidate.span.start() > cuts[at] || candidate.span.end() <= cuts[at];
                 let is_barred = at == 0 && !candidate.may_be_first;
                 let is_busy = is_barred || tokens.is_some() && at == 0 && !candidate.has_slot;
-                if is_apart || is_busy || is_visited(&reached, at, by) {
+                if is_apart || is_busy {
+                    continue;
+                }
+                let way = reached[at].iter().position(|way| !is_visited(&reached, *way, by));
+                if at > 0 && way.is_none() {
                     continue;
                 }
                 for to in at + 1..cuts.len() {
@@ -208,15 +220,16 @@
                     if cuts[to] > candidate.span.end() || is_full {
                         break;
                     }
-                    let next = self.extend(request, candidates, reached[at], at, by, layers);
-                    if reached[to].is_none_or(|best| next.cost < best.cost) {
-                        reached[to] = Some(next);
-                    }
+                    let before = way.map(|way| reached[at][way]);
+                    let next = self.extend(request, candidates, before, by, layers);
+                    let next = Reached { from: at, way: way.unwrap_or(0), ..next };
+                    keep_way(&mut reached[to], next);
                 }
             }
         }
-        let last = reached.iter().rposition(Option::is_some).map_or(0, |index| cuts[index]);
-        (self.trace(request, candidates, &cuts, &reached), last)
+        let last = reached.iter().rposition(|ways| !ways.is_empty());
+        let layer = last.map_or(0, |index| cuts[index]);
+        (self.trace(request, candidates, &cuts, &reached), layer)
     }
 
     fn extend(
@@ -224,7 +237,6 @@
         request: &PathRequest<'_>,
         candidates: &[Candidate<'a>],
         before: Option<Reached>,
-        from: usize,
         by: usize,
         layers: f64,
     ) -> Reached {
@@ -240,14 +252,14 @@
         let first_ms = candidate.read_ms * layers + hop_ms;
         // The first event and the answer's tokens weigh as the caller waits for them.
         let reading = first_ms / f64::from(request.answer.max(1));
-        let base =
-            before.unwrap_or(Reached { cost: 0.0, token_ms: 0.0, first_ms: 0.0, from: 0, by });
+        let start = Reached { cost: 0.0, token_ms: 0.0, first_ms: 0.0, from: 0, way: 0, by };
+        let base = before.unwrap_or(start);
         Reached {
             cost: base.cost + token_ms + reading + crossing_ms,
             token_ms: base.token_ms + token_ms,
             first_ms: base.first_ms + first_ms,
-            from,
             by,
+            ..start
         }
     }
 
@@ -256,13 +268,13 @@
         request: &PathRequest<'_>,
         candidates: &[Candidate<'a>],
         cuts: &[u16],
-        reached: &[Option<Reached>],
+        reached: &ReachedWays,
     ) -> Option<PlannedPath> {
-        let last = (*reached.last()?)?;
+        let last = *reached.last()?.first()?;
+        let mut step = last;
         let mut stages: Vec<RouteStage> = Vec::new();
         let mut at = cuts.len() - 1;
         while at > 0 {
-            let step = reached[at]?;
             let entry = candidates[step.by].entry;
             let span = LayerSpan::try_from((cuts[step.from], cuts[at])).ok()?;
             stages.push(RouteStage {
@@ -271,6 +283,9 @@
                 span,
             });
             at = step.from;
+            if at > 0 {
+                step = *reached[at].get(step.way)?;
+            }
         }
         stages.reverse();
         let draft = RouteDraft { model: request.model.clone(), layers: self.engine.layers, stages };
@@ -279,15 +294,28 @@
     }
 }
 
-/// Says whether the cheapest way to the cut at `at` passes through a candidate; an endpoint must
-/// not appear twice in a path.
-fn is_visited(reached: &[Option<Reached>], at: usize, by: usize) -> bool {
-    let mut step = reached[at];
-    while let Some(found) = step {
-        if found.by == by {
-            return true;
+/// Adds a way to those that lead to the same cut, if it is among the cheapest.
+fn keep_way(ways: &mut Vec<Reached>, next: Reached) {
+    match ways.iter().position(|way| way.by == next.by) {
+        Some(index) if ways[index].cost <= next.cost => return,
+        Some(index) => {
+            ways.remove(index);
+        }
+        None => {}
+    }
+    let place = ways.partition_point(|way| way.cost <= next.cost);
+    ways.insert(place, next);
+    ways.truncate(PathPlanner::KEPT_WAYS);
+}
+
+/// Says whether a way passes through a candidate; an endpoint must not appear twice in a path.
+fn is_visited(reached: &ReachedWays, way: Reached, by: usize) -> bool {
+    let mut step = way;
+    while step.by != by {
+        if step.from == 0 {
+            return false;
         }
-        step = if found.from == 0 { None } else { reached[found.from] };
+        step = reached[step.from][step.way];
     }
-    false
+    true
 }
--- a/crates/cassiafield-core/tests/path_choice.rs
+++ b/crates/cassiafield-core/tests/path_choice.rs
@@ -239,3 +239,35 @@
         }
     }
 }
+
+/// A fast endpoint holds the middle of what a slow one holds; the cheapest walk through the layers
+/// would return to the slow one.
+#[test]
+fn an_endpoint_is_not_used_twice_around_a_faster_one() {
+    let directory = directory(vec![
+        entry("s1", "slow", "a", Some(span(0, 11))),
+        entry("f1", "fast", "a", Some(span(4, 8))),
+        entry("f2", "fast", "a", Some(span(11, 46))),
+        entry("f3", "fast", "a", Some(span(46, 80))),
+    ]);
+    let path = plan(&directory, &EngineLoad::default()).expect("a path");
+    assert_eq!(names(&path), ["s1=0..11", "f2=11..46", "f3=46..80"]);
+}
+
+/// Under memory pressure an endpoint has room for the end of its range only; the cheapest way to
+/// that end has used it already.
+#[test]
+fn an_endpoint_with_room_for_its_last_layers_is_found() {
+    let directory = directory(vec![
+        entry("s1", "slow", "a", Some(span(0, 10))),
+        entry("f1", "fast", "a", Some(span(5, 14))),
+        entry("f2", "fast", "a", Some(span(14, 44))),
+        entry("f3", "fast", "a", Some(span(44, 80))),
+    ]);
+    let mut load = EngineLoad::default();
+    let profile = engine_support::profile("fast");
+    let room = engine().token_layers(&profile, 9);
+    load.note_reading(endpoint("f1"), reading(room * 0.97 - 1_000.0 * 6.0, 1.0), NOW);
+    let path = plan(&directory, &load).expect("a path");
+    assert_eq!(names(&path), ["s1=0..10", "f1=10..14", "f2=14..44", "f3=44..80"]);
+}
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -127,7 +127,9 @@
                 }
                 Ok(_) => self.lose("the lease has ended"),
                 // The lease may live on in the store; it is renewed when the store is back.
-                Err(_) => {}
+                Err(fault) => {
+                    LogEvent::StoreUnreachable.log(format_args!("lease not renewed: {fault}"));
+                }
             }
             return self.is_acting();
         }
@@ -148,13 +150,19 @@
         // A stale answer will do: the write below is under a condition.
         match self.client.list(Self::KEY, true).await {
             Ok(items) if items.is_empty() => {}
-            _ => return false,
+            Ok(_) => return false,
+            Err(fault) => {
+                LogEvent::StoreUnreachable.log(format_args!("the placer's lease: {fault}"));
+                return false;
+            }
         }
         let ttl_ms = u64::try_from(Self::LEASE_TTL.as_millis()).unwrap_or(u64::MAX);
-        let Ok(StoreAnswer::Lease { lease, .. }) =
-            self.client.call(&StoreCall::Grant { ttl_ms }).await
-        else {
-            return false;
+        let lease = match self.client.call(&StoreCall::Grant { ttl_ms }).await {
+            Ok(StoreAnswer::Lease { lease, .. }) => lease,
+            answer => {
+                LogEvent::StoreUnreachable.log(format_args!("no lease to place: {answer:?}"));
+                return false;
+            }
         };
         let put = StoreCall::Put {
             key: Self::KEY.to_owned(),
@@ -163,7 +171,9 @@
             expected: Some(0),
         };
         // An unanswered write may have been done; then the lease runs out unused.
-        if self.client.call(&put).await != Ok(StoreAnswer::Written) {
+        let answer = self.client.call(&put).await;
+        if answer != Ok(StoreAnswer::Written) {
+            LogEvent::PlacerLeaseLost.log(format_args!("not taken: {answer:?}"));
             return false;
         }
         LogEvent::PlacerLeaseTaken.log(format_args!("lease {lease}"));
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -98,7 +98,13 @@
         }
         let ttl_ms = u64::try_from(Self::ENTRY_TTL.as_millis()).unwrap_or(u64::MAX);
         let grant = client.call(&StoreCall::Grant { ttl_ms }).await;
-        let Ok(StoreAnswer::Lease { lease, .. }) = grant else { return None };
+        let lease = match grant {
+            Ok(StoreAnswer::Lease { lease, .. }) => lease,
+            answer => {
+                LogEvent::PeerFailed.log(format_args!("no lease for the host entry: {answer:?}"));
+                return None;
+            }
+        };
         let profile = &self.state.profile;
         let entry = HostEntry {
             host: profile.host.clone(),
@@ -114,11 +120,22 @@
         };
         let key = format!("{}{}", Self::PREFIX, profile.host);
         let put = StoreCall::Put { key, value, lease, expected: None };
-        (client.call(&put).await == Ok(StoreAnswer::Written)).then_some(lease)
+        let answer = client.call(&put).await;
+        if answer == Ok(StoreAnswer::Written) {
+            return Some(lease);
+        }
+        LogEvent::PeerFailed.log(format_args!("host entry not written: {answer:?}"));
+        None
     }
 
     async fn learn(&self, client: &mut StoreClient) {
-        let Ok(items) = client.list(Self::PREFIX, true).await else { return };
+        let items = match client.list(Self::PREFIX, true).await {
+            Ok(items) => items,
+            Err(fault) => {
+                LogEvent::HostListFailed.log(fault);
+                return;
+            }
+        };
         let (mut peers, mut others) = (BTreeMap::new(), Vec::new());
         let mut hosts = 0;
         for item in items {
