--- a/crates/cassiafield-daemons/src/control/control_error.rs
+++ b/crates/cassiafield-daemons/src/control/control_error.rs
@@ -16,6 +16,8 @@
     Unreachable(String),
     /// It is not known whether the edit took effect.
     Unknown(String),
+    /// The logs hold no line of the request.
+    Missing(String),
 }
 
 impl ControlError {
@@ -27,6 +29,7 @@
             ControlError::Usage(_) | ControlError::Input(_) => 2,
             ControlError::Refused(_) => 3,
             ControlError::Unknown(_) => 4,
+            ControlError::Missing(_) => 5,
         }
     }
 }
@@ -41,7 +44,8 @@
             }
             ControlError::Refused(text)
             | ControlError::Unreachable(text)
-            | ControlError::Unknown(text) => f.write_str(text),
+            | ControlError::Unknown(text)
+            | ControlError::Missing(text) => f.write_str(text),
         }
     }
 }
--- a/crates/cassiafield-daemons/src/control/control_program.rs
+++ b/crates/cassiafield-daemons/src/control/control_program.rs
@@ -1,5 +1,5 @@
 use {
-    crate::control::{list_command, view_command, ControlError},
+    crate::control::{explain_command, list_command, view_command, ControlError},
     cassiafield::{
         connection::{EtcdStore, PlatformStore},
         version::{EditReceipt, ListEditor},
@@ -26,11 +26,13 @@
   history                          print the last edits
   status                           print the state of hosts (--hosts)
   report                           print who received what (--hours, --format)
+  explain ID [FILE...]             say from logs what decided a request; - or no file: standard input
   key-hash                         read a key from standard input and print its hash
 
 Exit codes:
   0 done   1 out of reach, nothing changed   2 wrong command line or input
-  3 refused, nothing changed   4 it is not known whether the edit took effect";
+  3 refused, nothing changed   4 it is not known whether the edit took effect
+  5 the logs hold no line of the request";
 
 /// The command line of `cassiafield-ctl`.
 pub struct ControlProgram {
@@ -85,6 +87,12 @@
         if words == ["key-hash"] {
             return view_command::key_hash();
         }
+        if let ["explain", ref rest @ ..] = words[..] {
+            let Some((request, files)) = rest.split_first() else {
+                return Err(ControlError::Usage("explain: the request's id is missing".into()));
+            };
+            return explain_command::explain(request, files, matches.opt_present("json"));
+        }
         let context = ControlContext::new(matches)?;
         match words[..] {
             ["plan", "list"] => list_command::list_plans(&context),
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -52,6 +52,21 @@
     },
 }
 
+impl StoreCall {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            StoreCall::Get { .. } => "get",
+            StoreCall::List { .. } => "list",
+            StoreCall::Put { .. } => "put",
+            StoreCall::Grant { .. } => "grant",
+            StoreCall::Renew { .. } => "renew",
+            StoreCall::Revoke { .. } => "revoke",
+        }
+    }
+}
+
 /// One item of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreItem {
--- a/crates/cassiafield-gateway/src/connection/store_client.rs
+++ b/crates/cassiafield-gateway/src/connection/store_client.rs
@@ -5,6 +5,7 @@
     bytes::Bytes,
     http::{header, Request},
     http_body_util::{BodyExt as _, Full, Limited},
+    prometheus::IntCounterVec,
     std::{net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -16,6 +17,8 @@
     codec: Rc<dyn PlatformCodec>,
     address: SocketAddrV4,
     channel: Option<HttpChannel>,
+    /// Counts calls by call and result.
+    calls: IntCounterVec,
 }
 
 impl StoreClient {
@@ -28,8 +31,8 @@
 
     /// Creates a client; it connects at its first call.
     #[must_use]
-    pub fn new(codec: Rc<dyn PlatformCodec>, address: SocketAddrV4) -> Self {
-        Self { codec, address, channel: None }
+    pub fn new(codec: Rc<dyn PlatformCodec>, address: SocketAddrV4, calls: IntCounterVec) -> Self {
+        Self { codec, address, channel: None, calls }
     }
 
     /// Makes a call.
@@ -38,6 +41,18 @@
     ///
     /// Returns why there is no answer; unless the store refused, the call may have been done.
     pub async fn call(&mut self, call: &StoreCall) -> Result<StoreAnswer, StoreFault> {
+        let answer = self.call_in_time(call).await;
+        let result = match &answer {
+            Ok(_) => "done",
+            Err(StoreFault::Refused(_)) => "refused",
+            Err(StoreFault::Unreachable(_)) => "unreachable",
+            Err(StoreFault::Unreadable(_)) => "unreadable",
+        };
+        self.calls.with_label_values(&[call.name(), result]).inc();
+        answer
+    }
+
+    async fn call_in_time(&mut self, call: &StoreCall) -> Result<StoreAnswer, StoreFault> {
         let result = timeout(Self::CALL_LIMIT, self.exchange(call)).await;
         let (status, body) = match result {
             Ok(Ok(found)) => found,
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -2,12 +2,12 @@
     crate::{
         connection::{ChannelFault, ChannelPool, PlatformCodec},
         process::{
-            health_probe::HealthProbe, running_request::DispatchedRequest,
+            health_probe::HealthProbe, lines_dropped, running_request::DispatchedRequest,
             state_exchange::StateExchange, AdmissionQueue, BootClock, GatewayMetrics, HostProfile,
             HostReading, ReservedLoad, RunningRequest,
         },
     },
-    cassiafield::process::LogEvent,
+    cassiafield::process::{HostKnowledge, LineBudget, LogEvent},
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId},
         process::{DataAge, EndpointDirectory, EngineLoad, ListedEntries, RetryQuota},
@@ -337,22 +337,19 @@
             endpoints_age: seconds(self.endpoints_age()),
             endpoints: self.directory.borrow().len() as f64,
             running: f64::from(self.running.get()),
+            lines_over_budget: LineBudget::left_out_total() as f64,
+            lines_dropped: lines_dropped() as f64,
         }
     }
 
-    /// Describes how old the host's knowledge is, for the log.
+    /// Returns how old the host's knowledge is, for the log.
     #[must_use]
-    pub fn knowledge(&self) -> String {
-        let now = self.now();
-        let age = |age: DataAge| {
-            age.at(now).map_or_else(|| "none".to_owned(), |age| format!("{}ms", age.as_millis()))
-        };
-        format!(
-            "configuration version {} age {}, endpoints {} age {}",
-            self.table.borrow().as_ref().map_or(0, |table| table.version()),
-            age(self.configuration_age.get()),
-            self.directory.borrow().len(),
-            age(self.endpoints_age.get()),
-        )
+    pub fn knowledge(&self) -> HostKnowledge {
+        HostKnowledge {
+            configuration: self.table.borrow().as_ref().map_or(0, |table| table.version()),
+            configuration_age: self.configuration_age(),
+            endpoints: self.directory.borrow().len(),
+            endpoints_age: self.endpoints_age(),
+        }
     }
 }
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -70,7 +70,11 @@
     /// Creates the placer of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
-        let client = StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
+        let client = StoreClient::new(
+            Rc::clone(&state.codec),
+            state.profile.store_address,
+            state.metrics.store_calls(),
+        );
         Self { state, client, lease: None, orders: HashMap::new(), unready: HashMap::new() }
     }
 
@@ -252,6 +256,7 @@
             Ok(Err(fault)) => fault.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
+        self.state.metrics.layers_ordered(outcome == "accepted");
         LogEvent::LayersOrdered.log(format_args!(
             "endpoint {} layers {} after {} orders: {outcome}",
             entry.endpoint, assignment.span, entry.orders,
--- a/crates/cassiafield-gateway/src/process/log_writer.rs
+++ b/crates/cassiafield-gateway/src/process/log_writer.rs
@@ -1,17 +1,44 @@
-use {tracing_appender::non_blocking::WorkerGuard, tracing_subscriber::fmt};
+use {
+    std::{io, sync::OnceLock},
+    tracing::Subscriber,
+    tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
+    tracing_subscriber::{
+        fmt::{fmt, MakeWriter},
+        util::SubscriberInitExt as _,
+    },
+};
 
 /// Lines that wait to be written; further ones are dropped and counted.
 const LINES_WAITING: usize = 4_096;
 
+/// Counts the lines that were dropped by the writer of the process.
+static DROPS: OnceLock<ErrorCounter> = OnceLock::new();
+
 /// Writes the log as JSON lines to standard output from a thread of its own, never blocking.
 ///
-/// Dropping the guard writes what is left.
+/// Dropping the guard writes what is left. A log that was started before stays.
 pub fn start_json_log() -> WorkerGuard {
-    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+    let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(LINES_WAITING)
         .lossy(true)
-        .finish(std::io::stdout());
-    let subscriber = fmt().json().flatten_event(true).with_target(false).with_writer(writer);
-    subscriber.with_max_level(tracing::Level::INFO).init();
+        .finish(io::stdout());
+    if DROPS.set(writer.error_counter()).is_ok() {
+        json_lines(writer).init();
+    }
     guard
 }
+
+/// Returns what turns events into the lines of the log.
+pub fn json_lines<W>(writer: W) -> impl Subscriber + Send + Sync
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
+    let builder = fmt().json().flatten_event(true).with_target(false).with_writer(writer);
+    builder.with_max_level(tracing::Level::INFO).finish()
+}
+
+/// Returns how many lines the process has dropped.
+#[must_use]
+pub fn lines_dropped() -> usize {
+    DROPS.get().map_or(0, ErrorCounter::dropped_lines)
+}
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod host_profile;
 mod layer_placer;
 mod log_writer;
+mod metric_builder;
 mod peer_link;
 mod running_request;
 mod small_server;
@@ -25,7 +26,7 @@
     gateway_state::GatewayState,
     host_profile::HostProfile,
     layer_placer::LayerPlacer,
-    log_writer::start_json_log,
+    log_writer::{json_lines, lines_dropped, start_json_log},
     peer_link::PeerLink,
     running_request::{ReservedLoad, RunningRequest},
     store_sync::StoreSync,
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -76,7 +76,11 @@
     /// Keeps the host listed and learns the other hosts; never returns.
     pub async fn keep_listed(self: Rc<Self>) {
         let address = self.state.profile.store_address;
-        let mut client = StoreClient::new(Rc::clone(&self.state.codec), address);
+        let mut client = StoreClient::new(
+            Rc::clone(&self.state.codec),
+            address,
+            self.state.metrics.store_calls(),
+        );
         let mut lease = None;
         loop {
             lease = self.renew(&mut client, lease).await;
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -53,7 +53,13 @@
     /// Creates the synchronisation of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
-        let client = || StoreClient::new(Rc::clone(&state.codec), state.profile.store_address);
+        let client = || {
+            StoreClient::new(
+                Rc::clone(&state.codec),
+                state.profile.store_address,
+                state.metrics.store_calls(),
+            )
+        };
         let (configuration, endpoints) = (client(), client());
         Self {
             state,
--- /dev/null
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -0,0 +1,72 @@
+use {
+    crate::{
+        process::{GatewayState, RunningRequest},
+        request::CallerRequest,
+    },
+    bytes::Bytes,
+    cassiafield::process::{LogEvent, RequestDecision},
+    cassiafield_core::{
+        ids::EndpointId,
+        version::{RouteRule, ServiceRule},
+    },
+    http::{HeaderMap, Request},
+    http_body_util::Full,
+    std::{rc::Rc, time::Duration},
+};
+
+/// A request of a caller with the rules that it falls under, on its way to endpoints.
+pub(super) struct CallContext {
+    pub(super) state: Rc<GatewayState>,
+    pub(super) rule: RouteRule,
+    pub(super) service: ServiceRule,
+    pub(super) request: CallerRequest,
+    /// Counts the request as running.
+    pub(super) running: RunningRequest,
+}
+
+impl CallContext {
+    /// Returns the time for which the caller still waits.
+    pub(super) fn time_left(&self) -> Duration {
+        self.request.time_left(self.rule.timeout, self.state.now())
+    }
+
+    /// Returns a decision about the request, with what the host knows now.
+    pub(super) fn decision(&self, event: LogEvent) -> RequestDecision<'_> {
+        RequestDecision::new(event, &self.request.id, self.state.knowledge())
+    }
+
+    /// Builds the message to an endpoint; `None` if the caller's target is no path.
+    pub(super) fn message(&self, endpoint: &EndpointId) -> Option<Request<Full<Bytes>>> {
+        let names = self.state.codec.header_names();
+        let headers = self.request.outgoing_headers(names, endpoint.as_str(), self.state.now());
+        let mut message = Request::new(Full::new(self.request.body.clone()));
+        *message.method_mut() = self.request.method.clone();
+        *message.uri_mut() = self.request.target.parse().ok()?;
+        *message.headers_mut() = headers;
+        Some(message)
+    }
+
+    /// Says whether the head of an answer belongs to another request.
+    pub(super) fn is_of_another(&self, head: &HeaderMap) -> bool {
+        let echoed = head.get(&self.state.codec.header_names().request_id);
+        echoed.is_some_and(|id| id.as_bytes() != self.request.id.as_bytes())
+    }
+
+    /// Records that the request is sent to an endpoint now.
+    pub(super) fn note_sent(&self) {
+        let time = self.state.now().since(self.request.arrived);
+        self.state.metrics.sent(self.rule.kind, time);
+    }
+
+    /// Records that the request was answered whole.
+    pub(super) fn note_answered(&self, sends: u32, what: impl std::fmt::Display) {
+        let time = self.state.now().since(self.request.arrived);
+        let organisation = self.request.organisation.as_ref();
+        self.state.metrics.completed(organisation, self.rule.kind, time);
+        self.decision(LogEvent::RequestAnswered).sends(sends).log(format_args!(
+            "route {}, {what}, {} ms after its arrival",
+            self.rule.name,
+            time.as_millis(),
+        ));
+    }
+}
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -3,14 +3,14 @@
         connection::CallerService,
         process::GatewayState,
         request::{
-            caller_request::strip_hop_headers, plain_call::PlainCall, refusal_reply::refusal,
-            stream_call::StreamCall, CallerBody, CallerRequest,
+            call_context::CallContext, caller_request::strip_hop_headers, plain_call::PlainCall,
+            refusal_reply::refusal, stream_call::StreamCall, CallerBody, CallerRequest,
         },
     },
-    cassiafield::process::LogEvent,
+    cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::OrganisationId,
-        request::RefusalCause,
+        request::{RefusalCause, RequestVerdict},
         version::{RouteRule, RouteTable},
     },
     http::{header, request::Parts, Request, Response},
@@ -59,7 +59,7 @@
                 return self.refuse(&parts, cause);
             }
         }
-        self.dispatch(allowed).await
+        self.dispatch(&parts, allowed).await
     }
 
     /// Tells a caller to use another connection for its next request if other hosts serve it better.
@@ -133,22 +133,23 @@
         found.cloned().ok_or(RefusalCause::Unauthorised)
     }
 
-    async fn dispatch(&self, allowed: AllowedRequest) -> Response<CallerBody> {
+    async fn dispatch(&self, parts: &Parts, allowed: AllowedRequest) -> Response<CallerBody> {
         let AllowedRequest { table, rule, request } = allowed;
         let draw = fastrand::u64(..);
         let Some(service) = rule.target(draw).and_then(|service| table.service(service)) else {
-            return refusal(RefusalCause::NoEndpoint, Some(Self::NOT_READY_RETRY_AFTER));
+            return self.refuse(parts, RefusalCause::NoEndpoint);
         };
         let service = service.clone();
-        let running = self.state.running();
         let (organisation, kind) = (request.organisation.clone(), rule.kind);
         let arrived = request.arrived;
-        let answer = if service.engine.is_some() && rule.kind.is_stream() {
-            let call = StreamCall::new(Rc::clone(&self.state), rule, service, request, running);
-            call.run().await
+        let is_stream = service.engine.is_some() && kind.is_stream();
+        let state = Rc::clone(&self.state);
+        let running = self.state.running();
+        let context = CallContext { state, rule, service, request, running };
+        let answer = if is_stream {
+            StreamCall::new(context).run().await
         } else {
-            let call = PlainCall::new(Rc::clone(&self.state), rule, service, request, running);
-            call.run().await
+            PlainCall::new(context).run().await
         };
         let time = self.state.now().since(arrived);
         let status = answer.status().as_u16();
@@ -160,14 +161,12 @@
         let names = self.state.codec.header_names();
         let id = parts.headers.get(&names.request_id).and_then(|value| value.to_str().ok());
         self.state.metrics.refused(cause);
-        LogEvent::RequestRefused.log(format_args!(
-            "request {} path {}: {cause}; {}",
-            id.unwrap_or("-"),
-            parts.uri.path(),
-            self.state.knowledge(),
-        ));
+        RequestDecision::new(LogEvent::RequestRefused, id.unwrap_or("-"), self.state.knowledge())
+            .cause(cause)
+            .verdict(RequestVerdict::NotRun)
+            .log(format_args!("path {}", parts.uri.path()));
         let retry_after = match cause {
-            RefusalCause::NotReady | RefusalCause::StoreUnavailable => {
+            RefusalCause::NotReady | RefusalCause::StoreUnavailable | RefusalCause::NoEndpoint => {
                 Some(Self::NOT_READY_RETRY_AFTER)
             }
             _ => None,
--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one request.
 
+mod call_context;
 mod caller_body;
 mod caller_request;
 mod caller_service;
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,12 +1,12 @@
 use {
     crate::{
         connection::{ChannelFault, PooledChannel},
-        process::{GatewayState, RunningRequest},
         request::{
+            call_context::CallContext,
             caller_request::strip_hop_headers,
             refusal_reply::refusal,
             stream_pump::{PieceOutcome, StreamAttempt, StreamPump},
-            CallerBody, CallerRequest,
+            CallerBody,
         },
     },
     bytes::Bytes,
@@ -15,7 +15,7 @@
         ids::{EndpointId, ModelId},
         process::{EngineProfile, PathError, PathPlanner, PathRequest, PlannedPath},
         request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute},
-        version::{RequestKind, RouteRule, ServiceRule},
+        version::{RequestKind, ServiceRule},
     },
     http::{HeaderValue, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Full},
@@ -26,11 +26,7 @@
 
 /// A request whose answer is a stream of events from a path of model endpoints.
 pub(super) struct StreamCall {
-    pub(super) state: Rc<GatewayState>,
-    pub(super) rule: RouteRule,
-    pub(super) service: ServiceRule,
-    pub(super) request: CallerRequest,
-    running: RunningRequest,
+    pub(super) context: CallContext,
     /// Endpoints that failed this request.
     pub(super) avoided: Vec<EndpointId>,
     /// Endpoints of paths that fell silent though all their endpoints live; they are used again if
@@ -78,13 +74,8 @@
     /// leave after eight times that gap.
     const MAX_GAPS: f64 = 3.0;
 
-    pub(super) fn new(
-        state: Rc<GatewayState>,
-        rule: RouteRule,
-        service: ServiceRule,
-        request: CallerRequest,
-        running: RunningRequest,
-    ) -> Self {
+    pub(super) fn new(context: CallContext) -> Self {
+        let CallContext { state, service, request, .. } = &context;
         let names = state.codec.header_names();
         let counts = request.token_counts(names);
         let usual = service.engine.as_ref().map_or((0, 0), |e| (e.usual_prompt, e.usual_answer));
@@ -97,13 +88,9 @@
             .and_then(|value| value.to_str().ok())
             .and_then(|name| name.parse().ok());
         // A path is planned by service; the model's name only labels the route.
-        let model = model.unwrap_or_else(|| unnamed_model(&service));
+        let model = model.unwrap_or_else(|| unnamed_model(service));
         Self {
-            state,
-            rule,
-            service,
-            request,
-            running,
+            context,
             avoided: Vec::new(),
             suspected: Vec::new(),
             sent: 0,
@@ -116,8 +103,12 @@
     }
 
     pub(super) async fn run(mut self) -> Response<CallerBody> {
-        self.state.note_request(&self.service.service);
-        let start = self.request.number(&self.state.codec.header_names().last_event).unwrap_or(0);
+        self.context.state.note_request(&self.context.service.service);
+        let start = self
+            .context
+            .request
+            .number(&self.context.state.codec.header_names().last_event)
+            .unwrap_or(0);
         let mut verdict = RequestVerdict::NotRun;
         let mut cause = RefusalCause::NoEndpoint;
         for number in 0..Self::MAX_SENDS {
@@ -134,9 +125,14 @@
                 }
                 Err(AttemptFault::NotRun) => cause = RefusalCause::Overloaded,
                 Err(AttemptFault::Lost) => verdict = RequestVerdict::MayHaveRun,
-                Err(AttemptFault::Failed(answer)) => return *answer,
+                Err(AttemptFault::Failed(answer)) => {
+                    let status = answer.status().as_u16();
+                    self.context
+                        .note_answered(self.sent, format_args!("status {status} passed on"));
+                    return *answer;
+                }
             }
-            if verdict != RequestVerdict::NotRun && !self.rule.kind.is_repeatable() {
+            if verdict != RequestVerdict::NotRun && !self.context.rule.kind.is_repeatable() {
                 break;
             }
         }
@@ -145,40 +141,37 @@
 
     /// Says whether the request may be sent once more.
     pub(super) fn may_send(&self) -> bool {
-        let has_time = !self.time_left().is_zero();
+        let has_time = !self.context.time_left().is_zero();
         has_time
             && self.sent < Self::MAX_SENDS
-            && (self.sent == 0 || self.state.take_retry(&self.service.service))
+            && (self.sent == 0 || self.context.state.take_retry(&self.context.service.service))
     }
 
     pub(super) fn may_resume(&self) -> bool {
-        self.rule.kind == RequestKind::ResumableStream && self.may_send()
-    }
-
-    pub(super) fn time_left(&self) -> Duration {
-        self.request.time_left(self.rule.timeout, self.state.now())
+        self.context.rule.kind == RequestKind::ResumableStream && self.may_send()
     }
 
     /// Returns how long a request that just came may wait for memory.
     fn first_wait(&self) -> Duration {
-        let waited = self.state.now().since(self.request.arrived);
-        self.rule.objective.mul_f64(Self::WAIT_PART).saturating_sub(waited)
+        let waited = self.context.state.now().since(self.context.request.arrived);
+        self.context.rule.objective.mul_f64(Self::WAIT_PART).saturating_sub(waited)
     }
 
     fn give_up(&self, verdict: RequestVerdict, cause: RefusalCause) -> Response<CallerBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
-        self.state.metrics.refused(cause);
-        LogEvent::RequestRefused.log(format_args!(
-            "request {} route {}: {cause}, {verdict} after {} sends; tokens {}+{}; {}; {}",
-            self.request.id,
-            self.rule.name,
-            self.sent,
-            self.prompt,
-            self.answer,
-            self.bottleneck.get().map_or_else(String::new, |error| error.to_string()),
-            self.state.knowledge(),
-        ));
+        self.context.state.metrics.refused(cause);
+        let bottleneck = self.bottleneck.get();
+        let bottleneck = bottleneck.map_or_else(|| "no path failed".into(), |e| e.to_string());
+        self.context
+            .decision(LogEvent::RequestRefused)
+            .cause(cause)
+            .verdict(verdict)
+            .sends(self.sent)
+            .log(format_args!(
+                "{bottleneck}; route {}, tokens {}+{}",
+                self.context.rule.name, self.prompt, self.answer,
+            ));
         let pause = Self::RETRY_AFTER.mul_f64(1.0 + 2.0 * fastrand::f64());
         refusal(cause, is_not_run.then_some(pause))
     }
@@ -197,25 +190,26 @@
         let Ok(address) = first.address.parse::<SocketAddrV4>() else {
             return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
         };
-        let booked = self.state.book(&path.route, self.prompt + self.answer / 2);
-        let now = self.state.now();
-        let limit = Self::CONNECT_LIMIT.min(self.time_left());
-        let opened = self.state.pool.checkout(address, false, now, limit).await;
+        let booked = self.context.state.book(&path.route, self.prompt + self.answer / 2);
+        let now = self.context.state.now();
+        let limit = Self::CONNECT_LIMIT.min(self.context.time_left());
+        let opened = self.context.state.pool.checkout(address, false, now, limit).await;
         let mut channel = match opened {
             Ok(channel) => channel,
             Err(fault) => return Err(self.channel_failed(&first.endpoint, &fault)),
         };
         if !channel.is_reused {
-            self.state.metrics.channel_opened();
+            self.context.state.metrics.channel_opened();
         }
         let request = self
             .outgoing(&path, last_event)
             .ok_or(AttemptFault::NoPath(RefusalCause::BadRequest))?;
         self.sent += 1;
+        self.context.note_sent();
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
         }
-        let sent_at = self.state.now();
+        let sent_at = self.context.state.now();
         let answer = match self.await_head(&mut channel, request, &path.route).await {
             Ok(answer) => answer,
             Err(ChannelFault::Unsent) => {
@@ -230,8 +224,7 @@
             }
             Err(fault) => return Err(self.channel_failed(&first.endpoint, &fault)),
         };
-        let echoed = answer.headers().get(&self.state.codec.header_names().request_id);
-        if echoed.is_some_and(|id| id.as_bytes() != self.request.id.as_bytes()) {
+        if self.context.is_of_another(answer.headers()) {
             return Err(self.channel_failed(&first.endpoint, &ChannelFault::Silent));
         }
         let may_keep = channel.note_head(answer.headers());
@@ -247,20 +240,18 @@
         let mut attempt =
             StreamAttempt { channel, may_keep, body, splitter, route: path.route.clone(), booked };
         let head = Response::from_parts(parts, ());
-        match attempt.next_piece(&self.state, self.time_left()).await {
+        match attempt.next_piece(&self.context.state, self.context.time_left()).await {
             PieceOutcome::Events(first) => {
-                LogEvent::StreamStarted.log(format_args!(
-                    "request {} send {} tokens {}+{}: {}ms after its arrival, {}ms after it was sent; planned first {:.1}ms token {:.1}ms; route {}; {}",
-                    self.request.id,
-                    self.sent,
-                    self.prompt,
-                    self.answer,
-                    self.state.now().since(self.request.arrived).as_millis(),
-                    self.state.now().since(sent_at).as_millis(),
+                let now = self.context.state.now();
+                self.context.decision(LogEvent::StreamStarted).sends(self.sent).log(format_args!(
+                    "{} ms after its arrival, {} ms after it was sent; planned first {:.1} ms, token {:.1} ms; tokens {}+{}; route {}",
+                    now.since(self.context.request.arrived).as_millis(),
+                    now.since(sent_at).as_millis(),
                     path.first_ms,
                     path.token_ms,
+                    self.prompt,
+                    self.answer,
                     attempt.describe(),
-                    self.state.knowledge(),
                 ));
                 Ok((head, attempt, first))
             }
@@ -280,9 +271,9 @@
         request: Request<Full<Bytes>>,
         route: &StageRoute,
     ) -> Result<Response<Incoming>, ChannelFault> {
-        let began = self.state.now();
-        let limit = Self::HEAD_LIMIT.min(self.time_left());
-        let state = Rc::clone(&self.state);
+        let began = self.context.state.now();
+        let limit = Self::HEAD_LIMIT.min(self.context.time_left());
+        let state = Rc::clone(&self.context.state);
         let mut sending = pin!(channel.channel.send(request, limit));
         loop {
             if let Ok(result) = timeout(StreamAttempt::STALL_CHECK, sending.as_mut()).await {
@@ -290,12 +281,11 @@
             }
             let silent = state.silent_endpoints(route).await;
             if !silent.is_empty() {
-                LogEvent::StreamBroken.log(format_args!(
-                    "request {} send {}: no answer after {}ms, silent: {silent:?}; {}",
-                    self.request.id,
-                    self.sent,
-                    state.now().since(began).as_millis(),
-                    state.knowledge(),
+                let time = state.now().since(began);
+                self.context.decision(LogEvent::StreamBroken).sends(self.sent).log(format_args!(
+                    "no answer after {} ms; silent: {}",
+                    time.as_millis(),
+                    names_of(&silent),
                 ));
                 self.avoided.extend(silent);
                 return Err(ChannelFault::Silent);
@@ -305,39 +295,43 @@
 
     /// Plans a path, and waits a short while for memory if there is none.
     async fn plan_in_time(&self, wait: Duration) -> Result<PlannedPath, AttemptFault> {
-        let began = self.state.now();
-        let limit = wait.min(self.time_left());
+        let began = self.context.state.now();
+        let limit = wait.min(self.context.time_left());
         let mut has_waited = false;
         loop {
             let planned = self.plan();
-            let now = self.state.now();
+            let now = self.context.state.now();
             let left = limit.saturating_sub(now.since(began));
             let is_full = matches!(planned, Err(AttemptFault::NoPath(RefusalCause::Overloaded)));
             if !is_full || left.is_zero() {
                 return planned;
             }
-            if !has_waited && !self.state.waiting.has_place(left, now) {
+            if !has_waited && !self.context.state.waiting.has_place(left, now) {
                 return planned;
             }
             has_waited = true;
-            self.state.waiting.wait().await;
+            self.context.state.waiting.wait().await;
         }
     }
 
     fn plan(&self) -> Result<PlannedPath, AttemptFault> {
-        let Some(engine) = &self.service.engine else {
+        let Some(engine) = &self.context.service.engine else {
             return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
         };
-        let directory = self.state.directory.borrow();
-        let load = self.state.load.borrow();
-        let planner =
-            PathPlanner { directory: &directory, load: &load, engine, now: self.state.now() };
-        let most = usize::try_from(self.rule.attempts.max(1)).unwrap_or(usize::MAX);
+        let directory = self.context.state.directory.borrow();
+        let load = self.context.state.load.borrow();
+        let planner = PathPlanner {
+            directory: &directory,
+            load: &load,
+            engine,
+            now: self.context.state.now(),
+        };
+        let most = usize::try_from(self.context.rule.attempts.max(1)).unwrap_or(usize::MAX);
         let has_all = self.sent_to.len() >= most;
         let request = PathRequest {
             model: &self.model,
-            service: &self.service.service,
-            zone: &self.state.profile.zone,
+            service: &self.context.service.service,
+            zone: &self.context.state.profile.zone,
             prompt: self.prompt,
             answer: self.answer,
             avoided: &self.avoided,
@@ -365,28 +359,28 @@
     /// Says whether the path's events would come so slowly that callers would leave.
     fn is_too_slow(&self, engine: &EngineProfile, path: &PlannedPath) -> bool {
         let gap_ms = path.token_ms * f64::from(engine.stride.max(1));
-        self.rule.event_gap.is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::MAX_GAPS)
+        self.context
+            .rule
+            .event_gap
+            .is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::MAX_GAPS)
     }
 
     fn outgoing(&self, path: &PlannedPath, last_event: u64) -> Option<Request<Full<Bytes>>> {
-        let names = self.state.codec.header_names();
+        let codec = &self.context.state.codec;
         let first = path.route.stages().first()?;
-        let now = self.state.now();
-        let mut headers = self.request.outgoing_headers(names, first.endpoint.as_str(), now);
-        let hops = self.state.codec.layer_path(&path.route);
-        headers.insert(names.layer_path.clone(), HeaderValue::from_str(&hops).ok()?);
+        let mut message = self.context.message(&first.endpoint)?;
+        let headers = message.headers_mut();
+        let hops = HeaderValue::from_str(&codec.layer_path(&path.route)).ok()?;
+        headers.insert(codec.header_names().layer_path.clone(), hops);
         if last_event > 0 {
-            headers.insert(names.last_event.clone(), HeaderValue::from(last_event));
+            let last = HeaderValue::from(last_event);
+            headers.insert(codec.header_names().last_event.clone(), last);
         }
-        let mut request = Request::new(Full::new(self.request.body.clone()));
-        *request.method_mut() = self.request.method.clone();
-        *request.uri_mut() = self.request.target.parse().ok()?;
-        *request.headers_mut() = headers;
-        Some(request)
+        Some(message)
     }
 
     fn channel_failed(&mut self, endpoint: &EndpointId, fault: &ChannelFault) -> AttemptFault {
-        self.state.endpoint_failed(endpoint, fault);
+        self.context.state.endpoint_failed(endpoint, fault);
         self.avoided.push(endpoint.clone());
         match fault.verdict() {
             RequestVerdict::NotRun => AttemptFault::NotRun,
@@ -396,33 +390,34 @@
 
     /// Takes an answer that is no stream.
     async fn refused(&mut self, first: &EndpointId, answer: Response<Incoming>) -> AttemptFault {
-        let names = self.state.codec.header_names();
+        let names = self.context.state.codec.header_names();
         let failed_at = answer
             .headers()
             .get(&names.failed_address)
             .and_then(|value| value.to_str().ok()?.parse().ok())
-            .and_then(|address| self.state.endpoint_at(address));
+            .and_then(|address| self.context.state.endpoint_at(address));
         let endpoint = failed_at.unwrap_or_else(|| first.clone());
         let is_misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-        LogEvent::TryFailed.log(format_args!(
-            "request {} send {}: status {} because of {endpoint}; {}",
-            self.request.id,
-            self.sent,
-            answer.status(),
-            self.state.knowledge(),
-        ));
-        if is_misdirected || answer.headers().contains_key(&names.not_run) {
-            self.state.endpoint_refused(&endpoint, is_misdirected);
-            if !is_misdirected && self.state.is_alive(&endpoint).await {
-                let now = self.state.now();
-                self.state.load.borrow_mut().note_full(endpoint, now);
+        let not_run = is_misdirected || answer.headers().contains_key(&names.not_run);
+        let verdict = if not_run { RequestVerdict::NotRun } else { RequestVerdict::Ran };
+        self.context
+            .decision(LogEvent::TryFailed)
+            .verdict(verdict)
+            .sends(self.sent)
+            .endpoint(&endpoint)
+            .log(format_args!("status {}", answer.status()));
+        if not_run {
+            self.context.state.endpoint_refused(&endpoint, is_misdirected);
+            if !is_misdirected && self.context.state.is_alive(&endpoint).await {
+                let now = self.context.state.now();
+                self.context.state.load.borrow_mut().note_full(endpoint, now);
             } else {
                 self.avoided.push(endpoint);
             }
             return AttemptFault::NotRun;
         }
         let (mut parts, body) = answer.into_parts();
-        match timeout(Self::HEAD_LIMIT.min(self.time_left()), body.collect()).await {
+        match timeout(Self::HEAD_LIMIT.min(self.context.time_left()), body.collect()).await {
             Ok(Ok(body)) => {
                 strip_hop_headers(&mut parts.headers);
                 let body = CallerBody::whole(body.to_bytes());
@@ -455,13 +450,10 @@
         attempt: &StreamAttempt,
         fault: &super::stream_pump::PieceFault,
     ) {
-        LogEvent::StreamBroken.log(format_args!(
-            "request {} send {} after event {:?}: {fault}; route {}; {}",
-            self.request.id,
-            self.sent,
-            attempt.splitter.last(),
+        self.context.decision(LogEvent::StreamBroken).sends(self.sent).log(format_args!(
+            "{fault} after event {}; route {}",
+            attempt.splitter.last().unwrap_or(0),
             attempt.describe(),
-            self.state.knowledge(),
         ));
         self.avoided.extend(fault.blamed(attempt));
         if fault.has_no_culprit() {
@@ -469,11 +461,12 @@
             self.suspected.extend(stages.map(|stage| stage.endpoint.clone()));
         }
     }
+}
 
-    /// Returns the guard that counts the request as running.
-    pub(super) const fn running(&self) -> &RunningRequest {
-        &self.running
-    }
+/// Returns endpoints as text for the log.
+pub(super) fn names_of(endpoints: &[EndpointId]) -> String {
+    let names: Vec<&str> = endpoints.iter().map(EndpointId::as_str).collect();
+    names.join(", ")
 }
 
 /// Returns a label for routes of a service whose requests name no model.
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -3,14 +3,14 @@
         connection::PooledChannel,
         process::{GatewayState, ReservedLoad},
         request::{
-            stream_call::{AttemptFault, StreamCall},
+            stream_call::{names_of, AttemptFault, StreamCall},
             AnswerAborted,
         },
     },
     bytes::{Bytes, BytesMut},
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::EndpointId,
+        ids::{EndpointId, Moment},
         request::{EventFault, EventSplitter, StageRoute},
     },
     http_body_util::BodyExt as _,
@@ -81,8 +81,11 @@
             PieceFault::Broken(error) => write!(f, "connection broke: {error}"),
             PieceFault::Event(fault) => fault.fmt(f),
             PieceFault::Torn => f.write_str("ended in the middle of an event"),
+            PieceFault::Stalled(silent) if silent.is_empty() => {
+                f.write_str("stalled though all its endpoints answer")
+            }
             PieceFault::Stalled(silent) => {
-                write!(f, "stalled, {} endpoints are silent", silent.len())
+                write!(f, "stalled, silent: {}", names_of(silent))
             }
             PieceFault::Late => f.write_str("time is over"),
         }
@@ -192,30 +195,45 @@
         let sender = self.sender.clone();
         tokio::select! {
             () = sender.closed() => {
-                LogEvent::CallerGone.log(format_args!("request {}", self.call.request.id));
+                let last = self.last.unwrap_or(0);
+                let call = &self.call;
+                call.context
+                    .decision(LogEvent::CallerGone)
+                    .sends(call.sent)
+                    .log(format_args!("after event {last}"));
                 return;
             }
             () = self.relay(first) => {}
         }
         let Self { call, attempt, .. } = self;
-        if let Some(attempt) = attempt.filter(|_| call.running().is_complete()) {
-            let most = call.state.idle_share(&call.service);
-            attempt.close(&call.state, most).await;
+        if let Some(attempt) = attempt.filter(|_| call.context.running.is_complete()) {
+            let most = call.context.state.idle_share(&call.context.service);
+            attempt.close(&call.context.state, most).await;
         }
     }
 
     async fn relay(&mut self, first: Bytes) {
         let mut next = PieceOutcome::Events(first);
+        let context = &self.call.context;
+        let gaps = context.state.metrics.event_gaps(context.request.organisation.as_ref());
+        let mut passed_on: Option<Moment> = None;
         loop {
             match next {
                 PieceOutcome::Events(events) => {
                     self.last = self.attempt.as_ref().and_then(|attempt| attempt.splitter.last());
+                    let now = self.call.context.state.now();
+                    if let Some(before) = passed_on.replace(now) {
+                        gaps.observe(now.since(before).as_secs_f64());
+                    }
                     if !events.is_empty() && self.sender.send(Ok(events)).await.is_err() {
                         return;
                     }
                 }
                 PieceOutcome::End => {
-                    self.call.running().complete();
+                    let last = self.last.unwrap_or(0);
+                    let call = &self.call;
+                    call.context.note_answered(call.sent, format_args!("events up to {last}"));
+                    call.context.running.complete();
                     return;
                 }
                 PieceOutcome::Fault(fault) => match self.resume(&fault).await {
@@ -229,9 +247,9 @@
                     }
                 },
             }
-            let time_left = self.call.time_left();
+            let time_left = self.call.context.time_left();
             let Some(attempt) = self.attempt.as_mut() else { return };
-            next = attempt.next_piece(&self.call.state, time_left).await;
+            next = attempt.next_piece(&self.call.context.state, time_left).await;
         }
     }
 
@@ -248,11 +266,13 @@
         while self.call.may_resume() {
             match self.call.attempt(last, Self::RESUME_WAIT).await {
                 Ok((_, attempt, events)) => {
-                    LogEvent::StreamResumed.log(format_args!(
-                        "request {} after event {last} over {}",
-                        self.call.request.id,
-                        attempt.describe(),
-                    ));
+                    self.call.context.state.metrics.stream_broken(true);
+                    let path = attempt.describe();
+                    let call = &self.call;
+                    call.context
+                        .decision(LogEvent::StreamResumed)
+                        .sends(call.sent)
+                        .log(format_args!("after event {last} over {path}"));
                     self.attempt = Some(attempt);
                     return Some(events);
                 }
@@ -264,13 +284,13 @@
     }
 
     async fn abort(&self) {
-        LogEvent::StreamGivenUp.log(format_args!(
-            "request {} after event {:?}, {} sends; {}",
-            self.call.request.id,
-            self.last,
-            self.call.sent,
-            self.call.state.knowledge(),
-        ));
+        self.call.context.state.metrics.stream_broken(false);
+        let last = self.last.unwrap_or(0);
+        self.call
+            .context
+            .decision(LogEvent::StreamGivenUp)
+            .sends(self.call.sent)
+            .log(format_args!("last event {last}"));
         // The caller may have left already; then there is nobody to tell.
         drop(self.sender.send(Err(AnswerAborted)).await);
     }
--- a/crates/cassiafield/src/process/line_budget.rs
+++ b/crates/cassiafield/src/process/line_budget.rs
@@ -2,7 +2,10 @@
     crate::process::LogEvent,
     std::{
         collections::HashMap,
-        sync::{Mutex, OnceLock, PoisonError},
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Mutex, OnceLock, PoisonError,
+        },
         time::{Duration, Instant},
     },
 };
@@ -13,6 +16,9 @@
     window: Mutex<LineWindow>,
 }
 
+/// Lines that all budgets of the process have left out.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
 #[derive(Debug, Default)]
 struct LineWindow {
     began: Option<Instant>,
@@ -36,6 +42,12 @@
         budgets.get(&event).unwrap_or_else(|| SPARE.get_or_init(LineBudget::default))
     }
 
+    /// Returns how many lines were left out since the process began.
+    #[must_use]
+    pub fn left_out_total() -> u64 {
+        LEFT_OUT.load(Ordering::Relaxed)
+    }
+
     /// Takes the right to write one line at `now`; returns the lines that were left out in the
     /// second before, or `None` if this one is to be left out.
     pub fn take(&self, now: Instant) -> Option<u32> {
@@ -50,6 +62,7 @@
         }
         if window.lines >= Self::LINES_PER_SECOND {
             window.left_out += 1;
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
             return None;
         }
         window.lines += 1;
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -85,6 +85,7 @@
     1405 TryFailed Info "A request failed at an endpoint.";
     1406 RequestRefused Info "A request was refused or has failed.";
     1407 StreamStarted Info "The first events of a stream have come.";
+    1408 RequestAnswered Info "A request was answered whole.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded later.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
@@ -100,11 +101,18 @@
 impl LogEvent {
     /// Logs the event at its own level with a detail, unless its lines of this second are used up.
     pub fn log(self, detail: impl fmt::Display) {
-        let Some(left_out) = LineBudget::of(self).take(Instant::now()) else { return };
+        if self.has_budget() {
+            self.write(detail);
+        }
+    }
+
+    /// Takes the right to write one line of the event; says first what was left out before.
+    pub(super) fn has_budget(self) -> bool {
+        let Some(left_out) = LineBudget::of(self).take(Instant::now()) else { return false };
         if left_out > 0 {
             LogEvent::LinesLeftOut.write(format_args!("{left_out} lines of {self:?}"));
         }
-        self.write(detail);
+        true
     }
 
     fn write(self, detail: impl fmt::Display) {
--- a/crates/cassiafield/src/process/mod.rs
+++ b/crates/cassiafield/src/process/mod.rs
@@ -9,11 +9,14 @@
 mod host_clock;
 mod line_budget;
 mod log_event;
+mod log_record;
 mod log_setup;
 mod model_line;
 mod ordinal_keeper;
 mod peer_agent;
 mod peer_book;
+mod request_decision;
+mod request_story;
 mod route_hold;
 mod usage_keeper;
 mod usage_report;
@@ -28,7 +31,10 @@
     host_clock::HostClock,
     line_budget::LineBudget,
     log_event::{EventLevel, LogEvent},
+    log_record::LogRecord,
     log_setup::start_log,
+    request_decision::{HostKnowledge, RequestDecision},
+    request_story::RequestStory,
     route_hold::RouteHold,
     usage_keeper::UsageKeeper,
     usage_report::{ReportFormat, UsageReport},
--- /dev/null
+++ b/crates/cassiafield/src/process/request_decision.rs
@@ -0,0 +1,101 @@
+use {
+    crate::process::LogEvent,
+    cassiafield_core::{
+        ids::EndpointId,
+        request::{RefusalCause, RequestVerdict},
+    },
+    std::{fmt, time::Duration},
+};
+
+/// What a host knew when it decided.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HostKnowledge {
+    /// Version of the configuration in force; 0 without one.
+    pub configuration: u64,
+    /// Time since the configuration was known to be current.
+    pub configuration_age: Option<Duration>,
+    /// Endpoints known.
+    pub endpoints: usize,
+    /// Time since the list of endpoints was known to be current.
+    pub endpoints_age: Option<Duration>,
+}
+
+/// A decision about one request, for the log.
+///
+/// ```
+/// use {
+///     cassiafield::process::{HostKnowledge, LogEvent, RequestDecision},
+///     cassiafield_core::request::{RefusalCause, RequestVerdict},
+/// };
+///
+/// RequestDecision::new(LogEvent::RequestRefused, "8bfe543b", HostKnowledge::default())
+///     .cause(RefusalCause::Overloaded)
+///     .verdict(RequestVerdict::NotRun)
+///     .log("no path has room beyond layer 71");
+/// ```
+#[derive(Clone, Copy, Debug)]
+#[must_use = "a decision is written by `log`"]
+pub struct RequestDecision<'a> {
+    event: LogEvent,
+    request: &'a str,
+    knowledge: HostKnowledge,
+    cause: Option<RefusalCause>,
+    verdict: Option<RequestVerdict>,
+    sends: Option<u32>,
+    endpoint: Option<&'a EndpointId>,
+}
+
+impl<'a> RequestDecision<'a> {
+    /// Creates a decision about the request that its caller names `request`.
+    pub const fn new(event: LogEvent, request: &'a str, knowledge: HostKnowledge) -> Self {
+        Self { event, request, knowledge, cause: None, verdict: None, sends: None, endpoint: None }
+    }
+
+    /// Sets why the request was refused or has failed.
+    pub const fn cause(mut self, cause: RefusalCause) -> Self {
+        self.cause = Some(cause);
+        self
+    }
+
+    /// Sets whether the request may have run.
+    pub const fn verdict(mut self, verdict: RequestVerdict) -> Self {
+        self.verdict = Some(verdict);
+        self
+    }
+
+    /// Sets how often the request was sent to endpoints so far.
+    pub const fn sends(mut self, sends: u32) -> Self {
+        self.sends = Some(sends);
+        self
+    }
+
+    /// Sets the endpoint that the decision is about.
+    pub const fn endpoint(mut self, endpoint: &'a EndpointId) -> Self {
+        self.endpoint = Some(endpoint);
+        self
+    }
+
+    /// Writes the decision with a detail, unless the event's lines of this second are used up.
+    pub fn log(self, detail: impl fmt::Display) {
+        if !self.event.has_budget() {
+            return;
+        }
+        let age = |age: Option<Duration>| {
+            age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+        };
+        tracing::info!(
+            number = self.event.number(),
+            name = ?self.event,
+            request = self.request,
+            cause = self.cause.map(tracing::field::display),
+            verdict = self.verdict.map(tracing::field::display),
+            sends = self.sends,
+            endpoint = self.endpoint.map(tracing::field::display),
+            %detail,
+            configuration = self.knowledge.configuration,
+            configuration_age_ms = age(self.knowledge.configuration_age),
+            endpoints = self.knowledge.endpoints,
+            endpoints_age_ms = age(self.knowledge.endpoints_age),
+        );
+    }
+}
--- /dev/null
+++ b/crates/cassiafield/src/process/request_story.rs
@@ -0,0 +1,197 @@
+use {
+    crate::process::{LogEvent, LogRecord},
+    cassiafield_core::request::{RefusalCause, RequestVerdict},
+    compact_str::CompactString,
+    std::{collections::BTreeSet, fmt::Write as _},
+};
+
+/// The lines of one request over all hosts, and what decided it.
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
+pub struct RequestStory {
+    /// The request's id.
+    pub request: CompactString,
+    /// One sentence that says what decided the request.
+    pub summary: String,
+    /// Lines of the request in order of time.
+    pub lines: Vec<LogRecord>,
+    /// Lines before the decision, of the host that decided, about the endpoints that the request
+    /// met or about what the host did not know.
+    pub context: Vec<LogRecord>,
+}
+
+impl RequestStory {
+    /// Lines of context that are kept, the last ones.
+    const MAX_CONTEXT: usize = 12;
+
+    /// Picks a request's lines out of `records`; `None` if there are none.
+    #[must_use]
+    pub fn find(request: &str, records: &[LogRecord]) -> Option<Self> {
+        let is_own = |record: &&LogRecord| record.request.as_deref() == Some(request);
+        let mut lines: Vec<LogRecord> = records.iter().filter(is_own).cloned().collect();
+        lines.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
+        let decision = decisive(&lines)?;
+        let summary = summary(&lines, decision);
+        let mut context = context(&lines, decision, records);
+        context.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
+        let surplus = context.len().saturating_sub(Self::MAX_CONTEXT);
+        context.drain(..surplus);
+        Some(Self { request: request.into(), summary, lines, context })
+    }
+
+    /// Returns the story as text: the sentence, the request's lines, and the lines before.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = format!("request {}: {}\n", self.request, self.summary);
+        for line in &self.lines {
+            let _ = writeln!(text, "  {line}");
+        }
+        if !self.context.is_empty() {
+            text.push_str("before it on the same host:\n");
+        }
+        for line in &self.context {
+            let _ = writeln!(text, "  {line}");
+        }
+        text
+    }
+}
+
+/// Returns the line that ended the request, or its last line if none did.
+fn decisive(lines: &[LogRecord]) -> Option<&LogRecord> {
+    let ends = [
+        LogEvent::RequestRefused,
+        LogEvent::StreamGivenUp,
+        LogEvent::RequestAnswered,
+        LogEvent::CallerGone,
+    ];
+    let is_end = |line: &&LogRecord| ends.iter().any(|end| end.number() == line.number);
+    lines.iter().rev().find(is_end).or(lines.last())
+}
+
+fn summary(lines: &[LogRecord], decision: &LogRecord) -> String {
+    let is = |event: LogEvent| decision.number == event.number();
+    let mut text = format!("{} ", decision.host);
+    let failures = [LogEvent::TryFailed, LogEvent::StreamBroken];
+    let failed = |line: &&LogRecord| failures.iter().any(|event| event.number() == line.number);
+    let failure = lines.iter().rev().find(failed);
+    if is(LogEvent::RequestRefused) {
+        let cause = cause_of(decision);
+        text.push_str(&format!("refused it with {}: ", cause.map_or(0, RefusalCause::status)));
+        text.push_str(&reason(cause, decision, failure));
+    } else if is(LogEvent::StreamGivenUp) {
+        let fault = failure.map_or("its path broke", |line| line.detail.as_str());
+        let _ = write!(text, "ended its stream early: {fault}; {}", decision.detail);
+    } else if is(LogEvent::RequestAnswered) {
+        let _ = write!(text, "answered it: {}", decision.detail);
+    } else if is(LogEvent::CallerGone) {
+        text.push_str("cancelled it, since the caller hung up");
+    } else {
+        let _ = write!(text, "wrote no end of it; its last line is {}", decision.name);
+    }
+    if let Some(verdict) = &decision.verdict {
+        let _ = match verdict.parse() {
+            Ok(RequestVerdict::NotRun) => write!(text, "; it has not run"),
+            Ok(RequestVerdict::MayHaveRun) => write!(text, "; it may have run"),
+            Ok(RequestVerdict::Ran) => write!(text, "; it ran"),
+            Err(_) => write!(text, "; {verdict}"),
+        };
+    }
+    if let Some(configuration) = decision.configuration {
+        let age =
+            |age: Option<u64>| age.map_or("of unknown age".into(), |ms| format!("{ms} ms old"));
+        let _ = write!(
+            text,
+            " (it knew configuration {configuration}, {}, and {} endpoints, {})",
+            age(decision.configuration_age_ms),
+            decision.endpoints.unwrap_or(0),
+            age(decision.endpoints_age_ms),
+        );
+    }
+    text
+}
+
+fn cause_of(line: &LogRecord) -> Option<RefusalCause> {
+    let name = line.cause.as_deref()?;
+    RefusalCause::ALL.into_iter().find(|cause| cause.name() == name)
+}
+
+/// Says in words why a request was refused or has failed.
+fn reason(
+    cause: Option<RefusalCause>,
+    decision: &LogRecord,
+    failure: Option<&LogRecord>,
+) -> String {
+    let version = decision.configuration.unwrap_or(0);
+    match cause {
+        Some(RefusalCause::Overloaded) => format!("no room for it, {}", decision.detail),
+        Some(RefusalCause::NoEndpoint) => {
+            format!("no endpoint in use could take it, {}", decision.detail)
+        }
+        Some(RefusalCause::EndpointFailed) => match failure {
+            Some(line) => {
+                let endpoint = line.endpoint.as_deref().unwrap_or("an endpoint of its path");
+                format!("{endpoint} failed, {}", line.detail)
+            }
+            None => format!("an endpoint failed, {}", decision.detail),
+        },
+        Some(RefusalCause::StoreUnavailable) => {
+            "the configuration was too old to rule out that its key was taken away".into()
+        }
+        Some(RefusalCause::NotReady) => "the host was stopping or had no configuration".into(),
+        Some(RefusalCause::Unauthorised) => {
+            format!("its key is missing or not in configuration {version}")
+        }
+        Some(RefusalCause::NotFound) => format!("no route of configuration {version} matches it"),
+        Some(other) => format!("{other}, {}", decision.detail),
+        None => decision.detail.clone(),
+    }
+}
+
+/// Returns the lines of the deciding host that explain what it believed.
+fn context(lines: &[LogRecord], decision: &LogRecord, records: &[LogRecord]) -> Vec<LogRecord> {
+    let endpoints = endpoints_of(lines);
+    let cause = cause_of(decision);
+    let knows_too_little = matches!(
+        cause,
+        Some(RefusalCause::StoreUnavailable | RefusalCause::NotReady | RefusalCause::Unauthorised)
+    );
+    let of_knowledge = [
+        LogEvent::HostStarted,
+        LogEvent::HostStopping,
+        LogEvent::ListsTaken,
+        LogEvent::ListsRejected,
+        LogEvent::StoreUnreachable,
+        LogEvent::StoreBack,
+    ];
+    let of_endpoints = [
+        LogEvent::EndpointFailed,
+        LogEvent::EndpointLeaving,
+        LogEvent::EndpointChanged,
+        LogEvent::LayersOrdered,
+    ];
+    let is_any = |line: &LogRecord, events: &[LogEvent]| {
+        events.iter().any(|event| event.number() == line.number)
+    };
+    let lacks_room = matches!(cause, Some(RefusalCause::Overloaded | RefusalCause::NoEndpoint));
+    let is_related = |line: &&LogRecord| {
+        line.host == decision.host
+            && line.timestamp <= decision.timestamp
+            && (knows_too_little && is_any(line, &of_knowledge)
+                || is_any(line, &of_endpoints)
+                    && (lacks_room || endpoints.iter().any(|name| line.names(name))))
+    };
+    records.iter().filter(is_related).cloned().collect()
+}
+
+/// Returns the endpoints that a request's lines name: as their subject, or in a path of the form
+/// `endpoint=layers,endpoint=layers`.
+fn endpoints_of(lines: &[LogRecord]) -> BTreeSet<CompactString> {
+    let mut endpoints = BTreeSet::new();
+    for line in lines {
+        endpoints.extend(line.endpoint.clone());
+        let words = line.detail.split(|c: char| c.is_whitespace() || c == ',' || c == ';');
+        let stages = words.filter_map(|word| word.split_once('='));
+        endpoints.extend(stages.map(|(endpoint, _)| CompactString::from(endpoint)));
+    }
+    endpoints
+}
