fix: an endpoint whose address another one has is gone, and blamed by its path

The host had been cut off and kept an endpoint that lapsed; a new one had its address. The 421 names an address; it was looked up over all endpoints and blamed the new one, so the next path took the old one again. Change: the address is looked up among the request's path; an endpoint that is missing from the list while its address belongs to another is gone at once, without waiting for the list to be whole. Refusals say why there was no further try; RequestAnswered of streams has the longest gap. Conclusion: mended.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -7,6 +7,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt,
+        net::SocketAddrV4,
         time::Duration,
     },
 };
@@ -91,18 +92,20 @@
         let mut changes = Vec::new();
         let listed: BTreeSet<EndpointId> =
             list.iter().map(|entry| entry.endpoint.clone()).collect();
+        let taken: BTreeSet<SocketAddrV4> = list.iter().map(|entry| entry.address).collect();
         for entry in list {
             self.take_entry(entry, asked, &mut changes);
         }
-        if asked.since(since) >= Self::LAPSE_GRACE {
-            self.known.retain(|endpoint, _| {
-                let is_listed = listed.contains(endpoint);
-                if !is_listed {
-                    changes.push(DirectoryChange::Gone(endpoint.clone()));
-                }
-                is_listed
-            });
-        }
+        let proves_absence = asked.since(since) >= Self::LAPSE_GRACE;
+        self.known.retain(|endpoint, known| {
+            // An endpoint whose address another one has is gone, whatever the list lacks.
+            let is_replaced = taken.contains(&known.entry.address);
+            let is_gone = !listed.contains(endpoint) && (proves_absence || is_replaced);
+            if is_gone {
+                changes.push(DirectoryChange::Gone(endpoint.clone()));
+            }
+            !is_gone
+        });
         changes
     }
 
--- a/crates/cassiafield-core/tests/endpoint_directory.rs
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -40,6 +40,20 @@
     assert!(!is_live(&directory, "e1"));
 }
 
+#[test]
+fn an_endpoint_whose_address_another_one_has_is_gone_though_the_list_is_not_whole_again() {
+    let mut directory = EndpointDirectory::default();
+    let old = entry("e9", "fast", "a", Some(span(0, 8)));
+    directory.take_list(vec![old.clone()], at(0));
+    directory.list_failed();
+    let mut new = entry("e1", "fast", "a", None);
+    new.address = old.address;
+    let changes = directory.take_list(vec![new], at(10_000));
+    let started = DirectoryChange::Started(endpoint("e1"), EndpointIncarnation(1));
+    assert_eq!(changes, [started, DirectoryChange::Gone(endpoint("e9"))]);
+    assert!(!is_live(&directory, "e9"));
+}
+
 #[test]
 fn leaving_holds_until_the_endpoint_starts_again() {
     let mut directory = EndpointDirectory::default();
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -17,7 +17,6 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
-        net::SocketAddrV4,
         rc::Rc,
         time::Duration,
     },
@@ -292,14 +291,6 @@
         ChannelPool::idle_share(service.max_connections, self.hosts_alive.get())
     }
 
-    /// Returns the endpoint that listens at an address.
-    #[must_use]
-    pub fn endpoint_at(&self, address: SocketAddrV4) -> Option<EndpointId> {
-        let directory = self.directory.borrow();
-        let found = directory.entries().find(|entry| entry.address == address);
-        found.map(|entry| entry.endpoint.clone())
-    }
-
     /// Asks the endpoints of a route whether they live and returns those that do not answer.
     pub async fn silent_endpoints(&self, route: &StageRoute) -> Vec<EndpointId> {
         self.probe.silent(self, route).await
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -162,7 +162,7 @@
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.refused(cause);
         let bottleneck = self.bottleneck.get();
-        let bottleneck = bottleneck.map_or_else(|| "no path failed".into(), |e| e.to_string());
+        let bottleneck = bottleneck.map_or_else(|| self.last_word().into(), |e| e.to_string());
         self.context
             .decision(LogEvent::RequestRefused)
             .cause(cause)
@@ -176,6 +176,17 @@
         refusal(cause, is_not_run.then_some(pause))
     }
 
+    /// Says why the request is not sent once more though there may be a path.
+    fn last_word(&self) -> &'static str {
+        if self.context.time_left().is_zero() {
+            "its time is over"
+        } else if self.sent >= Self::MAX_SENDS {
+            "it was sent as often as allowed"
+        } else {
+            "the retry budget is used up"
+        }
+    }
+
     /// Sends the request over a path and waits for the first events after `last_event`; waits up to
     /// `wait` for memory.
     pub(super) async fn attempt(
@@ -229,7 +240,7 @@
         }
         let may_keep = channel.note_head(answer.headers());
         if answer.status() != StatusCode::OK {
-            return Err(self.refused(&first.endpoint, answer).await);
+            return Err(self.refused(&path.route, answer).await);
         }
         let (parts, body) = answer.into_parts();
         let splitter = if last_event == 0 {
@@ -389,14 +400,16 @@
     }
 
     /// Takes an answer that is no stream.
-    async fn refused(&mut self, first: &EndpointId, answer: Response<Incoming>) -> AttemptFault {
+    async fn refused(&mut self, route: &StageRoute, answer: Response<Incoming>) -> AttemptFault {
         let names = self.context.state.codec.header_names();
-        let failed_at = answer
-            .headers()
-            .get(&names.failed_address)
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .and_then(|address| self.context.state.endpoint_at(address));
-        let endpoint = failed_at.unwrap_or_else(|| first.clone());
+        let address = answer.headers().get(&names.failed_address);
+        let address = address.and_then(|value| value.to_str().ok()).map(str::trim);
+        // Another endpoint may be listed at the address of one that is gone.
+        let stages = route.stages();
+        let failed = stages.iter().find(|stage| Some(stage.address.as_str()) == address);
+        let Some(endpoint) = failed.or(stages.first()).map(|stage| stage.endpoint.clone()) else {
+            return AttemptFault::Lost;
+        };
         let is_misdirected = answer.status() == StatusCode::MISDIRECTED_REQUEST;
         let not_run = is_misdirected || answer.headers().contains_key(&names.not_run);
         let verdict = if not_run { RequestVerdict::NotRun } else { RequestVerdict::Ran };
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -175,6 +175,8 @@
     attempt: Option<StreamAttempt>,
     /// The last event passed on.
     last: Option<u64>,
+    /// Longest time between two events passed on.
+    longest_gap: Duration,
     sender: mpsc::Sender<Result<Bytes, AnswerAborted>>,
 }
 
@@ -187,7 +189,8 @@
         attempt: StreamAttempt,
         sender: mpsc::Sender<Result<Bytes, AnswerAborted>>,
     ) -> Self {
-        Self { call, attempt: Some(attempt), last: None, sender }
+        let longest_gap = Duration::ZERO;
+        Self { call, attempt: Some(attempt), last: None, longest_gap, sender }
     }
 
     /// Runs until the stream is complete, is given up, or the caller leaves.
@@ -223,7 +226,9 @@
                     self.last = self.attempt.as_ref().and_then(|attempt| attempt.splitter.last());
                     let now = self.call.context.state.now();
                     if let Some(before) = passed_on.replace(now) {
-                        gaps.observe(now.since(before).as_secs_f64());
+                        let gap = now.since(before);
+                        gaps.observe(gap.as_secs_f64());
+                        self.longest_gap = self.longest_gap.max(gap);
                     }
                     if !events.is_empty() && self.sender.send(Ok(events)).await.is_err() {
                         return;
@@ -232,7 +237,11 @@
                 PieceOutcome::End => {
                     let last = self.last.unwrap_or(0);
                     let call = &self.call;
-                    call.context.note_answered(call.sent, format_args!("events up to {last}"));
+                    let gap = self.longest_gap.as_millis();
+                    call.context.note_answered(
+                        call.sent,
+                        format_args!("events up to {last}, longest gap {gap} ms"),
+                    );
                     call.context.running.complete();
                     return;
                 }
