perf: idle endpoints fill holes before busy ones give up their layers

Change: PlacementCandidate::is_busy; a busy endpoint waits for its longest answers (three usual ones at a step factor of ten, 6 s here), an idle one for nothing. Pattern: the only holder of layers leaves under load. After: passes; slow ones fill it.

--- a/crates/cassiafield-core/src/process/layer_placement.rs
+++ b/crates/cassiafield-core/src/process/layer_placement.rs
@@ -22,6 +22,8 @@
     pub is_loading: bool,
     /// Whether it gets no order yet, since it may be about to replace another endpoint.
     pub is_waiting: bool,
+    /// Whether streams run through it; layers that it gives up wait for their end.
+    pub is_busy: bool,
 }
 
 /// Layers that an empty endpoint is to hold.
@@ -61,8 +63,11 @@
     const LOOSE_PART: f64 = 0.45;
     /// Time for which a move must pay, in seconds; endpoints come and go about as often.
     const MOVE_HORIZON: f64 = 20.0;
-    /// Time for which an endpoint waits for the streams on the layers that it gives up, in seconds.
-    const MOVE_DRAIN: f64 = 2.0;
+    /// Longest answer of the streams that run through an endpoint, in usual answers.
+    const LONGEST_ANSWERS: f64 = 3.0;
+    /// Step factor of the paths that such streams take, for the time of a token; those of slow
+    /// endpoints are slower, those of fast ones faster.
+    const DRAIN_FACTOR: f64 = 10.0;
     /// Part of the zone's cost over that time that a move must save.
     const MOVE_GAIN: f64 = 0.04;
 
@@ -147,7 +152,9 @@
             }
             let new_layers = span.layers() - overlap(held, span).map_or(0, LayerSpan::layers);
             let load_part = f64::from(new_layers) / f64::from(self.engine.layers.max(1));
-            let load_seconds = Self::MOVE_DRAIN + self.engine.load_seconds * load_part;
+            let drain_seconds =
+                if plan.candidates[index].is_busy { self.drain_seconds() } else { 0.0 };
+            let load_seconds = drain_seconds + self.engine.load_seconds * load_part;
             let lost = (without.cost() - before).max(0.0) * load_seconds;
             let saved = (before - after) * (Self::MOVE_HORIZON - load_seconds) - lost;
             let least = before * Self::MOVE_GAIN * Self::MOVE_HORIZON;
@@ -160,6 +167,12 @@
         }
     }
 
+    /// Returns how long an endpoint waits for the streams on the layers that it gives up.
+    fn drain_seconds(&self) -> f64 {
+        let tokens = f64::from(self.engine.usual_answer) * Self::LONGEST_ANSWERS;
+        tokens * self.engine.step_ms * Self::DRAIN_FACTOR / 1e3
+    }
+
     fn set_span(&self, plan: &mut ZonePlan<'_>, index: usize, span: Option<LayerSpan>) {
         let profile = &plan.candidates[index].profile;
         if let Some(held) = plan.spans[index] {
--- a/crates/cassiafield-core/tests/engine_support/mod.rs
+++ b/crates/cassiafield-core/tests/engine_support/mod.rs
@@ -81,6 +81,7 @@
         held,
         is_loading: false,
         is_waiting: false,
+        is_busy: false,
     }
 }
 
--- a/crates/cassiafield-core/tests/layer_placement.rs
+++ b/crates/cassiafield-core/tests/layer_placement.rs
@@ -177,3 +177,27 @@
     assert!(assign(&[odd]).is_empty());
     assert_eq!(span(0, 1).layers(), 1);
 }
+
+/// The pattern of a day on which the only holder of some layers leaves under load: fast endpoints
+/// carry the streams, slow ones stand by.
+#[test]
+fn idle_endpoints_fill_a_hole_before_busy_ones_give_up_what_they_carry() {
+    let mut candidates = candidates(&[("fast", 2), ("middle", 2), ("slow", 5)]);
+    settle(&mut candidates);
+    for candidate in &mut candidates {
+        candidate.is_busy = candidate.profile.kind.as_str() != "slow";
+    }
+    let lost = candidates.iter().position(|c| c.profile.kind.as_str() == "middle");
+    candidates.remove(lost.expect("a middle one"));
+    for _ in 0..20 {
+        let assignments = assign(&candidates);
+        for assignment in &assignments {
+            assert!(assignment.endpoint.as_str().starts_with("slow"), "{assignment:?}");
+        }
+        apply(&mut candidates, &assignments);
+        if assignments.is_empty() {
+            break;
+        }
+    }
+    assert!(is_covered(&candidates));
+}
--- a/crates/cassiafield-standin/tests/zone_model.rs
+++ b/crates/cassiafield-standin/tests/zone_model.rs
@@ -71,6 +71,7 @@
                 held: None,
                 is_loading: false,
                 is_waiting: false,
+                is_busy: false,
             });
         }
     }
