fix: readings of endpoints no longer go round between hosts

Cause: refusals now say what each holder of the missing layer looked like to the host (RequestRefused, describe_holders). Besides, the larger of reading and bookings counted, though the reading was a second old. Change: only what a host read itself is sent, with its age, for 600 ms; an older reading never replaces a newer one; memory in use is the reading plus what was booked and given back since. Pattern: load that ebbs after a burst or a loss; hosts that restart beside streams that nobody books.

--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -33,6 +33,16 @@
     pub total: f64,
 }
 
+/// A reading on its way between hosts, whose clocks differ.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct SharedReading {
+    /// Time since the endpoint was asked, in milliseconds.
+    pub age_ms: u32,
+    /// What it reported.
+    pub reading: EngineReading,
+}
+
 /// What one stream has booked at the endpoints of its route.
 #[derive(Debug)]
 pub struct LoadReservation {
@@ -46,10 +56,20 @@
     own: BTreeMap<EndpointId, EngineUse>,
     peers: HashMap<HostId, HeardUse>,
     zones: HashMap<ZoneId, HeardUse>,
-    readings: HashMap<EndpointId, (Moment, EngineReading)>,
+    readings: HashMap<EndpointId, KnownReading>,
     full: HashMap<EndpointId, Moment>,
 }
 
+/// A reading, and what was booked when it was made.
+#[derive(Clone, Copy, Debug)]
+struct KnownReading {
+    at: Moment,
+    reading: EngineReading,
+    booked: f64,
+    /// Whether this host asked the endpoint itself.
+    is_own: bool,
+}
+
 /// Bookings that others told of, and when.
 #[derive(Clone, Debug)]
 struct HeardUse {
@@ -112,9 +132,33 @@
         self.zones.insert(zone, HeardUse { heard: now, used });
     }
 
-    /// Takes what an endpoint reported of itself.
+    /// Takes what an endpoint reported to this host at `now`.
     pub fn note_reading(&mut self, endpoint: EndpointId, reading: EngineReading, now: Moment) {
-        self.readings.insert(endpoint, (now, reading));
+        let booked = self.total(&endpoint, now).token_layers;
+        self.readings.insert(endpoint, KnownReading { at: now, reading, booked, is_own: true });
+    }
+
+    /// Takes what an endpoint reported to another host, unless a newer reading is known.
+    pub fn take_shared(&mut self, endpoint: EndpointId, shared: SharedReading, now: Moment) {
+        let age = Duration::from_millis(u64::from(shared.age_ms));
+        let at = Moment::ORIGIN + (now - Moment::ORIGIN).saturating_sub(age);
+        if self.readings.get(&endpoint).is_some_and(|known| known.at >= at) {
+            return;
+        }
+        let booked = self.total(&endpoint, now).token_layers;
+        let reading = shared.reading;
+        self.readings.insert(endpoint, KnownReading { at, reading, booked, is_own: false });
+    }
+
+    /// Returns the tokens times layers in use at an endpoint: what it reported, and what has been
+    /// booked there and given back since; without a reading, what is booked.
+    #[must_use]
+    pub fn used(&self, endpoint: &EndpointId, now: Moment) -> f64 {
+        let booked = self.total(endpoint, now).token_layers;
+        match self.known_reading(endpoint, now) {
+            Some(known) => (known.reading.used + booked - known.booked).max(0.0),
+            None => booked,
+        }
     }
 
     /// Records that an endpoint refused a stream for want of memory.
@@ -132,18 +176,26 @@
     /// Returns what an endpoint reported of itself a short time ago.
     #[must_use]
     pub fn reading(&self, endpoint: &EndpointId, now: Moment) -> Option<EngineReading> {
-        let (heard, reading) = self.readings.get(endpoint)?;
-        (now.since(*heard) < Self::READING_RETENTION).then_some(*reading)
+        self.known_reading(endpoint, now).map(|known| known.reading)
+    }
+
+    fn known_reading(&self, endpoint: &EndpointId, now: Moment) -> Option<&KnownReading> {
+        let known = self.readings.get(endpoint);
+        known.filter(|known| now.since(known.at) < Self::READING_RETENTION)
     }
 
-    /// Returns every reading that is not too old.
+    /// Returns the readings that this host made in the last `span`, for other hosts.
+    ///
+    /// Readings of others are not passed on: they would go round between hosts.
     #[must_use]
-    pub fn readings(&self, now: Moment) -> BTreeMap<EndpointId, EngineReading> {
-        let recent = self
-            .readings
-            .iter()
-            .filter(|(_, (heard, _))| now.since(*heard) < Self::READING_RETENTION);
-        recent.map(|(endpoint, (_, reading))| (endpoint.clone(), *reading)).collect()
+    pub fn own_readings(&self, span: Duration, now: Moment) -> BTreeMap<EndpointId, SharedReading> {
+        let recent =
+            self.readings.iter().filter(|(_, known)| known.is_own && now.since(known.at) < span);
+        let shared = recent.map(|(endpoint, known)| {
+            let age_ms = u32::try_from(now.since(known.at).as_millis()).unwrap_or(u32::MAX);
+            (endpoint.clone(), SharedReading { age_ms, reading: known.reading })
+        });
+        shared.collect()
     }
 
     /// Returns the peers heard of a short time ago.
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -37,7 +37,7 @@
     endpoint_pace::EndpointPace,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
-    engine_load::{EngineLoad, EngineReading, EngineUse, LoadReservation},
+    engine_load::{EngineLoad, EngineReading, EngineUse, LoadReservation, SharedReading},
     engine_profile::{AcceleratorProfile, EngineProfile},
     fair_queue::FairQueue,
     floor_hold::FloorHold,
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -133,6 +133,37 @@
         }
     }
 
+    /// Describes the endpoints that hold a layer, with what decides whether they take a stream:
+    /// tokens times layers in use, as booked and as reported, and in all.
+    #[must_use]
+    pub fn describe_holders(&self, service: &ServiceId, layer: u16) -> String {
+        let live = self.directory.live_entries(service);
+        let holders = live.filter_map(|entry| {
+            let span = entry.span.filter(|span| span.start() <= layer && layer < span.end())?;
+            let profile = self.engine.accelerator(entry.accelerator.as_ref()?)?;
+            let used = self.load.total(&entry.endpoint, self.now);
+            let reading = self.load.reading(&entry.endpoint, self.now);
+            let doubts = [
+                (self.directory.is_suspect(&entry.endpoint, self.now), " suspect"),
+                (self.load.is_full(&entry.endpoint, self.now), " full"),
+            ];
+            let doubts: String =
+                doubts.into_iter().filter(|(is_so, _)| *is_so).map(|(_, text)| text).collect();
+            Some(format!(
+                "{} {}{doubts} used {:.0}k, booked {:.0}k, reported {}k of {:.0}k, {} first of {}",
+                entry.endpoint,
+                span,
+                self.load.used(&entry.endpoint, self.now) / 1e3,
+                used.token_layers / 1e3,
+                reading.map_or_else(|| "?".into(), |r| format!("{:.0}", r.used / 1e3)),
+                self.engine.token_layers(profile, span.layers()) / 1e3,
+                used.firsts,
+                entry.slots,
+            ))
+        });
+        holders.collect::<Vec<_>>().join(", ")
+    }
+
     fn candidates(&self, request: &PathRequest<'_>, with_suspects: bool) -> Vec<Candidate<'a>> {
         let live = self.directory.live_entries(request.service);
         let allowed = live.filter(|entry| {
@@ -159,7 +190,7 @@
         let reading = self.load.reading(&entry.endpoint, self.now);
         let pace = reading.map_or(1.0, |reading| reading.pace.max(1.0));
         let room = self.engine.token_layers(profile, span.layers()) * Self::MEMORY_PART;
-        let taken = reading.map_or(0.0, |reading| reading.used).max(used.token_layers);
+        let taken = self.load.used(&entry.endpoint, self.now);
         Some(Candidate {
             entry,
             span,
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -9,7 +9,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, HostId, ZoneId},
-        process::{EngineReading, EngineUse},
+        process::{EngineUse, SharedReading},
     },
     std::{
         cell::RefCell,
@@ -45,7 +45,7 @@
 }
 
 /// What endpoints reported to the zone's leader.
-type Readings = BTreeMap<EndpointId, EngineReading>;
+type Readings = BTreeMap<EndpointId, SharedReading>;
 
 /// Tells the other hosts of the availability zone what this one has booked, and listens to them.
 pub struct PeerLink {
@@ -64,6 +64,8 @@
     const MESSAGE_PAUSE: Duration = Duration::from_millis(150);
     /// Messages to peers for each message to other availability zones.
     const ZONE_MESSAGE_TICKS: u32 = 2;
+    /// Age up to which readings are sent, so that each is sent twice to other availability zones.
+    const READING_SPAN: Duration = Duration::from_millis(600);
     /// Largest message, in bytes; it fits one datagram.
     const MAX_MESSAGE_BYTES: usize = 60 * 1_024;
 
@@ -183,7 +185,7 @@
             let is_zone_leader = self.state.is_zone_leader();
             let now = self.state.now();
             let readings = if is_zone_leader {
-                self.state.load.borrow().readings(now)
+                self.state.load.borrow().own_readings(Self::READING_SPAN, now)
             } else {
                 Readings::new()
             };
@@ -241,7 +243,7 @@
             PeerMessage::Query(_) => return,
         };
         for (endpoint, reading) in readings {
-            load.note_reading(endpoint, reading, now);
+            load.take_shared(endpoint, reading, now);
         }
     }
 }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -161,8 +161,10 @@
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.refused(cause);
-        let bottleneck = self.bottleneck.get();
-        let bottleneck = bottleneck.map_or_else(|| self.last_word().into(), |e| e.to_string());
+        let bottleneck = match self.bottleneck.get() {
+            Some(error) => format!("{error}{}", self.describe_bottleneck(error)),
+            None => self.last_word().to_owned(),
+        };
         self.context
             .decision(LogEvent::RequestRefused)
             .cause(cause)
@@ -176,6 +178,18 @@
         refusal(cause, is_not_run.then_some(pause))
     }
 
+    /// Describes the endpoints at which a path ended for want of memory.
+    fn describe_bottleneck(&self, error: PathError) -> String {
+        let (PathError::NoMemory { layer }, Some(engine)) = (error, &self.context.service.engine)
+        else {
+            return String::new();
+        };
+        let state = &self.context.state;
+        let (directory, load) = (state.directory.borrow(), state.load.borrow());
+        let planner = PathPlanner { directory: &directory, load: &load, engine, now: state.now() };
+        format!(": {}", planner.describe_holders(&self.context.service.service, layer))
+    }
+
     /// Says why the request is not sent once more though there may be a path.
     fn last_word(&self) -> &'static str {
         if self.context.time_left().is_zero() {
