perf: bookings are the least memory in use; a stopping host serves what fits

Cause: TryFailed now says what the host believed of the endpoint that refused. Second, 97 requests came to two stopping hosts 3 to 8 s after the notice: with one of three hosts ready the platform uses all of a zone. Change: memory in use is never less than what is booked; after the notice a stopping host serves requests whose own time ends before it (plain calls) and refuses the rest at once. Tests: core engine_load prompts_that_wait_to_be_read...; gateway stops after_the_notice_..., with a stream that goes on to its end.

--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -151,12 +151,13 @@
     }
 
     /// Returns the tokens times layers in use at an endpoint: what it reported, and what has been
-    /// booked there and given back since; without a reading, what is booked.
+    /// booked there and given back since, but no less than what is booked, since endpoints set
+    /// memory aside for prompts that they have not read and do not report.
     #[must_use]
     pub fn used(&self, endpoint: &EndpointId, now: Moment) -> f64 {
         let booked = self.total(endpoint, now).token_layers;
         match self.known_reading(endpoint, now) {
-            Some(known) => (known.reading.used + booked - known.booked).max(0.0),
+            Some(known) => (known.reading.used + booked - known.booked).max(booked),
             None => booked,
         }
     }
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -133,35 +133,38 @@
         }
     }
 
-    /// Describes the endpoints that hold a layer, with what decides whether they take a stream:
-    /// tokens times layers in use, as booked and as reported, and in all.
+    /// Describes the endpoints that hold a layer, as [`PathPlanner::describe`] does.
     #[must_use]
     pub fn describe_holders(&self, service: &ServiceId, layer: u16) -> String {
+        let holds = |span: &LayerSpan| span.start() <= layer && layer < span.end();
         let live = self.directory.live_entries(service);
-        let holders = live.filter_map(|entry| {
-            let span = entry.span.filter(|span| span.start() <= layer && layer < span.end())?;
-            let profile = self.engine.accelerator(entry.accelerator.as_ref()?)?;
-            let used = self.load.total(&entry.endpoint, self.now);
-            let reading = self.load.reading(&entry.endpoint, self.now);
-            let doubts = [
-                (self.directory.is_suspect(&entry.endpoint, self.now), " suspect"),
-                (self.load.is_full(&entry.endpoint, self.now), " full"),
-            ];
-            let doubts: String =
-                doubts.into_iter().filter(|(is_so, _)| *is_so).map(|(_, text)| text).collect();
-            Some(format!(
-                "{} {}{doubts} used {:.0}k, booked {:.0}k, reported {}k of {:.0}k, {} first of {}",
-                entry.endpoint,
-                span,
-                self.load.used(&entry.endpoint, self.now) / 1e3,
-                used.token_layers / 1e3,
-                reading.map_or_else(|| "?".into(), |r| format!("{:.0}", r.used / 1e3)),
-                self.engine.token_layers(profile, span.layers()) / 1e3,
-                used.firsts,
-                entry.slots,
-            ))
-        });
-        holders.collect::<Vec<_>>().join(", ")
+        let holders = live.filter(|entry| entry.span.as_ref().is_some_and(holds));
+        holders.map(|entry| self.describe(entry)).collect::<Vec<_>>().join(", ")
+    }
+
+    /// Describes what decides whether an endpoint takes a stream: tokens times layers in use, as
+    /// booked, as reported, and in all, and the slots of streams that begin there.
+    #[must_use]
+    pub fn describe(&self, entry: &EndpointEntry) -> String {
+        let endpoint = &entry.endpoint;
+        let used = self.load.total(endpoint, self.now);
+        let reading = self.load.reading(endpoint, self.now);
+        let profile = entry.accelerator.as_ref().and_then(|kind| self.engine.accelerator(kind));
+        let layers = entry.span.map_or(0, LayerSpan::layers);
+        let room = profile.map_or(0.0, |profile| self.engine.token_layers(profile, layers));
+        let suspect = if self.directory.is_suspect(endpoint, self.now) { " suspect" } else { "" };
+        let full = if self.load.is_full(endpoint, self.now) { " full" } else { "" };
+        format!(
+            "{endpoint} {}{suspect}{full} used {:.0}k, booked {:.0}k, reported {}k of {:.0}k, \
+             {} first of {}",
+            entry.span.map_or_else(|| "empty".into(), |span| span.to_string()),
+            self.load.used(endpoint, self.now) / 1e3,
+            used.token_layers / 1e3,
+            reading.map_or_else(|| "?".into(), |r| format!("{:.0}", r.used / 1e3)),
+            room / 1e3,
+            used.firsts,
+            entry.slots,
+        )
     }
 
     fn candidates(&self, request: &PathRequest<'_>, with_suspects: bool) -> Vec<Candidate<'a>> {
--- a/crates/cassiafield-core/tests/engine_load.rs
+++ b/crates/cassiafield-core/tests/engine_load.rs
@@ -53,6 +53,15 @@
     assert_eq!(load.used(&endpoint("f1"), at(1_200)), 4_000.0);
 }
 
+/// Under a rush of streams their prompts wait, and endpoints report only what has been read.
+#[test]
+fn prompts_that_wait_to_be_read_count_though_they_are_not_reported() {
+    let mut load = EngineLoad::default();
+    let _tickets: Vec<_> = (0..10).map(|_| load.book(&route(), 100)).collect();
+    load.note_reading(endpoint("f1"), reading(2_000.0), at(0));
+    assert_eq!(load.used(&endpoint("f1"), at(100)), 10_000.0);
+}
+
 /// Under a load that ebbs, an endpoint that was full a second ago has room again.
 #[test]
 fn memory_that_streams_gave_back_since_a_reading_is_free() {
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -66,6 +66,9 @@
     /// second and needs two looks.
     pub const STOP_NOTICE: Duration = Duration::from_millis(2_400);
 
+    /// Time before the platform's limit for a stop in which no request may still run.
+    const STOP_RESERVE: Duration = Duration::from_millis(750);
+
     /// Creates the state of a host that knows nothing yet.
     #[must_use]
     pub fn new(profile: HostProfile, codec: Rc<dyn PlatformCodec>) -> Self {
@@ -190,12 +193,18 @@
         self.stop_began.get().is_some()
     }
 
-    /// Says whether the host takes requests: until some time after it was told to stop, so that
-    /// callers that have not noticed are served, and those that are served end before the host.
+    /// Returns how long the host will serve a request that comes now.
+    ///
+    /// For some time after it was told to stop a host takes every request, so that callers that
+    /// have not noticed are served; then those whose own time ends before the host.
     #[must_use]
-    pub fn takes_requests(&self) -> bool {
-        let now = self.now();
-        self.stop_began.get().is_none_or(|began| now.since(began) < Self::STOP_NOTICE)
+    pub fn serving_time(&self) -> Duration {
+        let Some(began) = self.stop_began.get() else { return Duration::MAX };
+        let passed = self.now().since(began);
+        if passed < Self::STOP_NOTICE {
+            return Duration::MAX;
+        }
+        self.profile.stop_grace.saturating_sub(passed + Self::STOP_RESERVE)
     }
 
     /// Records that the host was told to stop.
--- a/crates/cassiafield-gateway/src/request/caller_service.rs
+++ b/crates/cassiafield-gateway/src/request/caller_service.rs
@@ -76,7 +76,8 @@
         parts: &Parts,
         arrived: cassiafield_core::ids::Moment,
     ) -> Result<AllowedRequest, RefusalCause> {
-        if !self.state.takes_requests() {
+        let serving = self.state.serving_time();
+        if serving.is_zero() {
             return Err(RefusalCause::NotReady);
         }
         let table = self.state.table().ok_or(RefusalCause::NotReady)?;
@@ -114,6 +115,9 @@
             deadline: deadline.map(Duration::from_millis),
             organisation,
         };
+        if request.time_left(rule.timeout, arrived) > serving {
+            return Err(RefusalCause::NotReady);
+        }
         Ok(AllowedRequest { table, rule, request })
     }
 
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -180,14 +180,27 @@
 
     /// Describes the endpoints at which a path ended for want of memory.
     fn describe_bottleneck(&self, error: PathError) -> String {
-        let (PathError::NoMemory { layer }, Some(engine)) = (error, &self.context.service.engine)
-        else {
-            return String::new();
-        };
+        let PathError::NoMemory { layer } = error else { return String::new() };
+        let service = &self.context.service.service;
+        let found = self.with_planner(|planner| planner.describe_holders(service, layer));
+        found.map_or_else(String::new, |text| format!(": {text}"))
+    }
+
+    /// Describes what the host believed of an endpoint that refused the request.
+    fn describe_endpoint(&self, endpoint: &EndpointId) -> String {
+        let described = self.with_planner(|planner| {
+            planner.directory.entry(endpoint).map(|entry| planner.describe(entry))
+        });
+        described.flatten().unwrap_or_else(|| format!("{endpoint} is not listed"))
+    }
+
+    /// Runs `use_it` with a planner over what the host knows now; `None` without an engine.
+    fn with_planner<T>(&self, use_it: impl FnOnce(&PathPlanner<'_>) -> T) -> Option<T> {
+        let engine = self.context.service.engine.as_ref()?;
         let state = &self.context.state;
         let (directory, load) = (state.directory.borrow(), state.load.borrow());
-        let planner = PathPlanner { directory: &directory, load: &load, engine, now: state.now() };
-        format!(": {}", planner.describe_holders(&self.context.service.service, layer))
+        let (directory, load) = (&*directory, &*load);
+        Some(use_it(&PathPlanner { directory, load, engine, now: state.now() }))
     }
 
     /// Says why the request is not sent once more though there may be a path.
@@ -432,7 +445,7 @@
             .verdict(verdict)
             .sends(self.sent)
             .endpoint(&endpoint)
-            .log(format_args!("status {}", answer.status()));
+            .log(format_args!("status {}; {}", answer.status(), self.describe_endpoint(&endpoint)));
         if not_run {
             self.context.state.endpoint_refused(&endpoint, is_misdirected);
             if !is_misdirected && self.context.state.is_alive(&endpoint).await {
