perf: streams over a dead endpoint leave it when the first of them finds it

New requests waited 450 ms for a head before the first question, most of their objective. Change: a finding wakes whatever waits over the endpoint and had no event for 100 ms; a request asks after 150 ms and twice its expected time to the first event, at most 450 ms.

--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -305,6 +305,11 @@
         self.probe.silent(self, route).await
     }
 
+    /// Waits until another request finds an endpoint of a route silent; returns those that are.
+    pub async fn found_silent(&self, route: &StageRoute) -> Vec<EndpointId> {
+        self.probe.found_silent(self, route).await
+    }
+
     /// Returns the host that leads the availability zone: the first by name of those that are
     /// heard.
     #[must_use]
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -11,13 +11,18 @@
     http::{header, Request},
     http_body_util::{BodyExt as _, Full},
     std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, time::Duration},
-    tokio::time::timeout,
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
 /// Asks model endpoints whether they live, at most once in a while each.
 #[derive(Debug, Default)]
 pub(crate) struct HealthProbe {
     asked: RefCell<HashMap<EndpointId, ProbeResult>>,
+    /// Wakes whatever waits for a path when one of its endpoints may have been found silent.
+    found: Notify,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -27,11 +32,41 @@
 }
 
 impl HealthProbe {
+    /// Pause of a stream before another's finding counts for it: a probe may fail though its
+    /// endpoint works.
+    const QUIET_TIME: Duration = Duration::from_millis(100);
     /// Time for which an answer counts.
     const RESULT_AGE: Duration = Duration::from_millis(800);
     /// Longest time for an answer; endpoints answer without queueing.
     pub(super) const LIMIT: Duration = Duration::from_millis(200);
 
+    /// Returns the endpoints of a route that some request's probe finds silent; waits for it, and
+    /// first for a moment in which a sound path would have moved on.
+    pub(super) async fn found_silent(
+        &self,
+        state: &GatewayState,
+        route: &StageRoute,
+    ) -> Vec<EndpointId> {
+        sleep(Self::QUIET_TIME).await;
+        loop {
+            let silent = self.known_silent(state.now(), route);
+            if !silent.is_empty() {
+                return silent;
+            }
+            self.found.notified().await;
+        }
+    }
+
+    fn known_silent(&self, now: Moment, route: &StageRoute) -> Vec<EndpointId> {
+        let asked = self.asked.borrow();
+        let is_silent = |endpoint: &EndpointId| {
+            let result = asked.get(endpoint);
+            result.is_some_and(|r| !r.is_alive && now.since(r.at) < Self::RESULT_AGE)
+        };
+        let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
+        endpoints.filter(|endpoint| is_silent(endpoint)).cloned().collect()
+    }
+
     /// Returns the endpoints of a route that do not answer; they are avoided from then on.
     pub(super) async fn silent(&self, state: &GatewayState, route: &StageRoute) -> Vec<EndpointId> {
         let mut silent = Vec::new();
@@ -67,6 +102,7 @@
         self.asked.borrow_mut().insert(endpoint.clone(), result);
         if !is_alive {
             state.endpoint_failed(endpoint, &ChannelFault::Silent);
+            self.found.notify_waiters();
         }
         is_alive
     }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -21,7 +21,10 @@
     http_body_util::{BodyExt as _, Full},
     hyper::body::Incoming,
     std::{cell::Cell, net::SocketAddrV4, pin::pin, rc::Rc, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// A request whose answer is a stream of events from a path of model endpoints.
@@ -61,6 +64,12 @@
     /// Longest time from sending a request to the head of its answer; above the time that a
     /// working path takes under load, below the pause after which callers leave.
     const HEAD_LIMIT: Duration = Duration::from_millis(1_700);
+    /// Shortest wait for the head of an answer before the endpoints of its path are asked whether
+    /// they live; a request that meets a dead one then still has half of a usual objective.
+    const HEAD_CHECK_MIN: Duration = Duration::from_millis(150);
+    /// Further wait, in multiples of the expected time to the first event; prompts that came before
+    /// are read first.
+    const HEAD_CHECK_FACTOR: u32 = 2;
     /// Times that a request may be sent in all, whichever endpoints it goes to.
     const MAX_SENDS: u32 = 5;
     /// Part of the objective for which a request waits for memory; the rest is for the first event.
@@ -248,7 +257,7 @@
             self.sent_to.push(first.endpoint.clone());
         }
         let sent_at = self.context.state.now();
-        let answer = match self.await_head(&mut channel, request, &path.route).await {
+        let answer = match self.await_head(&mut channel, request, &path).await {
             Ok(answer) => answer,
             Err(ChannelFault::Unsent) => {
                 self.sent -= 1;
@@ -307,17 +316,20 @@
         &mut self,
         channel: &mut PooledChannel,
         request: Request<Full<Bytes>>,
-        route: &StageRoute,
+        path: &PlannedPath,
     ) -> Result<Response<Incoming>, ChannelFault> {
+        let route = &path.route;
+        let check = Self::head_check(path);
         let began = self.context.state.now();
         let limit = Self::HEAD_LIMIT.min(self.context.time_left());
         let state = Rc::clone(&self.context.state);
         let mut sending = pin!(channel.channel.send(request, limit));
         loop {
-            if let Ok(result) = timeout(StreamAttempt::STALL_CHECK, sending.as_mut()).await {
-                return result;
-            }
-            let silent = state.silent_endpoints(route).await;
+            let silent = tokio::select! {
+                result = sending.as_mut() => return result,
+                silent = state.found_silent(route) => silent,
+                () = sleep(check) => state.silent_endpoints(route).await,
+            };
             if !silent.is_empty() {
                 let time = state.now().since(began);
                 self.context.decision(LogEvent::StreamBroken).sends(self.sent).log(format_args!(
@@ -331,6 +343,14 @@
         }
     }
 
+    /// Returns how long a request waits for the head of its answer before the endpoints of its
+    /// path are asked whether they live.
+    fn head_check(path: &PlannedPath) -> Duration {
+        let expected = Duration::from_secs_f64(path.first_ms.max(0.0) / 1e3);
+        let check = Self::HEAD_CHECK_MIN + expected * Self::HEAD_CHECK_FACTOR;
+        check.min(StreamAttempt::STALL_CHECK)
+    }
+
     /// Plans a path, and waits a short while for memory if there is none.
     async fn plan_in_time(&self, wait: Duration) -> Result<PlannedPath, AttemptFault> {
         let began = self.context.state.now();
--- a/crates/cassiafield-gateway/src/request/stream_pump.rs
+++ b/crates/cassiafield-gateway/src/request/stream_pump.rs
@@ -16,7 +16,7 @@
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
     std::{fmt, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{sync::mpsc, time::sleep},
 };
 
 /// A stream that runs over a path.
@@ -110,8 +110,22 @@
             if stalled >= time_left {
                 return PieceOutcome::Fault(PieceFault::Late);
             }
-            match timeout(Self::STALL_CHECK, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            let frame = tokio::select! {
+                frame = self.body.frame() => frame,
+                silent = state.found_silent(&self.route) => {
+                    return PieceOutcome::Fault(PieceFault::Stalled(silent));
+                }
+                () = sleep(Self::STALL_CHECK) => {
+                    stalled += Self::STALL_CHECK;
+                    let silent = state.silent_endpoints(&self.route).await;
+                    if !silent.is_empty() || stalled >= Self::STALL_LIMIT {
+                        return PieceOutcome::Fault(PieceFault::Stalled(silent));
+                    }
+                    continue;
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
                     }
@@ -121,18 +135,9 @@
                         Err(fault) => return PieceOutcome::Fault(PieceFault::Event(fault)),
                     }
                 }
-                Ok(Some(Err(error))) => return PieceOutcome::Fault(PieceFault::Broken(error)),
-                Ok(None) if self.splitter.has_rest() => {
-                    return PieceOutcome::Fault(PieceFault::Torn)
-                }
-                Ok(None) => return PieceOutcome::End,
-                Err(_) => {
-                    stalled += Self::STALL_CHECK;
-                    let silent = state.silent_endpoints(&self.route).await;
-                    if !silent.is_empty() || stalled >= Self::STALL_LIMIT {
-                        return PieceOutcome::Fault(PieceFault::Stalled(silent));
-                    }
-                }
+                Some(Err(error)) => return PieceOutcome::Fault(PieceFault::Broken(error)),
+                None if self.splitter.has_rest() => return PieceOutcome::Fault(PieceFault::Torn),
+                None => return PieceOutcome::End,
             }
         }
     }
