--- a/crates/cassiafield/src/process/request_story.rs
+++ b/crates/cassiafield/src/process/request_story.rs
@@ -34,6 +34,7 @@
         let summary = summary(&lines, decision);
         let mut context = context(&lines, decision, records);
         context.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
+        let mut context = last_of_each(context);
         let surplus = context.len().saturating_sub(Self::MAX_CONTEXT);
         context.drain(..surplus);
         Some(Self { request: request.into(), summary, lines, context })
@@ -56,6 +57,17 @@
     }
 }
 
+/// Keeps the last of lines that say the same.
+fn last_of_each(lines: Vec<LogRecord>) -> Vec<LogRecord> {
+    let is_repeated = |index: usize| {
+        let later = &lines[index + 1..];
+        later.iter().any(|l| l.number == lines[index].number && l.detail == lines[index].detail)
+    };
+    let repeated: Vec<bool> = (0..lines.len()).map(is_repeated).collect();
+    let last = lines.into_iter().zip(repeated).filter(|(_, is_repeated)| !is_repeated);
+    last.map(|(line, _)| line).collect()
+}
+
 /// Returns the line that ended the request, or its last line if none did.
 fn decisive(lines: &[LogRecord]) -> Option<&LogRecord> {
     let ends = [
