--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -111,6 +111,9 @@
     const HOP_MS: f64 = 0.2;
     /// Part of an endpoint's request memory that bookings may fill.
     const MEMORY_PART: f64 = 0.97;
+    /// Part of an endpoint's request memory beyond which its refusals are put down to it; below it
+    /// the endpoint refuses for a reason of its own, as when it is about to leave.
+    const NEARLY_FULL_PART: f64 = 0.75;
     /// Part of an endpoint's slots that streams may fill; hosts learn of each other's late.
     const SLOT_PART: f64 = 0.95;
     /// Cost of leaving the availability zone, as time of a token in milliseconds: bytes between
@@ -133,6 +136,16 @@
         }
     }
 
+    /// Says whether the memory of an endpoint is in use as far as this host knows, so that it may
+    /// refuse streams for want of it.
+    #[must_use]
+    pub fn is_nearly_full(&self, entry: &EndpointEntry) -> bool {
+        let profile = entry.accelerator.as_ref().and_then(|kind| self.engine.accelerator(kind));
+        let (Some(profile), Some(span)) = (profile, entry.span) else { return false };
+        let room = self.engine.token_layers(profile, span.layers());
+        self.load.used(&entry.endpoint, self.now) > room * Self::NEARLY_FULL_PART
+    }
+
     /// Describes the endpoints that hold a layer, as [`PathPlanner::describe`] does.
     #[must_use]
     pub fn describe_holders(&self, service: &ServiceId, layer: u16) -> String {
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -195,6 +195,13 @@
         found.map_or_else(String::new, |text| format!(": {text}"))
     }
 
+    fn is_nearly_full(&self, endpoint: &EndpointId) -> bool {
+        let is_full = self.with_planner(|planner| {
+            planner.directory.entry(endpoint).is_some_and(|entry| planner.is_nearly_full(entry))
+        });
+        is_full.unwrap_or(false)
+    }
+
     /// Describes what the host believed of an endpoint that refused the request.
     fn describe_endpoint(&self, endpoint: &EndpointId) -> String {
         let described = self.with_planner(|planner| {
@@ -468,10 +475,15 @@
             .log(format_args!("status {}; {}", answer.status(), self.describe_endpoint(&endpoint)));
         if not_run {
             self.context.state.endpoint_refused(&endpoint, is_misdirected);
-            if !is_misdirected && self.context.state.is_alive(&endpoint).await {
+            if is_misdirected || !self.context.state.is_alive(&endpoint).await {
+                self.avoided.push(endpoint);
+            } else if self.is_nearly_full(&endpoint) {
                 let now = self.context.state.now();
                 self.context.state.load.borrow_mut().note_full(endpoint, now);
             } else {
+                // The list may not say yet that it leaves or gives up its layers.
+                let now = self.context.state.now();
+                self.context.state.directory.borrow_mut().failed(&endpoint, now);
                 self.avoided.push(endpoint);
             }
             return AttemptFault::NotRun;
