refactor: the choice of a stream's path in a file of its own

Change: stream_path.rs holds planning and what the host believed; the story's sentence is put together from three functions. No change of behaviour.

--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod plain_call;
 mod refusal_reply;
 mod stream_call;
+mod stream_path;
 mod stream_pump;
 
 pub use self::{
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -13,7 +13,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, ModelId},
-        process::{EngineProfile, PathError, PathPlanner, PathRequest, PlannedPath},
+        process::{PathError, PlannedPath},
         request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute},
         version::{RequestKind, ServiceRule},
     },
@@ -34,16 +34,16 @@
     pub(super) avoided: Vec<EndpointId>,
     /// Endpoints of paths that fell silent though all their endpoints live; they are used again if
     /// there is no other path.
-    suspected: Vec<EndpointId>,
+    pub(super) suspected: Vec<EndpointId>,
     /// Times that the request was sent.
     pub(super) sent: u32,
     /// Endpoints that the request was sent to.
-    sent_to: Vec<EndpointId>,
+    pub(super) sent_to: Vec<EndpointId>,
     /// Why there was no path when one was last sought in vain.
-    bottleneck: Cell<Option<PathError>>,
-    model: ModelId,
-    prompt: u32,
-    answer: u32,
+    pub(super) bottleneck: Cell<Option<PathError>>,
+    pub(super) model: ModelId,
+    pub(super) prompt: u32,
+    pub(super) answer: u32,
 }
 
 /// Why an attempt gave no stream.
@@ -79,9 +79,6 @@
     const RETRY_AFTER: Duration = Duration::from_millis(1_500);
     /// Pieces of an answer that may wait for a slow caller.
     const PIECES_WAITING: usize = 16;
-    /// Multiple of the longest event gap on time beyond which a path is not worth taking: callers
-    /// leave after eight times that gap.
-    const MAX_GAPS: f64 = 3.0;
 
     pub(super) fn new(context: CallContext) -> Self {
         let CallContext { state, service, request, .. } = &context;
@@ -187,38 +184,6 @@
         refusal(cause, is_not_run.then_some(pause))
     }
 
-    /// Describes the endpoints at which a path ended for want of memory.
-    fn describe_bottleneck(&self, error: PathError) -> String {
-        let PathError::NoMemory { layer } = error else { return String::new() };
-        let service = &self.context.service.service;
-        let found = self.with_planner(|planner| planner.describe_holders(service, layer));
-        found.map_or_else(String::new, |text| format!(": {text}"))
-    }
-
-    fn is_nearly_full(&self, endpoint: &EndpointId) -> bool {
-        let is_full = self.with_planner(|planner| {
-            planner.directory.entry(endpoint).is_some_and(|entry| planner.is_nearly_full(entry))
-        });
-        is_full.unwrap_or(false)
-    }
-
-    /// Describes what the host believed of an endpoint that refused the request.
-    fn describe_endpoint(&self, endpoint: &EndpointId) -> String {
-        let described = self.with_planner(|planner| {
-            planner.directory.entry(endpoint).map(|entry| planner.describe(entry))
-        });
-        described.flatten().unwrap_or_else(|| format!("{endpoint} is not listed"))
-    }
-
-    /// Runs `use_it` with a planner over what the host knows now; `None` without an engine.
-    fn with_planner<T>(&self, use_it: impl FnOnce(&PathPlanner<'_>) -> T) -> Option<T> {
-        let engine = self.context.service.engine.as_ref()?;
-        let state = &self.context.state;
-        let (directory, load) = (state.directory.borrow(), state.load.borrow());
-        let (directory, load) = (&*directory, &*load);
-        Some(use_it(&PathPlanner { directory, load, engine, now: state.now() }))
-    }
-
     /// Says why the request is not sent once more though there may be a path.
     fn last_word(&self) -> &'static str {
         if self.context.time_left().is_zero() {
@@ -358,78 +323,6 @@
         check.min(StreamAttempt::STALL_CHECK)
     }
 
-    /// Plans a path, and waits a short while for memory if there is none.
-    async fn plan_in_time(&self, wait: Duration) -> Result<PlannedPath, AttemptFault> {
-        let began = self.context.state.now();
-        let limit = wait.min(self.context.time_left());
-        let mut has_waited = false;
-        loop {
-            let planned = self.plan();
-            let now = self.context.state.now();
-            let left = limit.saturating_sub(now.since(began));
-            let is_full = matches!(planned, Err(AttemptFault::NoPath(RefusalCause::Overloaded)));
-            if !is_full || left.is_zero() {
-                return planned;
-            }
-            if !has_waited && !self.context.state.waiting.has_place(left, now) {
-                return planned;
-            }
-            has_waited = true;
-            self.context.state.waiting.wait().await;
-        }
-    }
-
-    fn plan(&self) -> Result<PlannedPath, AttemptFault> {
-        let Some(engine) = &self.context.service.engine else {
-            return Err(AttemptFault::NoPath(RefusalCause::NoEndpoint));
-        };
-        let directory = self.context.state.directory.borrow();
-        let load = self.context.state.load.borrow();
-        let planner = PathPlanner {
-            directory: &directory,
-            load: &load,
-            engine,
-            now: self.context.state.now(),
-        };
-        let most = usize::try_from(self.context.rule.attempts.max(1)).unwrap_or(usize::MAX);
-        let has_all = self.sent_to.len() >= most;
-        let request = PathRequest {
-            model: &self.model,
-            service: &self.context.service.service,
-            zone: &self.context.state.profile.zone,
-            prompt: self.prompt,
-            answer: self.answer,
-            avoided: &self.avoided,
-            firsts: has_all.then_some(&self.sent_to[..]),
-        };
-        let both: Vec<EndpointId> = self.avoided.iter().chain(&self.suspected).cloned().collect();
-        let first_choice = PathRequest { avoided: &both, ..request.clone() };
-        let planned = match planner.plan(&first_choice) {
-            Err(_) if !self.suspected.is_empty() => planner.plan(&request),
-            planned => planned,
-        };
-        let path = planned.map_err(|error| {
-            self.bottleneck.set(Some(error));
-            AttemptFault::NoPath(match error {
-                PathError::NoCover => RefusalCause::NoEndpoint,
-                PathError::NoMemory { .. } => RefusalCause::Overloaded,
-            })
-        })?;
-        if self.sent == 0 && self.is_too_slow(engine, &path) {
-            return Err(AttemptFault::NoPath(RefusalCause::Overloaded));
-        }
-        Ok(path)
-    }
-
-    /// Says whether the path's events would come so slowly that callers would leave.
-    fn is_too_slow(&self, engine: &EngineProfile, path: &PlannedPath) -> bool {
-        let gap_ms = path.token_ms * f64::from(engine.stride.max(1));
-        self.context
-            .rule
-            .event_gap
-            .is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::MAX_GAPS)
-    }
-
     fn outgoing(&self, path: &PlannedPath, last_event: u64) -> Option<Request<Full<Bytes>>> {
         let codec = &self.context.state.codec;
         let first = path.route.stages().first()?;
--- a/crates/cassiafield/src/process/request_story.rs
+++ b/crates/cassiafield/src/process/request_story.rs
@@ -100,26 +100,29 @@
     } else {
         let _ = write!(text, "wrote no end of it; its last line is {}", decision.name);
     }
-    if let Some(verdict) = &decision.verdict {
-        let _ = match verdict.parse() {
-            Ok(RequestVerdict::NotRun) => write!(text, "; it has not run"),
-            Ok(RequestVerdict::MayHaveRun) => write!(text, "; it may have run"),
-            Ok(RequestVerdict::Ran) => write!(text, "; it ran"),
-            Err(_) => write!(text, "; {verdict}"),
-        };
-    }
-    if let Some(configuration) = decision.configuration {
-        let age =
-            |age: Option<u64>| age.map_or("of unknown age".into(), |ms| format!("{ms} ms old"));
-        let _ = write!(
-            text,
-            " (it knew configuration {configuration}, {}, and {} endpoints, {})",
-            age(decision.configuration_age_ms),
-            decision.endpoints.unwrap_or(0),
-            age(decision.endpoints_age_ms),
-        );
+    text + &verdict_of(decision) + &knowledge_of(decision)
+}
+
+fn verdict_of(decision: &LogRecord) -> String {
+    let Some(verdict) = &decision.verdict else { return String::new() };
+    match verdict.parse() {
+        Ok(RequestVerdict::NotRun) => "; it has not run".into(),
+        Ok(RequestVerdict::MayHaveRun) => "; it may have run".into(),
+        Ok(RequestVerdict::Ran) => "; it ran".into(),
+        Err(_) => format!("; {verdict}"),
     }
-    text
+}
+
+/// Says what the host knew when it decided, and how old that was.
+fn knowledge_of(decision: &LogRecord) -> String {
+    let Some(configuration) = decision.configuration else { return String::new() };
+    let age = |age: Option<u64>| age.map_or("of unknown age".into(), |ms| format!("{ms} ms old"));
+    format!(
+        " (it knew configuration {configuration}, {}, and {} endpoints, {})",
+        age(decision.configuration_age_ms),
+        decision.endpoints.unwrap_or(0),
+        age(decision.endpoints_age_ms),
+    )
 }
 
 fn cause_of(line: &LogRecord) -> Option<RefusalCause> {
