fix: a try for the placer's lease in vain has an event of its own

Cause: it was logged as 1308, which says that the host places no longer. Change: 1309 PlacerLeaseMissed. Conclusion: as the catalogue says.

--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -182,7 +182,7 @@
         // An unanswered write may have been done; then the lease runs out unused.
         let answer = self.client.call(&put).await;
         if answer != Ok(StoreAnswer::Written) {
-            LogEvent::PlacerLeaseLost.log(format_args!("not taken: {answer:?}"));
+            LogEvent::PlacerLeaseMissed.log(format_args!("{answer:?}"));
             return false;
         }
         LogEvent::PlacerLeaseTaken.log(format_args!("lease {lease}"));
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -78,6 +78,7 @@
     1306 LayersOrdered Info "An endpoint was ordered to hold layers.";
     1307 PlacerLeaseTaken Info "The host places layers for all endpoints.";
     1308 PlacerLeaseLost Info "The host places layers no longer.";
+    1309 PlacerLeaseMissed Info "The host tried to become the one that places layers, in vain.";
     1401 StreamResumed Info "A stream goes on over another route.";
     1402 StreamGivenUp Warning "A stream ended before its answer was complete.";
     1403 FrameDropped Info "A token frame was late, doubled or of another stream.";
