--- a/crates/cassiafield/src/process/log_record.rs
+++ b/crates/cassiafield/src/process/log_record.rs
@@ -12,6 +12,9 @@
     pub host: CompactString,
     /// Time of day by the host's clock.
     pub timestamp: CompactString,
+    /// How serious the event is: `INFO`, `WARN` or `ERROR`.
+    #[serde(default)]
+    pub level: CompactString,
     /// Number of the event.
     pub number: u16,
     /// Name of the event.
--- a/crates/cassiafield/src/process/request_decision.rs
+++ b/crates/cassiafield/src/process/request_decision.rs
@@ -1,5 +1,5 @@
 use {
-    crate::process::LogEvent,
+    crate::process::{EventLevel, LogEvent},
     cassiafield_core::{
         ids::EndpointId,
         request::{RefusalCause, RequestVerdict},
@@ -83,19 +83,29 @@
         let age = |age: Option<Duration>| {
             age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
         };
-        tracing::info!(
-            number = self.event.number(),
-            name = ?self.event,
-            request = self.request,
-            cause = self.cause.map(tracing::field::display),
-            verdict = self.verdict.map(tracing::field::display),
-            sends = self.sends,
-            endpoint = self.endpoint.map(tracing::field::display),
-            %detail,
-            configuration = self.knowledge.configuration,
-            configuration_age_ms = age(self.knowledge.configuration_age),
-            endpoints = self.knowledge.endpoints,
-            endpoints_age_ms = age(self.knowledge.endpoints_age),
-        );
+        // The level of a line must be known to the compiler.
+        macro_rules! write_at {
+            ($level:ident) => {
+                tracing::$level!(
+                    number = self.event.number(),
+                    name = ?self.event,
+                    request = self.request,
+                    cause = self.cause.map(tracing::field::display),
+                    verdict = self.verdict.map(tracing::field::display),
+                    sends = self.sends,
+                    endpoint = self.endpoint.map(tracing::field::display),
+                    %detail,
+                    configuration = self.knowledge.configuration,
+                    configuration_age_ms = age(self.knowledge.configuration_age),
+                    endpoints = self.knowledge.endpoints,
+                    endpoints_age_ms = age(self.knowledge.endpoints_age),
+                )
+            };
+        }
+        match self.event.level() {
+            EventLevel::Info => write_at!(info),
+            EventLevel::Warning => write_at!(warn),
+            EventLevel::Error => write_at!(error),
+        }
     }
 }
