--- a/crates/cassiafield-core/src/ids/moment.rs
+++ b/crates/cassiafield-core/src/ids/moment.rs
@@ -43,6 +43,13 @@
     pub const fn since(self, earlier: Moment) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the moment `duration` earlier, but not before [`Moment::ORIGIN`].
+    #[must_use]
+    pub fn earlier_by(self, duration: Duration) -> Moment {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Moment(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Moment {
--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
-        process::{EndpointEntry, EndpointIncarnation},
+        process::{EndpointEntry, EndpointIncarnation, FailureCause, FailureReport},
         request::LayerSpan,
     },
     std::{
@@ -48,6 +48,20 @@
     since: Moment,
     suspect_until: Moment,
     failures: u32,
+    /// When this host last found the endpoint unresponsive; `None` once it has responded.
+    unresponsive_at: Option<Moment>,
+    /// Time until which the endpoint is avoided because a peer found it unresponsive.
+    reported_until: Moment,
+    /// When the endpoint last responded to this host.
+    responded_at: Moment,
+    /// When a stream of this host through the endpoint last made progress.
+    progressed_at: Moment,
+    /// When this host last blamed the endpoint for a stalled stream.
+    stalled_at: Moment,
+    /// Time until which the endpoint is avoided because streams through it stalled.
+    stalled_until: Moment,
+    /// Number of stalled streams in a row.
+    stalls: u32,
     latency_ms: f64,
     in_flight: u32,
 }
@@ -85,6 +99,15 @@
     const CROSS_ZONE_PENALTY_MS: f64 = 25.0;
     /// Penalty for a suspect endpoint, in milliseconds; higher than any expected latency.
     const SUSPECT_PENALTY_MS: f64 = 60_000.0;
+    /// Time for which an endpoint that a peer found unresponsive is avoided, from the peer's probe.
+    ///
+    /// The leader of the endpoint's availability zone polls it about once a second and confirms the
+    /// failure or the recovery within this time.
+    const PEER_REPORT_RETENTION: Duration = Duration::from_millis(1_500);
+    /// Time after which this host probes an endpoint again that it found unresponsive.
+    ///
+    /// Usually the zone leader's readings show the recovery earlier.
+    const TRIAL_DELAY: Duration = Duration::from_secs(3);
     /// Weight of the latest sample in the moving average of the latency.
     const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -197,9 +220,20 @@
     }
 
     /// Returns `true` if an endpoint is unknown or is avoided after a recent failure.
+    ///
+    /// An unresponsive endpoint is avoided until it responds again.
     #[must_use]
     pub fn is_suspect(&self, endpoint: &EndpointId, now: Moment) -> bool {
-        self.known.get(endpoint).is_none_or(|known| now < known.suspect_until)
+        let known = self.known.get(endpoint);
+        known.is_none_or(|known| {
+            now < known.suspect_until.max(known.stalled_until) || known.is_unresponsive(now)
+        })
+    }
+
+    /// Returns `true` if this host, or recently a peer, found an endpoint unresponsive.
+    #[must_use]
+    pub fn is_unresponsive(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        self.known.get(endpoint).is_some_and(|known| known.is_unresponsive(now))
     }
 
     /// Chooses the endpoint of a service with the lowest expected latency.
@@ -244,8 +278,7 @@
     /// Records a successful answer of an endpoint, and its latency if it is representative.
     pub fn record_success(&mut self, endpoint: &EndpointId, latency: Option<Duration>) {
         if let Some(known) = self.known.get_mut(endpoint) {
-            known.failures = 0;
-            known.suspect_until = Moment::ORIGIN;
+            known.clear_failures();
             if let Some(latency) = latency {
                 let latency_ms = latency.as_secs_f64() * 1e3;
                 known.latency_ms += (latency_ms - known.latency_ms) * Self::LATENCY_WEIGHT;
@@ -262,6 +295,135 @@
             known.suspect_until = now + backoff.min(Self::MAX_BACKOFF);
         }
     }
+
+    /// Records that an endpoint did not respond to this host; it is avoided until it responds.
+    pub fn record_unresponsive(&mut self, endpoint: &EndpointId, now: Moment) {
+        self.record_failure(endpoint, now);
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.unresponsive_at = Some(now);
+            known.suspect_until = known.suspect_until.max(now + Self::TRIAL_DELAY);
+        }
+    }
+
+    /// Records that an endpoint responded to this host at `at`.
+    pub fn record_response(&mut self, endpoint: &EndpointId, at: Moment) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.responded_at = known.responded_at.max(at);
+            if known.unresponsive_at.is_none_or(|failed_at| failed_at <= at) {
+                known.clear_failures();
+            }
+        }
+    }
+
+    /// Records that an endpoint responded to a peer at `at`.
+    ///
+    /// It also ends the effect of a single failure of this host, but not of repeated ones: the link
+    /// between this host and the endpoint may be broken.
+    pub fn record_peer_response(&mut self, endpoint: &EndpointId, at: Moment) {
+        let Some(known) = self.known.get_mut(endpoint) else { return };
+        if known.reported_until <= at + Self::PEER_REPORT_RETENTION {
+            known.reported_until = Moment::ORIGIN;
+        }
+        if known.failures <= 1 && known.unresponsive_at.is_some_and(|failed_at| failed_at < at) {
+            known.clear_failures();
+        }
+    }
+
+    /// Records that a stream of this host through an endpoint made progress.
+    pub fn record_progress(&mut self, endpoint: &EndpointId, now: Moment) {
+        self.record_response(endpoint, now);
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.progressed_at = now;
+            known.stalls = 0;
+            known.stalled_until = Moment::ORIGIN;
+        }
+    }
+
+    /// Records that a stream over the given endpoints has made no progress since `since` although
+    /// all of them respond to probes.
+    ///
+    /// The endpoints through which no other stream has made progress meanwhile are avoided, with
+    /// exponential back-off.
+    pub fn record_stall<'a>(
+        &mut self,
+        endpoints: impl IntoIterator<Item = &'a EndpointId>,
+        since: Moment,
+        now: Moment,
+    ) {
+        for endpoint in endpoints {
+            let known = self.known.get_mut(endpoint);
+            let Some(known) = known.filter(|known| known.progressed_at < since) else { continue };
+            // Streams that stall at the same time are one observation.
+            if now >= known.stalled_until {
+                let backoff = Self::INITIAL_BACKOFF.saturating_mul(1 << known.stalls.min(8));
+                known.stalls += 1;
+                known.stalled_at = now;
+                known.stalled_until = now + backoff.min(Self::MAX_BACKOFF);
+            }
+        }
+    }
+
+    /// Records a failure of an endpoint that a peer reports.
+    ///
+    /// The report is ignored if the endpoint has worked for this host since. Returns `true` if the
+    /// endpoint was not known to be unresponsive, and is now.
+    pub fn record_peer_failure(
+        &mut self,
+        endpoint: &EndpointId,
+        report: FailureReport,
+        now: Moment,
+    ) -> bool {
+        let Some(known) = self.known.get_mut(endpoint) else { return false };
+        let failed_at = report.failed_at(now);
+        let until = failed_at + Duration::from_millis(u64::from(report.hold_ms));
+        if known.since >= failed_at || until <= now {
+            return false;
+        }
+        match report.cause {
+            FailureCause::Stalled => {
+                if known.progressed_at < failed_at {
+                    known.stalled_until = known.stalled_until.max(until);
+                }
+                false
+            }
+            FailureCause::Unresponsive if known.responded_at >= failed_at => false,
+            FailureCause::Unresponsive => {
+                let was_unresponsive = known.is_unresponsive(now);
+                known.reported_until = known.reported_until.max(until);
+                !was_unresponsive
+            }
+        }
+    }
+
+    /// Returns the failures that this host noticed within the last `span`, for peers.
+    pub fn recent_failures(
+        &self,
+        span: Duration,
+        now: Moment,
+    ) -> impl Iterator<Item = (&EndpointEntry, FailureReport)> {
+        self.known.values().filter_map(move |known| {
+            let is_recent = |at: Moment| at > Moment::ORIGIN && now.since(at) < span;
+            if let Some(failed_at) = known.unresponsive_at.filter(|at| is_recent(*at)) {
+                let hold = Self::PEER_REPORT_RETENTION;
+                let report = FailureReport::new(FailureCause::Unresponsive, failed_at, hold, now);
+                return Some((&known.entry, report));
+            }
+            let is_stalled = is_recent(known.stalled_at) && known.stalled_until > now;
+            is_stalled.then(|| {
+                let hold = known.stalled_until - known.stalled_at;
+                let report = FailureReport::new(FailureCause::Stalled, known.stalled_at, hold, now);
+                (&known.entry, report)
+            })
+        })
+    }
+
+    /// Returns the unresponsive endpoints that are due to be probed again.
+    pub fn due_trials(&self, now: Moment) -> impl Iterator<Item = &EndpointEntry> {
+        let is_due = move |known: &&KnownEndpoint| {
+            known.unresponsive_at.is_some() && now >= known.suspect_until
+        };
+        self.known.values().filter(is_due).map(|known| &known.entry)
+    }
 }
 
 impl KnownEndpoint {
@@ -271,8 +433,26 @@
             since,
             suspect_until: Moment::ORIGIN,
             failures: 0,
+            unresponsive_at: None,
+            reported_until: Moment::ORIGIN,
+            responded_at: Moment::ORIGIN,
+            progressed_at: Moment::ORIGIN,
+            stalled_at: Moment::ORIGIN,
+            stalled_until: Moment::ORIGIN,
+            stalls: 0,
             latency_ms: 0.0,
             in_flight: 0,
         }
     }
+
+    fn is_unresponsive(&self, now: Moment) -> bool {
+        self.unresponsive_at.is_some() || now < self.reported_until
+    }
+
+    fn clear_failures(&mut self) {
+        self.failures = 0;
+        self.suspect_until = Moment::ORIGIN;
+        self.unresponsive_at = None;
+        self.reported_until = Moment::ORIGIN;
+    }
 }
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, HostId, Moment, ZoneId},
+        process::LinkLoad,
         request::StageRoute,
     },
     std::{
@@ -59,6 +60,8 @@
     zones: HashMap<ZoneId, RemoteUsage>,
     readings: HashMap<EndpointId, KnownReading>,
     refused_at: HashMap<EndpointId, Moment>,
+    /// Load of the links between availability zones.
+    pub links: LinkLoad,
 }
 
 /// A reading, and the memory that was reserved when it arrived.
@@ -153,7 +156,7 @@
     /// Adds a reading that another host received, unless a newer one is known.
     pub fn merge_reading(&mut self, endpoint: EndpointId, shared: SharedReading, now: Moment) {
         let age = Duration::from_millis(u64::from(shared.age_ms));
-        let at = Moment::ORIGIN + (now - Moment::ORIGIN).saturating_sub(age);
+        let at = now.earlier_by(age);
         if self.readings.get(&endpoint).is_some_and(|known| known.at >= at) {
             return;
         }
--- a/crates/cassiafield-core/src/process/engine_profile.rs
+++ b/crates/cassiafield-core/src/process/engine_profile.rs
@@ -61,6 +61,19 @@
         f64::from(span.layers()) / f64::from(self.layers.max(1))
     }
 
+    /// Returns the time to send the activations of `tokens` tokens to another availability zone, in
+    /// milliseconds.
+    #[must_use]
+    pub fn transfer_ms(&self, tokens: u32) -> f64 {
+        f64::from(tokens) * self.activation_bytes * 1e3 / self.link_bytes_per_second()
+    }
+
+    /// Returns the bandwidth of the link between two availability zones, in bytes per second.
+    #[must_use]
+    pub fn link_bytes_per_second(&self) -> f64 {
+        self.zone_bandwidth_mbps.max(1e-3) * 1e6 / 8.0
+    }
+
     /// Returns the largest number of layers whose weights take at most `fraction` of the memory.
     #[must_use]
     pub fn layers_within(&self, profile: &AcceleratorProfile, fraction: f64) -> u16 {
--- a/crates/cassiafield-core/src/process/layer_placement.rs
+++ b/crates/cassiafield-core/src/process/layer_placement.rs
@@ -46,6 +46,11 @@
 pub struct LayerPlacement<'a> {
     /// Performance and memory figures of the engine.
     pub engine: &'a EngineProfile,
+    /// Whether the links between zones are nearly used up.
+    ///
+    /// A zone without a complete replica then cannot serve its requests with layers of other zones,
+    /// and several of its endpoints change their layers at the same time to complete the replica.
+    pub are_links_scarce: bool,
 }
 
 /// The state of one zone during planning.
@@ -106,7 +111,9 @@
                 self.place_single(&mut plan, index);
             }
         }
-        self.move_best(&mut plan);
+        if !(self.are_links_scarce && self.repair_cover(&mut plan)) {
+            self.move_best(&mut plan);
+        }
         let placed = plan.candidates.iter().zip(&plan.spans);
         let changed = placed.filter(|(candidate, span)| span.is_some() && candidate.held != **span);
         changed
@@ -131,10 +138,47 @@
 
     /// Places one endpoint where it lowers the zone's cost most.
     fn place_single(&self, plan: &mut ZonePlan<'_>, index: usize) {
-        let best = self.best_span(&plan.cost_model, &plan.candidates[index].profile);
+        let profile = &plan.candidates[index].profile;
+        let best = self.best_span(&plan.cost_model, profile, |_| true);
         self.set_span(plan, index, best.map(|(span, _)| span));
     }
 
+    /// Extends and moves endpoints until they hold all layers of the zone; returns `true` if any was
+    /// changed.
+    ///
+    /// No layer that has a holder loses its last one, so the zone never serves less than before.
+    /// Several endpoints are changed at the same time, since a zone without a complete replica sends
+    /// the prompts of all its requests over links to other zones.
+    fn repair_cover(&self, plan: &mut ZonePlan<'_>) -> bool {
+        let mut is_changed = vec![false; plan.candidates.len()];
+        loop {
+            let uncovered = plan.cost_model.uncovered_layers();
+            if uncovered == 0 {
+                break;
+            }
+            let mut best: Option<(usize, f64, usize, LayerSpan)> = None;
+            for (index, candidate) in plan.candidates.iter().enumerate() {
+                let is_movable = !candidate.is_loading && !is_changed[index];
+                let Some(held) = candidate.held.filter(|_| is_movable) else { continue };
+                let mut without = plan.cost_model.clone();
+                without.remove(self.engine, &candidate.profile, held);
+                let keeps_cover = |span: LayerSpan| without.is_covered_outside(held, span);
+                let span = self.best_span(&without, &candidate.profile, keeps_cover);
+                let Some((span, cost)) = span else { continue };
+                let remaining = without.uncovered_outside(span);
+                let is_better = remaining < uncovered
+                    && best.is_none_or(|(least, lowest, ..)| (remaining, cost) < (least, lowest));
+                if is_better {
+                    best = Some((remaining, cost, index, span));
+                }
+            }
+            let Some((_, _, index, span)) = best else { break };
+            self.set_span(plan, index, Some(span));
+            is_changed[index] = true;
+        }
+        is_changed.contains(&true)
+    }
+
     /// Moves the endpoint whose move saves most, unless another one is still loading.
     ///
     /// While it loads, an endpoint serves only the layers that it keeps.
@@ -149,7 +193,8 @@
             let profile = &plan.candidates[index].profile;
             let mut without = plan.cost_model.clone();
             without.remove(self.engine, profile, held);
-            let Some((span, new_cost)) = self.best_span(&without, profile) else { continue };
+            let best_span = self.best_span(&without, profile, |_| true);
+            let Some((span, new_cost)) = best_span else { continue };
             if let Some(kept) = overlap(held, span) {
                 without.add(self.engine, profile, kept);
             }
@@ -189,16 +234,19 @@
         plan.spans[index] = span;
     }
 
-    /// Returns the span of an endpoint that lowers the zone's cost most, and the resulting cost.
+    /// Returns the allowed span of an endpoint that lowers the zone's cost most, and the resulting
+    /// cost.
     fn best_span(
         &self,
         cost_model: &ZoneCostModel,
         profile: &AcceleratorProfile,
+        is_allowed: impl Fn(LayerSpan) -> bool,
     ) -> Option<(LayerSpan, f64)> {
         let min_layers = self.engine.layers_within(profile, Self::MIN_WEIGHT_FRACTION).max(1);
         let max_layers = self.engine.layers_within(profile, Self::MAX_WEIGHT_FRACTION);
         (min_layers..=max_layers)
             .flat_map(|count| cost_model.candidate_costs(self.engine, profile, count))
+            .filter(|(span, _)| is_allowed(*span))
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -11,18 +11,23 @@
 mod endpoint_table;
 mod engine_load;
 mod engine_profile;
+mod failure_report;
 mod fair_queue;
 mod fleet_intervals;
 mod floor_transition;
 mod inter_token_latency;
 mod layer_placement;
+mod link_load;
 mod listed_entries;
 mod loan_message;
 mod ordinal_lease;
+mod organisation_load;
 mod path_planner;
 mod rate_bucket;
 mod retry_budget;
+mod retry_pool;
 mod retry_quota;
+mod return_schedule;
 mod route_planner;
 mod slot_allocator;
 mod usage_record;
@@ -39,18 +44,23 @@
     endpoint_table::EndpointTable,
     engine_load::{EngineLoad, EngineReading, EngineUsage, LoadReservation, SharedReading},
     engine_profile::{AcceleratorProfile, EngineProfile},
+    failure_report::{FailureCause, FailureReport},
     fair_queue::FairQueue,
     fleet_intervals::FleetIntervals,
     floor_transition::FloorTransition,
     inter_token_latency::InterTokenLatency,
     layer_placement::{LayerAssignment, LayerPlacement, PlacementCandidate},
+    link_load::{LinkLoad, LinkUsage, ZonePair},
     listed_entries::{ListChanges, ListedEntries, ListedEntry},
     loan_message::{LoanDemand, LoanGrant, LoanRef, LoanRequest, LoanResponse, LoanReturn},
     ordinal_lease::{OrdinalLease, RenewalResult},
+    organisation_load::{OrganisationLoad, OrganisationUsage},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
     retry_budget::RetryBudget,
-    retry_quota::RetryQuota,
+    retry_pool::{GrantRecord, RetryPool, ZoneTraffic},
+    retry_quota::{RetryLimits, RetryQuota},
+    return_schedule::ReturnSchedule,
     route_planner::{RouteCapacity, RoutePlanner, RouteRequest, RoutingError},
     slot_allocator::{LocalLimit, SlotAllocator, SlotDemand},
     usage_record::{RequestClass, UsageCount, UsageOutcome, UsageRecord, LATENCY_BOUNDS_MS},
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
-        process::{EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile},
+        process::{EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile, ZonePair},
         request::{LayerSpan, RouteDraft, RouteStage, StageRoute},
     },
     compact_str::ToCompactString as _,
@@ -25,6 +25,10 @@
     pub excluded: &'a [EndpointId],
     /// The endpoints that the path may start at; `None` if any endpoint may be first.
     pub allowed_firsts: Option<&'a [EndpointId]>,
+    /// Fraction of the request memory up to which endpoints of the own zone may be filled.
+    pub memory_fraction: f64,
+    /// The same for endpoints of other zones, which need room for requests of their own zone.
+    pub foreign_memory_fraction: f64,
 }
 
 /// A path and its expected latencies.
@@ -36,6 +40,8 @@
     pub token_ms: f64,
     /// Expected time to the first token on idle endpoints, in milliseconds.
     pub first_token_ms: f64,
+    /// The links between availability zones that the stages use, each as often as they cross it.
+    pub crossings: Vec<ZonePair>,
 }
 
 /// The reason why no path could be planned.
@@ -80,6 +86,8 @@
 
 struct Candidate<'a> {
     entry: &'a EndpointEntry,
+    /// Index of its availability zone in the [`LinkTable`].
+    zone_index: usize,
     span: LayerSpan,
     /// Time per token and layer, in milliseconds.
     layer_ms: f64,
@@ -93,6 +101,36 @@
     may_be_first: bool,
 }
 
+/// The availability zones of the candidates, and the utilisation of the links between them.
+struct LinkTable<'a> {
+    zones: Vec<&'a ZoneId>,
+    /// Used fraction of the bandwidth, by the indices of two zones.
+    used: Vec<Vec<f64>>,
+}
+
+impl<'a> LinkTable<'a> {
+    fn new(planner: &PathPlanner<'a>, request: &PathRequest<'a>) -> Self {
+        let mut zones: Vec<&ZoneId> = vec![request.zone];
+        for entry in planner.directory.live_entries(request.service) {
+            if !zones.contains(&&entry.zone) {
+                zones.push(&entry.zone);
+            }
+        }
+        let usage = planner.load.links.total_usage(planner.now);
+        let bytes_per_second = planner.engine.link_bytes_per_second();
+        let fraction = |one: &ZoneId, other: &ZoneId| {
+            usage.get(&ZonePair::new(one, other)).map_or(0.0, |bytes| bytes / bytes_per_second)
+        };
+        let row = |one: &&ZoneId| zones.iter().map(|other| fraction(one, other)).collect();
+        let used = zones.iter().map(row).collect();
+        Self { zones, used }
+    }
+
+    fn index(&self, zone: &ZoneId) -> usize {
+        self.zones.iter().position(|known| *known == zone).unwrap_or(0)
+    }
+}
+
 /// A partial path from the first layer up to a layer boundary.
 #[derive(Clone, Copy)]
 struct PartialPath {
@@ -107,14 +145,30 @@
     candidate_index: usize,
 }
 
+/// The extension of a partial path by one stage.
+#[derive(Clone, Copy)]
+struct PathStep {
+    candidate_index: usize,
+    /// Number of layers that the stage runs.
+    layers: f64,
+    /// Used fraction of the link to the previous stage, if that is in another zone.
+    link_used: Option<f64>,
+}
+
+/// The partial path that a stage extends.
+#[derive(Clone, Copy)]
+struct PathPrefix {
+    path_index: usize,
+    /// Used fraction of the link to the stage, if it is in another zone.
+    link_used: Option<f64>,
+}
+
 /// The cheapest partial paths to each boundary, cheapest first.
 type PartialPaths = Vec<Vec<PartialPath>>;
 
 impl<'a> PathPlanner<'a> {
     /// Fixed overhead per token of each endpoint in a path, in milliseconds.
     const HOP_MS: f64 = 0.2;
-    /// Largest fraction of an endpoint's request memory that reservations may fill.
-    const MAX_MEMORY_FRACTION: f64 = 0.97;
     /// Fraction of an endpoint's request memory above which a refusal is attributed to memory.
     ///
     /// Below it the endpoint refuses for another reason, such as an imminent shutdown.
@@ -122,10 +176,16 @@
     /// Largest fraction of an endpoint's slots that streams may fill; the margin covers streams of
     /// other hosts that have not been reported yet.
     const MAX_SLOT_FRACTION: f64 = 0.95;
-    /// Penalty for leaving the availability zone, added to the time per token, in milliseconds.
+    /// Penalty for leaving an availability zone, added to the time per token, in milliseconds.
     ///
-    /// All traffic between two zones shares one link, and a zone may become partitioned.
+    /// Any zone may become partitioned.
     const ZONE_CROSSING_MS: f64 = 4.0;
+    /// Largest fraction of a link's bandwidth that streams may use.
+    ///
+    /// The rest covers streams of other hosts that have not been reported yet.
+    const MAX_LINK_FRACTION: f64 = 0.7;
+    /// Cost of a link above that fraction, in milliseconds; higher than that of any other path.
+    const FULL_LINK_MS: f64 = 1e6;
     /// Number of partial paths kept per boundary, each with a different last endpoint.
     ///
     /// The cheapest one alone is not enough: it may already have used the only endpoint that can
@@ -139,10 +199,13 @@
     /// # Errors
     ///
     /// Returns a [`PathError`] if no path covers all layers with enough capacity.
-    pub fn plan(&self, request: &PathRequest<'_>) -> Result<PlannedPath, PathError> {
-        let healthy = self.candidates(request, false);
-        match self.search(request, &healthy) {
-            Err(PathError::NoCover) => self.search(request, &self.candidates(request, true)),
+    pub fn plan(&self, request: &PathRequest<'a>) -> Result<PlannedPath, PathError> {
+        let links = LinkTable::new(self, request);
+        let healthy = self.candidates(request, &links, false);
+        match self.search(request, &links, &healthy) {
+            Err(PathError::NoCover) => {
+                self.search(request, &links, &self.candidates(request, &links, true))
+            }
             found => found,
         }
     }
@@ -194,18 +257,24 @@
         )
     }
 
-    fn candidates(&self, request: &PathRequest<'_>, include_suspects: bool) -> Vec<Candidate<'a>> {
+    fn candidates(
+        &self,
+        request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
+        include_suspects: bool,
+    ) -> Vec<Candidate<'a>> {
         let live = self.directory.live_entries(request.service);
         let allowed = live.filter(|entry| {
             !request.excluded.contains(&entry.endpoint)
                 && (include_suspects || !self.directory.is_suspect(&entry.endpoint, self.now))
         });
-        allowed.filter_map(|entry| self.candidate(request, entry)).collect()
+        allowed.filter_map(|entry| self.candidate(request, links, entry)).collect()
     }
 
     fn candidate(
         &self,
         request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
         entry: &'a EndpointEntry,
     ) -> Option<Candidate<'a>> {
         let span = entry.span.filter(|span| span.end() <= self.engine.layers)?;
@@ -220,11 +289,16 @@
             f64::from(request.prompt_tokens) / self.engine.prefill_tokens_per_ms.max(1e-9);
         let reading = self.load.reading(&entry.endpoint, self.now);
         let slowdown = reading.map_or(1.0, |reading| reading.slowdown.max(1.0));
-        let capacity =
-            self.engine.token_layer_capacity(profile, span.layers()) * Self::MAX_MEMORY_FRACTION;
+        let memory_fraction = if &entry.zone == request.zone {
+            request.memory_fraction
+        } else {
+            request.foreign_memory_fraction.min(request.memory_fraction)
+        };
+        let capacity = self.engine.token_layer_capacity(profile, span.layers()) * memory_fraction;
         let used_memory = self.load.memory_used(&entry.endpoint, self.now);
         Some(Candidate {
             entry,
+            zone_index: links.index(&entry.zone),
             span,
             layer_ms: step_ms * profile.step_factor * slowdown / layers,
             prefill_ms: prefill_ms * profile.prefill_factor * slowdown / layers,
@@ -244,13 +318,14 @@
     fn search(
         &self,
         request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
         candidates: &[Candidate<'a>],
     ) -> Result<PlannedPath, PathError> {
         let tokens = f64::from(request.prompt_tokens + request.output_tokens);
-        let (found, layer) = self.cheapest(request, candidates, Some(tokens));
+        let (found, layer) = self.cheapest(request, links, candidates, Some(tokens));
         match found {
             Some(path) => Ok(path),
-            None if self.cheapest(request, candidates, None).0.is_some() => {
+            None if self.cheapest(request, links, candidates, None).0.is_some() => {
                 Err(PathError::NoMemory { layer })
             }
             None => Err(PathError::NoCover),
@@ -259,11 +334,12 @@
 
     /// Finds the cheapest path by dynamic programming over layer boundaries.
     ///
-    /// If `tokens` is given, each endpoint must have memory for that many tokens. The second value
-    /// is the last layer boundary that was reached.
+    /// If `tokens` is given, each endpoint must have memory for that many tokens and each link must
+    /// have bandwidth for the prompt. The second value is the last layer boundary that was reached.
     fn cheapest(
         &self,
         request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
         candidates: &[Candidate<'a>],
         tokens: Option<f64>,
     ) -> (Option<PlannedPath>, u16) {
@@ -283,10 +359,14 @@
                 if is_disjoint || is_unavailable {
                     continue;
                 }
-                let path_index = partial_paths[at]
-                    .iter()
-                    .position(|path| !visits_candidate(&partial_paths, *path, candidate_index));
-                if at > 0 && path_index.is_none() {
+                let previous =
+                    self.best_prefix(links, candidates, &partial_paths[..], at, candidate_index);
+                if at > 0 && previous.is_none() {
+                    continue;
+                }
+                let link_used = previous.and_then(|prefix| prefix.link_used);
+                let is_link_full = link_used.is_some_and(|used| used > Self::MAX_LINK_FRACTION);
+                if tokens.is_some() && is_link_full {
                     continue;
                 }
                 for to in at + 1..boundaries.len() {
@@ -295,11 +375,12 @@
                     if boundaries[to] > candidate.span.end() || is_full {
                         break;
                     }
-                    let previous = path_index.map(|path_index| partial_paths[at][path_index]);
-                    let next = self.extend(request, candidates, previous, candidate_index, layers);
-                    let next =
-                        PartialPath { from: at, path_index: path_index.unwrap_or(0), ..next };
-                    keep_cheapest(&mut partial_paths[to], next);
+                    let path = previous.map(|prefix| partial_paths[at][prefix.path_index]);
+                    let step = PathStep { candidate_index, layers, link_used };
+                    let next = self.extend(request, candidates, path, step);
+                    let path_index = previous.map_or(0, |prefix| prefix.path_index);
+                    let next = PartialPath { from: at, path_index, ..next };
+                    keep_cheapest(&mut partial_paths[to], candidates, next);
                 }
             }
         }
@@ -308,25 +389,68 @@
         (self.trace(request, candidates, &boundaries, &partial_paths), layer)
     }
 
+    /// Returns the partial path to a boundary that a candidate extends at the lowest cost.
+    ///
+    /// The cost of the transition depends on the zones of both stages.
+    fn best_prefix(
+        &self,
+        links: &LinkTable<'_>,
+        candidates: &[Candidate<'a>],
+        partial_paths: &[Vec<PartialPath>],
+        at: usize,
+        candidate_index: usize,
+    ) -> Option<PathPrefix> {
+        let zone_index = candidates[candidate_index].zone_index;
+        let mut best: Option<(f64, PathPrefix)> = None;
+        for (path_index, path) in partial_paths[at].iter().enumerate() {
+            let from = candidates[path.candidate_index].zone_index;
+            let link_used = (from != zone_index).then(|| links.used[from][zone_index]);
+            let transition_ms = link_used.map_or(0.0, |used| {
+                // A link that is used up is the last resort.
+                let full_ms = if used > Self::MAX_LINK_FRACTION { Self::FULL_LINK_MS } else { 0.0 };
+                Self::ZONE_CROSSING_MS + self.link_wait_ms(used) + full_ms
+            });
+            let cost = path.cost + transition_ms;
+            let is_better = best.is_none_or(|(lowest, _)| cost < lowest);
+            if is_better && !visits_candidate(partial_paths, *path, candidate_index) {
+                best = Some((cost, PathPrefix { path_index, link_used }));
+            }
+        }
+        best.map(|(_, prefix)| prefix)
+    }
+
+    /// Returns the expected wait for other transfers on a link, in milliseconds.
+    ///
+    /// Transfers of all streams share the link one after another.
+    fn link_wait_ms(&self, used: f64) -> f64 {
+        let busy = used.min(Self::MAX_LINK_FRACTION);
+        self.engine.transfer_ms(self.engine.mean_prompt_tokens) * busy / (1.0 - busy)
+            + self.engine.zone_delay_ms
+    }
+
     fn extend(
         &self,
         request: &PathRequest<'_>,
         candidates: &[Candidate<'a>],
         prefix: Option<PartialPath>,
-        candidate_index: usize,
-        layers: f64,
+        step: PathStep,
     ) -> PartialPath {
+        let PathStep { candidate_index, layers, link_used } = step;
         let candidate = &candidates[candidate_index];
-        let previous_zone =
-            prefix.map_or(request.zone, |path| &candidates[path.candidate_index].entry.zone);
-        let mut hop_ms = Self::HOP_MS;
+        let mut token_ms = candidate.layer_ms * layers + Self::HOP_MS;
+        let mut first_ms = candidate.prefill_ms * layers + Self::HOP_MS;
         let mut crossing_ms = 0.0;
-        if previous_zone != &candidate.entry.zone {
-            hop_ms += self.engine.zone_delay_ms;
+        if prefix.is_none() && request.zone != &candidate.entry.zone {
+            token_ms += self.engine.zone_delay_ms;
+            first_ms += self.engine.zone_delay_ms;
+            crossing_ms = Self::ZONE_CROSSING_MS;
+        }
+        if let Some(used) = link_used {
+            let wait_ms = self.link_wait_ms(used);
+            token_ms += wait_ms + self.engine.transfer_ms(1);
+            first_ms += wait_ms + self.engine.transfer_ms(request.prompt_tokens);
             crossing_ms = Self::ZONE_CROSSING_MS;
         }
-        let token_ms = candidate.layer_ms * layers + hop_ms;
-        let first_ms = candidate.prefill_ms * layers + hop_ms;
         // The prefill time is spread over the answer's tokens, so that the cost is proportional to
         // the time for which the caller waits.
         let prefill_ms_per_token = first_ms / f64::from(request.output_tokens.max(1));
@@ -358,10 +482,12 @@
         let last = *partial_paths.last()?.first()?;
         let mut step = last;
         let mut stages: Vec<RouteStage> = Vec::new();
+        let mut zones: Vec<&ZoneId> = Vec::new();
         let mut at = boundaries.len() - 1;
         while at > 0 {
             let entry = candidates[step.candidate_index].entry;
             let span = LayerSpan::try_from((boundaries[step.from], boundaries[at])).ok()?;
+            zones.push(&entry.zone);
             stages.push(RouteStage {
                 endpoint: entry.endpoint.clone(),
                 address: entry.address.to_compact_string(),
@@ -375,12 +501,23 @@
         stages.reverse();
         let draft = RouteDraft { model: request.model.clone(), layers: self.engine.layers, stages };
         let route = StageRoute::try_from(draft).ok()?;
-        Some(PlannedPath { route, token_ms: last.token_ms, first_token_ms: last.first_ms })
+        let crossings = zones
+            .windows(2)
+            .filter(|pair| pair[0] != pair[1])
+            .map(|pair| ZonePair::new(pair[0], pair[1]))
+            .collect();
+        Some(PlannedPath {
+            route,
+            token_ms: last.token_ms,
+            first_token_ms: last.first_ms,
+            crossings,
+        })
     }
 }
 
-/// Inserts a partial path into those to the same boundary if it is among the cheapest.
-fn keep_cheapest(paths: &mut Vec<PartialPath>, next: PartialPath) {
+/// Inserts a partial path into those to the same boundary if it is among the cheapest, or the
+/// cheapest that ends in its availability zone.
+fn keep_cheapest(paths: &mut Vec<PartialPath>, candidates: &[Candidate<'_>], next: PartialPath) {
     match paths.iter().position(|path| path.candidate_index == next.candidate_index) {
         Some(index) if paths[index].cost <= next.cost => return,
         Some(index) => {
@@ -390,13 +527,20 @@
     }
     let position = paths.partition_point(|path| path.cost <= next.cost);
     paths.insert(position, next);
-    paths.truncate(PathPlanner::KEPT_PATHS);
+    let zone_of = |path: &PartialPath| candidates[path.candidate_index].zone_index;
+    let is_surplus = |index: usize| {
+        index >= PathPlanner::KEPT_PATHS
+            && paths[..index].iter().any(|path| zone_of(path) == zone_of(&paths[index]))
+    };
+    if let Some(index) = (0..paths.len()).rev().find(|index| is_surplus(*index)) {
+        paths.remove(index);
+    }
 }
 
 /// Returns `true` if a partial path already uses a candidate; an endpoint must not appear twice in
 /// a path.
 fn visits_candidate(
-    partial_paths: &PartialPaths,
+    partial_paths: &[Vec<PartialPath>],
     path: PartialPath,
     candidate_index: usize,
 ) -> bool {
--- a/crates/cassiafield-core/src/process/retry_quota.rs
+++ b/crates/cassiafield-core/src/process/retry_quota.rs
@@ -3,17 +3,27 @@
     std::{collections::VecDeque, time::Duration},
 };
 
-/// One host's share of the retries that the fleet may send to a service within a window.
+/// The fleet's bound for retries to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Additional retries per window.
+    pub slack: f64,
+    /// The window in which requests and retries are counted.
+    pub window: Duration,
+}
+
+/// One host's own share of the retries that the fleet may send to a service within a window.
 ///
 /// In any window, the fleet may send `ratio` times the number of its requests plus `slack` retries.
-/// A host may send `ratio` times its own requests plus an equal share of the slack, minus a safety
+/// A part of this is pooled by availability zone, see [`RetryPool`](super::RetryPool). Of the rest, a
+/// host may send `ratio` times its own requests plus an equal share of the slack, minus a safety
 /// margin. After a restart, the share of the slack is available only after a full window, since the
 /// previous process at the host may have used it.
 #[derive(Clone, Debug)]
 pub struct RetryQuota {
-    ratio: f64,
-    slack: f64,
-    window: Duration,
+    limits: RetryLimits,
     /// When the process started, if another one ran at the host before.
     started_at: Option<Moment>,
     requests: VecDeque<Moment>,
@@ -23,21 +33,22 @@
 impl RetryQuota {
     /// Fraction of the bound that is used; the rest covers windows that are counted differently
     /// elsewhere than at this host.
-    const SAFETY_FACTOR: f64 = 0.88;
+    pub const SAFETY_FACTOR: f64 = 0.88;
+    /// Fraction of the budget that zone leaders grant on request.
+    pub const POOLED_FRACTION: f64 = 0.6;
 
     /// Creates the quota of one host.
     ///
     /// `started_at` is when the process started, or `None` if no other process ran at the host before.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64, window: Duration, started_at: Option<Moment>) -> Self {
-        Self {
-            ratio,
-            slack,
-            window,
-            started_at,
-            requests: VecDeque::new(),
-            retries: VecDeque::new(),
-        }
+    pub const fn new(limits: RetryLimits, started_at: Option<Moment>) -> Self {
+        Self { limits, started_at, requests: VecDeque::new(), retries: VecDeque::new() }
+    }
+
+    /// Returns the number of first attempts within the window.
+    pub fn recent_requests(&mut self, now: Moment) -> u32 {
+        self.remove_expired(now);
+        u32::try_from(self.requests.len()).unwrap_or(u32::MAX)
     }
 
     /// Records the first attempt of a request.
@@ -51,11 +62,12 @@
     /// The slack is divided equally over `hosts`.
     pub fn try_acquire(&mut self, hosts: usize, now: Moment) -> bool {
         self.remove_expired(now);
-        let earned = self.ratio * self.requests.len() as f64;
+        let earned = self.limits.ratio * self.requests.len() as f64;
         let is_slack_available =
-            self.started_at.is_none_or(|started_at| now.since(started_at) >= self.window);
-        let slack = if is_slack_available { self.slack / hosts.max(1) as f64 } else { 0.0 };
-        let bound = (earned + slack) * Self::SAFETY_FACTOR;
+            self.started_at.is_none_or(|started_at| now.since(started_at) >= self.limits.window);
+        let slack = if is_slack_available { self.limits.slack / hosts.max(1) as f64 } else { 0.0 };
+        let own_fraction = 1.0 - Self::POOLED_FRACTION;
+        let bound = (earned + slack) * Self::SAFETY_FACTOR * own_fraction;
         let is_granted = (self.retries.len() as f64) + 1.0 <= bound;
         if is_granted {
             self.retries.push_back(now);
@@ -65,7 +77,7 @@
 
     fn remove_expired(&mut self, now: Moment) {
         for queue in [&mut self.requests, &mut self.retries] {
-            while queue.front().is_some_and(|&at| now.since(at) >= self.window) {
+            while queue.front().is_some_and(|&at| now.since(at) >= self.limits.window) {
                 queue.pop_front();
             }
         }
--- a/crates/cassiafield-core/src/process/zone_cost_model.rs
+++ b/crates/cassiafield-core/src/process/zone_cost_model.rs
@@ -66,6 +66,28 @@
         self.cost
     }
 
+    /// Returns the number of layers that no endpoint holds.
+    #[must_use]
+    pub fn uncovered_layers(&self) -> usize {
+        self.holders.iter().filter(|holders| holders.is_empty()).count()
+    }
+
+    /// Returns the number of layers that neither any endpoint nor `span` holds.
+    #[must_use]
+    pub fn uncovered_outside(&self, span: LayerSpan) -> usize {
+        let inside = self.indices(span);
+        let layers = self.holders.iter().enumerate();
+        layers.filter(|(layer, held)| held.is_empty() && !inside.contains(layer)).count()
+    }
+
+    /// Returns `true` if an endpoint holds each layer of `released` that is not in `kept`.
+    #[must_use]
+    pub fn is_covered_outside(&self, released: LayerSpan, kept: LayerSpan) -> bool {
+        let inside = self.indices(kept);
+        let mut lost = self.indices(released).filter(|layer| !inside.contains(layer));
+        lost.all(|layer| !self.holders[layer].is_empty())
+    }
+
     /// Adds an endpoint that holds `span`.
     pub fn add(&mut self, engine: &EngineProfile, profile: &AcceleratorProfile, span: LayerSpan) {
         let holder = LayerHolder::new(engine, profile, span);
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod request_verdict;
 mod stage_route;
 mod stream_recovery;
+mod stream_timeouts;
 mod token_frame;
 
 pub use self::{
@@ -19,5 +20,6 @@
     request_verdict::RequestVerdict,
     stage_route::{RouteDraft, RouteError, RouteStage, StageRoute},
     stream_recovery::{FailureSource, RecoveryStep, StreamRecovery},
+    stream_timeouts::StreamTimeouts,
     token_frame::TokenFrame,
 };
--- a/crates/cassiafield-core/tests/layer_placement.rs
+++ b/crates/cassiafield-core/tests/layer_placement.rs
@@ -15,7 +15,7 @@
 }
 
 fn assign(candidates: &[PlacementCandidate]) -> Vec<LayerAssignment> {
-    LayerPlacement { engine: &engine() }.assign(candidates)
+    LayerPlacement { engine: &engine(), are_links_scarce: false }.assign(candidates)
 }
 
 fn apply(candidates: &mut [PlacementCandidate], assignments: &[LayerAssignment]) {
@@ -201,3 +201,47 @@
     }
     assert!(is_covered(&candidates));
 }
+
+/// A zone with a single replica loses one of its endpoints while the links between zones are nearly
+/// used up: the prompts of all its requests cross them until the zone has all layers again.
+#[test]
+fn a_zone_that_loses_the_only_holder_of_layers_is_covered_again_in_one_round() {
+    let held = [
+        candidate("fast0", "fast", Some(span(0, 30))),
+        candidate("fast1", "fast", Some(span(30, 60))),
+        candidate("middle0", "middle", Some(span(60, 80))),
+        candidate("slow0", "slow", Some(span(0, 8))),
+        candidate("slow1", "slow", Some(span(8, 16))),
+        candidate("slow2", "slow", Some(span(16, 24))),
+        candidate("slow3", "slow", Some(span(24, 32))),
+    ];
+    let mut left: Vec<PlacementCandidate> =
+        held.into_iter().filter(|candidate| candidate.endpoint.as_str() != "fast1").collect();
+    assert!(!is_covered(&left));
+    let held_before = covered_layers(&left);
+    let placement = LayerPlacement { engine: &engine(), are_links_scarce: true };
+    let assignments = placement.assign(&left);
+    // While it loads, an endpoint serves the layers that it held before and keeps.
+    let mut loading = left.clone();
+    for assignment in &assignments {
+        let candidate = loading.iter_mut().find(|c| c.endpoint == assignment.endpoint);
+        let candidate = candidate.expect("a known endpoint");
+        candidate.held = candidate.held.and_then(|held| {
+            let start = held.start().max(assignment.span.start());
+            let end = held.end().min(assignment.span.end());
+            (start < end).then(|| span(start, end))
+        });
+    }
+    assert_eq!(covered_layers(&loading), held_before);
+    apply(&mut left, &assignments);
+    assert!(is_covered(&left), "{assignments:?}");
+}
+
+fn covered_layers(candidates: &[PlacementCandidate]) -> Vec<u16> {
+    let holds = |layer: u16| {
+        candidates.iter().any(|candidate| {
+            candidate.held.is_some_and(|held| held.start() <= layer && layer < held.end())
+        })
+    };
+    (0..80).filter(|layer| holds(*layer)).collect()
+}
--- a/crates/cassiafield-core/tests/path_choice.rs
+++ b/crates/cassiafield-core/tests/path_choice.rs
@@ -7,8 +7,8 @@
     cassiafield_core::{
         ids::{EndpointId, ModelId, Moment},
         process::{
-            EndpointDirectory, EngineLoad, EngineReading, EngineUsage, PathError, PathPlanner,
-            PathRequest, PlannedPath,
+            EndpointDirectory, EngineLoad, EngineReading, EngineUsage, OrganisationLoad, PathError,
+            PathPlanner, PathRequest, PlannedPath,
         },
     },
     engine_support::{directory, endpoint, engine, entry, service, span, zone},
@@ -38,6 +38,8 @@
         output_tokens: 200,
         excluded: &[],
         allowed_firsts: firsts,
+        memory_fraction: OrganisationLoad::MAX_MEMORY_FRACTION,
+        foreign_memory_fraction: OrganisationLoad::MAX_MEMORY_FRACTION,
     })
 }
 
--- a/crates/cassiafield-gateway/src/process/admission_queue.rs
+++ b/crates/cassiafield-gateway/src/process/admission_queue.rs
@@ -1,8 +1,7 @@
 use {
-    cassiafield_core::ids::Moment,
+    cassiafield_core::{ids::Moment, process::ReturnSchedule},
     std::{
         cell::{Cell, RefCell},
-        collections::VecDeque,
         time::Duration,
     },
     tokio::{sync::Notify, time::timeout},
@@ -16,34 +15,31 @@
 pub struct AdmissionQueue {
     notify: Notify,
     waiters: Cell<u32>,
-    recent_ends: RefCell<VecDeque<Moment>>,
+    returns: RefCell<ReturnSchedule>,
 }
 
 impl AdmissionQueue {
-    /// Time window in which ended streams are counted.
-    const RATE_WINDOW: Duration = Duration::from_secs(1);
     /// Maximum time between two checks for memory that streams of other hosts have released.
     const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
     /// Records that a stream of this host has ended, and wakes the stream that waits longest.
     pub fn record_stream_end(&self, now: Moment) {
-        let mut recent_ends = self.recent_ends.borrow_mut();
-        recent_ends.push_back(now);
-        while recent_ends.front().is_some_and(|&at| now.since(at) > Self::RATE_WINDOW) {
-            recent_ends.pop_front();
-        }
+        self.returns.borrow_mut().record_end(now);
         self.notify.notify_one();
     }
 
     /// Returns `true` if one more stream may wait for up to `max_wait`.
     #[must_use]
     pub fn has_capacity(&self, max_wait: Duration, now: Moment) -> bool {
-        let recent_ends = self.recent_ends.borrow();
-        let recent = recent_ends.iter().filter(|&&at| now.since(at) <= Self::RATE_WINDOW).count();
-        let expected = recent as f64 * max_wait.as_secs_f64() / Self::RATE_WINDOW.as_secs_f64();
+        let expected = self.returns.borrow().expected_ends(max_wait, now);
         f64::from(self.waiters.get()) < expected.max(1.0)
     }
 
+    /// Returns after which delay the next refused caller should return, at most `max_delay`.
+    pub fn next_return(&self, max_delay: Duration, now: Moment) -> Duration {
+        self.returns.borrow_mut().next_return(now, max_delay)
+    }
+
     /// Waits until a stream ends or the next check is due.
     pub async fn wait(&self) {
         self.waiters.set(self.waiters.get() + 1);
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, HttpConnection},
+        connection::HttpConnection,
         process::{
             health_probe::{fetch_report, HealthProbe},
             GatewayState,
@@ -8,7 +8,10 @@
     },
     cassiafield_core::ids::EndpointId,
     std::{collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::{
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// Polls the reports of an availability zone's model endpoints; active on the zone's leader only.
@@ -20,6 +23,8 @@
 impl EngineMonitor {
     /// Pause between two rounds of polling.
     const POLL_INTERVAL: Duration = Duration::from_millis(1_100);
+    /// Shortest pause between two rounds of polling.
+    const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
     /// Creates the monitor of a host.
     #[must_use]
@@ -27,10 +32,14 @@
         Self { state, connections: HashMap::new() }
     }
 
-    /// Polls periodically; never returns.
+    /// Polls periodically, and at once when a peer finds an endpoint unresponsive; never returns.
     pub async fn run(mut self) {
         loop {
-            sleep(Self::POLL_INTERVAL).await;
+            // A request during the pause after a poll is handled when the pause ends.
+            sleep(Self::MIN_POLL_INTERVAL).await;
+            let rest = Self::POLL_INTERVAL - Self::MIN_POLL_INTERVAL;
+            // The poll follows in either case.
+            drop(timeout(rest, self.state.poll_requested.notified()).await);
             if self.state.is_zone_leader() {
                 self.poll_all().await;
             } else {
@@ -39,26 +48,18 @@
         }
     }
 
+    /// Polls all endpoints at the same time: one that does not respond must not delay the others.
     async fn poll_all(&mut self) {
-        let layer_holders = self.layer_holders();
-        self.connections
-            .retain(|endpoint, _| layer_holders.iter().any(|(held, _)| held == endpoint));
-        for (endpoint, address) in layer_holders {
-            let connection = self.connections.entry(endpoint.clone()).or_default();
-            self.state.metrics.count_probe();
-            let request = fetch_report(&self.state, address, connection);
-            let now = self.state.now();
-            match timeout(HealthProbe::PROBE_TIMEOUT, request).await {
-                Ok(Ok(report)) => {
-                    let mut load = self.state.load.borrow_mut();
-                    load.record_reading(endpoint.clone(), report.reading, now);
-                    drop(load);
-                    self.state.directory.borrow_mut().record_success(&endpoint, None);
-                }
-                Ok(Err(_)) | Err(_) => {
-                    *connection = None;
-                    self.state.record_endpoint_failure(&endpoint, &ConnectionError::TimedOut);
-                }
+        let mut polls = JoinSet::new();
+        let mut connections = std::mem::take(&mut self.connections);
+        for (endpoint, address) in self.layer_holders() {
+            let connection = connections.remove(&endpoint).flatten();
+            let poll = poll_endpoint(Rc::clone(&self.state), endpoint, address, connection);
+            polls.spawn_local(poll);
+        }
+        while let Some(result) = polls.join_next().await {
+            if let Ok((endpoint, connection)) = result {
+                self.connections.insert(endpoint, connection);
             }
         }
     }
@@ -73,3 +74,23 @@
         layer_holders.map(|entry| (entry.endpoint.clone(), entry.address)).collect()
     }
 }
+
+/// Polls an endpoint; returns its connection unless the poll failed.
+async fn poll_endpoint(
+    state: Rc<GatewayState>,
+    endpoint: EndpointId,
+    address: SocketAddrV4,
+    mut connection: Option<HttpConnection>,
+) -> (EndpointId, Option<HttpConnection>) {
+    state.metrics.count_probe();
+    let request = fetch_report(&state, address, &mut connection);
+    let now = state.now();
+    if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
+        state.load.borrow_mut().record_reading(endpoint.clone(), report.reading, now);
+        state.directory.borrow_mut().record_response(&endpoint, now);
+    } else {
+        connection = None;
+        state.record_unresponsive(&endpoint);
+    }
+    (endpoint, connection)
+}
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -2,8 +2,8 @@
     crate::{
         connection::{CallerListener, PlatformCodec},
         process::{
-            monitoring_server::MonitoringServer, EngineMonitor, GatewaySettings, GatewayState,
-            LayerPlacer, PeerLink, StoreSync,
+            health_probe::HealthProbe, monitoring_server::MonitoringServer, EngineMonitor,
+            GatewaySettings, GatewayState, LayerPlacer, PeerLink, StoreSync,
         },
         request::HostService,
     },
@@ -112,6 +112,7 @@
         spawn_local(StoreSync::new(Rc::clone(state)).run());
         spawn_local(LayerPlacer::new(Rc::clone(state)).run());
         spawn_local(EngineMonitor::new(Rc::clone(state)).run());
+        spawn_local(HealthProbe::run_trials(Rc::clone(state)));
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
         spawn_local(link.run_messages());
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -3,23 +3,25 @@
         connection::{ConnectionError, ConnectionPool, PlatformCodec},
         process::{
             dropped_line_count, health_probe::HealthProbe, in_flight_request::DispatchedRequest,
-            state_exchange::StateExchange, AdmissionQueue, BootClock, GatewayMetrics,
-            GatewaySettings, GaugeValues, InFlightRequest, ReservedLoad,
+            retry_broker::RetryBroker, state_exchange::StateExchange, AdmissionQueue, BootClock,
+            GatewayMetrics, GatewaySettings, GaugeValues, InFlightRequest, ReservedLoad,
         },
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
-        ids::{EndpointId, HostId, Moment, ServiceId},
-        process::{DataAge, EndpointDirectory, EngineLoad, ListedEntries, RetryQuota},
+        ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
+        process::{
+            DataAge, EndpointDirectory, EngineLoad, FailureReport, ListedEntries, OrganisationLoad,
+        },
         request::StageRoute,
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
         rc::Rc,
         time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// State of one host.
@@ -34,6 +36,8 @@
     pub directory: RefCell<EndpointDirectory>,
     /// Load of the model endpoints.
     pub load: RefCell<EngineLoad>,
+    /// Memory in use by organisation.
+    pub organisations: RefCell<OrganisationLoad>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Streams that wait for memory at model endpoints.
@@ -44,13 +48,15 @@
     pub(super) endpoint_list: RefCell<ListedEntries>,
     configuration_revision: Cell<u64>,
     pub(super) probe: HealthProbe,
+    /// Wakes the peer link when an endpoint was found unresponsive.
+    pub(super) failure_found: Notify,
+    /// Wakes the engine monitor when a peer found an endpoint unresponsive.
+    pub(super) poll_requested: Notify,
     clock: BootClock,
-    /// Start time of the process.
-    started_at: Moment,
     table: RefCell<Option<Rc<RouteTable>>>,
     configuration_age: Cell<DataAge>,
     endpoints_age: Cell<DataAge>,
-    retry_quotas: RefCell<HashMap<ServiceId, RetryQuota>>,
+    pub(super) retries: RetryBroker,
     stop_started: Cell<Option<Moment>>,
 }
 
@@ -73,12 +79,14 @@
     /// Creates the state of a host without configuration or endpoints.
     #[must_use]
     pub fn new(settings: GatewaySettings, codec: Rc<dyn PlatformCodec>) -> Self {
+        let retries = RetryBroker::new(&settings, BootClock.now());
         Self {
             settings,
             codec,
             pool: ConnectionPool::default(),
             directory: RefCell::default(),
             load: RefCell::default(),
+            organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
             in_flight: Cell::new(0),
@@ -87,12 +95,13 @@
             endpoint_list: RefCell::default(),
             configuration_revision: Cell::new(0),
             probe: HealthProbe::default(),
+            failure_found: Notify::new(),
+            poll_requested: Notify::new(),
             clock: BootClock,
-            started_at: BootClock.now(),
             table: RefCell::default(),
             configuration_age: Cell::default(),
             endpoints_age: Cell::default(),
-            retry_quotas: RefCell::default(),
+            retries,
             stop_started: Cell::new(None),
         }
     }
@@ -236,44 +245,53 @@
 
     /// Reserves the load of a stream of `tokens` on a route until the guard is dropped.
     #[must_use]
-    pub fn reserve(self: &Rc<Self>, route: &StageRoute, tokens: u32) -> ReservedLoad {
+    pub fn reserve(
+        self: &Rc<Self>,
+        route: &StageRoute,
+        tokens: u32,
+        organisation: Option<&OrganisationId>,
+    ) -> ReservedLoad {
         let reservation = self.load.borrow_mut().reserve(route, tokens);
-        ReservedLoad::new(Rc::clone(self), reservation)
+        ReservedLoad::new(Rc::clone(self), reservation, organisation.cloned(), tokens)
     }
 
     /// Records the first attempt of a request to a service, which adds to its retry budget.
     pub fn record_request(&self, service: &ServiceId) {
-        let now = self.now();
-        self.with_quota(service, |retry_quota| retry_quota.record_request(now));
+        self.retries.record_request(service, self.now());
     }
 
-    /// Takes one retry from a service's retry budget.
+    /// Takes one retry from a service's retry budget: from this host's own part, or else from the
+    /// part that the zone's leader grants.
     ///
     /// Returns `true` if the retry is granted.
-    pub fn acquire_retry(&self, service: &ServiceId) -> bool {
-        let (hosts, now) = (self.live_hosts.get(), self.now());
-        let is_granted =
-            self.with_quota(service, |retry_quota| retry_quota.try_acquire(hosts, now));
+    pub async fn acquire_retry(&self, service: &ServiceId) -> bool {
+        let is_granted = self.retries.acquire_own(service, self.live_hosts.get(), self.now())
+            || self.acquire_pooled_retry(service).await;
         self.metrics.count_retry_request(is_granted);
         is_granted
     }
 
-    fn with_quota<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryQuota) -> T) -> T {
-        let mut retry_quotas = self.retry_quotas.borrow_mut();
-        let settings = &self.settings;
-        let retry_quota = retry_quotas.entry(service.clone()).or_insert_with(|| {
-            RetryQuota::new(
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window,
-                (!settings.is_first_start).then_some(self.started_at),
-            )
-        });
-        act(retry_quota)
+    async fn acquire_pooled_retry(&self, service: &ServiceId) -> bool {
+        let leader = self.zone_leader();
+        if leader == self.settings.host {
+            return self.grant_retry(service);
+        }
+        self.exchange.query_retry(&leader, service).await
+    }
+
+    /// Takes one retry from the zone's pool, from which only the zone's leader grants.
+    pub(super) fn grant_retry(&self, service: &ServiceId) -> bool {
+        self.retries.grant(service, self.live_hosts.get(), self.now())
     }
 
     /// Records that a request to an endpoint failed without a response.
     pub fn record_endpoint_failure(&self, endpoint: &EndpointId, error: &ConnectionError) {
+        let is_model_endpoint =
+            self.directory.borrow().entry(endpoint).is_some_and(|e| e.accelerator.is_some());
+        if is_model_endpoint && matches!(error, ConnectionError::Connect(_)) {
+            self.record_unresponsive(endpoint);
+            return;
+        }
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: {error}"));
         let mut directory = self.directory.borrow_mut();
         directory.record_failure(endpoint, self.now());
@@ -294,6 +312,54 @@
         }
     }
 
+    /// Records that a model endpoint did not respond to this host, and notifies peers.
+    pub fn record_unresponsive(&self, endpoint: &EndpointId) {
+        LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response"));
+        let mut directory = self.directory.borrow_mut();
+        directory.record_unresponsive(endpoint, self.now());
+        if let Some(entry) = directory.entry(endpoint) {
+            self.pool.remove(entry.address);
+        }
+        drop(directory);
+        self.failure_found.notify_one();
+        self.probe.notify_waiters();
+    }
+
+    /// Records a failure of an endpoint that a peer reports.
+    ///
+    /// If the endpoint is unresponsive, the leader of its availability zone polls the zone's
+    /// endpoints at once.
+    pub(super) fn record_peer_failure(&self, endpoint: &EndpointId, report: FailureReport) {
+        let mut directory = self.directory.borrow_mut();
+        if !directory.record_peer_failure(endpoint, report, self.now()) {
+            return;
+        }
+        let is_own_zone = directory.entry(endpoint).is_some_and(|e| e.zone == self.settings.zone);
+        drop(directory);
+        LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response to a peer"));
+        self.probe.notify_waiters();
+        if is_own_zone && self.is_zone_leader() {
+            self.poll_requested.notify_one();
+        }
+    }
+
+    /// Records that all endpoints of a route have just made progress.
+    pub fn record_progress(&self, route: &StageRoute) {
+        let now = self.now();
+        let mut directory = self.directory.borrow_mut();
+        for stage in route.stages() {
+            directory.record_progress(&stage.endpoint, now);
+        }
+    }
+
+    /// Records that a stream has made no progress on a route since `since` although all endpoints
+    /// of the route respond to probes.
+    pub fn record_stall(&self, route: &StageRoute, since: Moment) {
+        let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
+        self.directory.borrow_mut().record_stall(endpoints, since, self.now());
+        self.failure_found.notify_one();
+    }
+
     /// Probes an endpoint and returns `true` if it responds; an unresponsive endpoint is avoided.
     pub async fn is_responsive(&self, endpoint: &EndpointId) -> bool {
         let address = self.directory.borrow().entry(endpoint).map(|entry| entry.address);
@@ -303,20 +369,25 @@
         }
     }
 
-    /// Returns how many idle connections this host may keep to one endpoint of a service.
-    #[must_use]
-    pub fn max_idle_connections(&self, service: &ServiceRule) -> usize {
-        ConnectionPool::max_idle_connections(service.max_connections, self.live_hosts.get())
+    /// Starts to probe the endpoints of a route that have not been probed since `since`.
+    pub fn start_probes(self: &Rc<Self>, route: &StageRoute, since: Moment) {
+        HealthProbe::start_probes(self, route, since);
     }
 
-    /// Probes the endpoints of a route and returns the unresponsive ones.
-    pub async fn unresponsive_endpoints(&self, route: &StageRoute) -> Vec<EndpointId> {
-        self.probe.find_unresponsive(self, route).await
+    /// Waits until endpoints of a route are known to be unresponsive, but at least for `delay`;
+    /// returns them.
+    pub async fn wait_for_unresponsive(
+        &self,
+        route: &StageRoute,
+        delay: Duration,
+    ) -> Vec<EndpointId> {
+        self.probe.wait_for_unresponsive(self, route, delay).await
     }
 
-    /// Waits until another request's probe finds endpoints of a route unresponsive; returns them.
-    pub async fn wait_for_unresponsive(&self, route: &StageRoute) -> Vec<EndpointId> {
-        self.probe.wait_for_unresponsive(self, route).await
+    /// Returns how many idle connections this host may keep to one endpoint of a service.
+    #[must_use]
+    pub fn max_idle_connections(&self, service: &ServiceRule) -> usize {
+        ConnectionPool::max_idle_connections(service.max_connections, self.live_hosts.get())
     }
 
     /// Returns the leader of the availability zone.
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, EndpointReport, HttpConnection},
+        connection::{EndpointReport, HttpConnection},
         process::GatewayState,
     },
     bytes::Bytes,
@@ -10,14 +10,15 @@
     },
     http::{header, Request},
     http_body_util::{BodyExt as _, Full},
-    std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, time::Duration},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
+        task::spawn_local,
         time::{sleep, timeout},
     },
 };
 
-/// Probes model endpoints and shares each result among requests for a short time.
+/// Probes model endpoints and shares each result among the requests of this host.
 #[derive(Debug, Default)]
 pub(crate) struct HealthProbe {
     results: RefCell<HashMap<EndpointId, ProbeResult>>,
@@ -27,100 +28,149 @@
 
 #[derive(Clone, Copy, Debug)]
 struct ProbeResult {
-    probed_at: Moment,
-    is_responsive: bool,
+    started_at: Moment,
+    outcome: ProbeOutcome,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeOutcome {
+    Running,
+    Responsive,
+    Unresponsive,
 }
 
 impl HealthProbe {
-    /// Time without progress before probe results of other requests apply to a stream.
-    ///
-    /// A probe can fail although its endpoint works.
-    const SHARED_RESULT_DELAY: Duration = Duration::from_millis(100);
-    /// Time for which a result is reused.
-    const MAX_RESULT_AGE: Duration = Duration::from_millis(800);
+    /// Time for which a failed probe is not repeated.
+    const MAX_FAILURE_AGE: Duration = Duration::from_millis(800);
+    /// Shortest interval between two probes of an endpoint that responds.
+    const MIN_INTERVAL: Duration = Duration::from_millis(600);
     /// Timeout of a probe; endpoints answer probes without queueing.
-    pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+    pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+    /// Interval between two checks for endpoints that are due to be probed again.
+    const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
-    /// Waits until a probe finds endpoints of a route unresponsive, and returns them.
+    /// Waits until endpoints of a route are known to be unresponsive, and returns them.
     ///
-    /// It first waits for a time in which a working path would have made progress.
+    /// It first waits for `delay`, a time in which a working path makes progress: a probe can fail
+    /// although its endpoint works.
     pub(super) async fn wait_for_unresponsive(
         &self,
         state: &GatewayState,
         route: &StageRoute,
+        delay: Duration,
     ) -> Vec<EndpointId> {
-        sleep(Self::SHARED_RESULT_DELAY).await;
+        sleep(delay).await;
         loop {
-            let unresponsive = self.known_unresponsive(state.now(), route);
+            let found = self.unresponsive_found.notified();
+            let unresponsive = known_unresponsive(state, route);
             if !unresponsive.is_empty() {
                 return unresponsive;
             }
-            self.unresponsive_found.notified().await;
+            found.await;
         }
     }
 
-    fn known_unresponsive(&self, now: Moment, route: &StageRoute) -> Vec<EndpointId> {
-        let results = self.results.borrow();
-        let is_unresponsive = |endpoint: &EndpointId| {
-            let result = results.get(endpoint);
-            result
-                .is_some_and(|r| !r.is_responsive && now.since(r.probed_at) < Self::MAX_RESULT_AGE)
-        };
-        let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
-        endpoints.filter(|endpoint| is_unresponsive(endpoint)).cloned().collect()
+    /// Wakes the requests that wait for data from a path.
+    pub(super) fn notify_waiters(&self) {
+        self.unresponsive_found.notify_waiters();
     }
 
-    /// Probes the endpoints of a route and returns the unresponsive ones.
-    ///
-    /// They are avoided from then on.
-    pub(super) async fn find_unresponsive(
+    /// Returns `true` if an endpoint responds to a probe; reuses a recent result.
+    pub(super) async fn is_responsive(
         &self,
         state: &GatewayState,
-        route: &StageRoute,
-    ) -> Vec<EndpointId> {
-        let mut unresponsive = Vec::new();
+        endpoint: &EndpointId,
+        address: SocketAddrV4,
+    ) -> bool {
+        let now = state.now();
+        let known = self.results.borrow().get(endpoint).copied();
+        match known.filter(|known| now.since(known.started_at) < Self::MAX_FAILURE_AGE) {
+            Some(known) => known.outcome != ProbeOutcome::Unresponsive,
+            None => self.probe(state, endpoint, address).await,
+        }
+    }
+
+    /// Starts to probe the endpoints of a route that have not been probed since `since`.
+    ///
+    /// Requests that wait in [`HealthProbe::wait_for_unresponsive`] learn about failures.
+    pub(super) fn start_probes(state: &Rc<GatewayState>, route: &StageRoute, since: Moment) {
         for stage in route.stages() {
-            let address = stage.address.parse();
-            let Ok(address) = address else { continue };
-            if !self.is_responsive(state, &stage.endpoint, address).await {
-                unresponsive.push(stage.endpoint.clone());
+            let Ok(address) = stage.address.parse::<SocketAddrV4>() else { continue };
+            if !state.probe.is_needed(&stage.endpoint, since, state.now()) {
+                continue;
             }
+            let state = Rc::clone(state);
+            let endpoint = stage.endpoint.clone();
+            spawn_local(async move { state.probe.probe(&state, &endpoint, address).await });
         }
-        unresponsive
     }
 
-    /// Returns `true` if an endpoint responds to a probe; reuses a recent result.
-    pub(super) async fn is_responsive(
+    /// Returns `true` if no result after `since` is known for an endpoint and no probe is running.
+    fn is_needed(&self, endpoint: &EndpointId, since: Moment, now: Moment) -> bool {
+        let results = self.results.borrow();
+        let Some(result) = results.get(endpoint) else { return true };
+        match result.outcome {
+            ProbeOutcome::Running => now.since(result.started_at) >= Self::MAX_FAILURE_AGE,
+            ProbeOutcome::Responsive => {
+                result.started_at < since && now.since(result.started_at) >= Self::MIN_INTERVAL
+            }
+            ProbeOutcome::Unresponsive => now.since(result.started_at) >= Self::MAX_FAILURE_AGE,
+        }
+    }
+
+    async fn probe(
         &self,
         state: &GatewayState,
         endpoint: &EndpointId,
         address: SocketAddrV4,
     ) -> bool {
-        let now = state.now();
-        let known = self.results.borrow().get(endpoint).copied();
-        if let Some(result) =
-            known.filter(|result| now.since(result.probed_at) < Self::MAX_RESULT_AGE)
-        {
-            return result.is_responsive;
-        }
+        let started_at = state.now();
+        let set_outcome = |outcome| {
+            let result = ProbeResult { started_at, outcome };
+            self.results.borrow_mut().insert(endpoint.clone(), result);
+        };
         // Until this probe ends, concurrent callers treat the endpoint as responsive instead of
         // probing it too; a failed probe wakes them.
-        self.results
-            .borrow_mut()
-            .insert(endpoint.clone(), ProbeResult { probed_at: now, is_responsive: true });
+        set_outcome(ProbeOutcome::Running);
         state.metrics.count_probe();
         let mut connection = None;
         let result =
             timeout(Self::PROBE_TIMEOUT, fetch_report(state, address, &mut connection)).await;
         let is_responsive = matches!(result, Ok(Ok(_)));
-        let result = ProbeResult { probed_at: state.now(), is_responsive };
-        self.results.borrow_mut().insert(endpoint.clone(), result);
-        if !is_responsive {
-            state.record_endpoint_failure(endpoint, &ConnectionError::TimedOut);
-            self.unresponsive_found.notify_waiters();
+        if is_responsive {
+            set_outcome(ProbeOutcome::Responsive);
+            state.directory.borrow_mut().record_response(endpoint, started_at);
+        } else {
+            set_outcome(ProbeOutcome::Unresponsive);
+            state.record_unresponsive(endpoint);
         }
         is_responsive
     }
+
+    /// Probes unresponsive endpoints again from time to time; never returns.
+    pub(super) async fn run_trials(state: Rc<GatewayState>) {
+        loop {
+            sleep(Self::TRIAL_INTERVAL).await;
+            let now = state.now();
+            let due: Vec<(EndpointId, SocketAddrV4)> = {
+                let directory = state.directory.borrow();
+                let due = directory.due_trials(now);
+                due.map(|entry| (entry.endpoint.clone(), entry.address)).collect()
+            };
+            for (endpoint, address) in due {
+                if state.probe.is_needed(&endpoint, now, now) {
+                    let state = Rc::clone(&state);
+                    spawn_local(async move { state.probe.probe(&state, &endpoint, address).await });
+                }
+            }
+        }
+    }
+}
+
+fn known_unresponsive(state: &GatewayState, route: &StageRoute) -> Vec<EndpointId> {
+    let (directory, now) = (state.directory.borrow(), state.now());
+    let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
+    endpoints.filter(|endpoint| directory.is_unresponsive(endpoint, now)).cloned().collect()
 }
 
 /// Fetches an endpoint's report, over `connection` if it is open.
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -1,6 +1,9 @@
 use {
     crate::process::GatewayState,
-    cassiafield_core::{ids::EndpointId, process::LoadReservation},
+    cassiafield_core::{
+        ids::{EndpointId, OrganisationId},
+        process::LoadReservation,
+    },
     std::{cell::Cell, rc::Rc},
 };
 
@@ -38,17 +41,32 @@
 pub struct ReservedLoad {
     state: Rc<GatewayState>,
     reservation: Option<LoadReservation>,
+    /// The organisation of the stream.
+    organisation: Option<OrganisationId>,
+    /// The reserved tokens.
+    tokens: u32,
 }
 
 impl ReservedLoad {
-    pub(super) const fn new(state: Rc<GatewayState>, reservation: LoadReservation) -> Self {
-        Self { state, reservation: Some(reservation) }
+    pub(super) fn new(
+        state: Rc<GatewayState>,
+        reservation: LoadReservation,
+        organisation: Option<OrganisationId>,
+        tokens: u32,
+    ) -> Self {
+        if let Some(organisation) = &organisation {
+            state.organisations.borrow_mut().reserve(organisation, tokens);
+        }
+        Self { state, reservation: Some(reservation), organisation, tokens }
     }
 
     /// Releases the reservation.
     pub fn release(&mut self) {
         if let Some(reservation) = self.reservation.take() {
             self.state.load.borrow_mut().release(reservation);
+            if let Some(organisation) = &self.organisation {
+                self.state.organisations.borrow_mut().release(organisation, self.tokens);
+            }
             self.state.admission_queue.record_stream_end(self.state.now());
         }
     }
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -70,6 +70,8 @@
     const REPLACEMENT_WAIT: Duration = Duration::from_millis(1_600);
     /// Time for which an endpoint that rejected an order gets no new one.
     const REJECTED_ORDER_BACKOFF: Duration = Duration::from_secs(3);
+    /// Used fraction of a link between zones above which the links count as scarce.
+    const SCARCE_LINK_FRACTION: f64 = 0.35;
     /// Timeout of sending an order.
     const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -248,7 +250,10 @@
                     || may_wait && entries.iter().any(|old| may_be_replaced_by(old, entry)),
             });
         }
-        LayerPlacement { engine }.assign(&candidates)
+        let load = self.state.load.borrow();
+        let are_links_scarce =
+            load.links.largest_fraction(engine, now) > Self::SCARCE_LINK_FRACTION;
+        LayerPlacement { engine, are_links_scarce }.assign(&candidates)
     }
 
     async fn issue_order(&mut self, assignment: &LayerAssignment) {
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod metric_builder;
 mod monitoring_server;
 mod peer_link;
+mod retry_broker;
 mod state_exchange;
 mod store_sync;
 
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -2,14 +2,17 @@
     crate::{
         connection::{StoreCall, StoreClient, StoreResponse},
         process::{
+            retry_broker::{GrantRecords, RequestCounts},
             state_exchange::{StateExchange, StateQuery, StateReply},
             GatewayState,
         },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{EndpointId, HostId, Moment, ZoneId},
-        process::{EngineUsage, FleetIntervals, SharedReading},
+        ids::{EndpointId, HostId, Moment, ServiceId, ZoneId},
+        process::{
+            EngineUsage, FailureReport, FleetIntervals, LinkUsage, OrganisationUsage, SharedReading,
+        },
     },
     std::{
         cell::RefCell,
@@ -18,7 +21,10 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::{
+        net::UdpSocket,
+        time::{sleep, timeout},
+    },
 };
 
 /// A host's entry in the store.
@@ -35,19 +41,55 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub(crate) enum PeerMessage {
     /// The load that a host has reserved, sent to the hosts of its availability zone.
-    Host { host: HostId, used: BTreeMap<EndpointId, EngineUsage>, readings: Readings },
+    Host {
+        host: HostId,
+        used: BTreeMap<EndpointId, EngineUsage>,
+        readings: Readings,
+        #[serde(default)]
+        failures: FailureReports,
+        /// Requests of the host within the window of the retry budget.
+        #[serde(default)]
+        requests: RequestCounts,
+        /// Grants of the zone's leader, for its successor.
+        #[serde(default)]
+        grants: GrantRecords,
+        /// What the host's streams send between availability zones.
+        #[serde(default)]
+        links: LinkUsage,
+        /// Memory that the host's streams have reserved, by organisation.
+        #[serde(default)]
+        organisations: OrganisationUsage,
+    },
     /// The load that all hosts of an availability zone have reserved, sent to the hosts of other
     /// zones.
-    Zone { zone: ZoneId, used: BTreeMap<EndpointId, EngineUsage>, readings: Readings },
+    ///
+    /// It reports failures of the sending zone's endpoints only: the link to others may be broken.
+    Zone {
+        zone: ZoneId,
+        used: BTreeMap<EndpointId, EngineUsage>,
+        readings: Readings,
+        #[serde(default)]
+        failures: FailureReports,
+        /// What streams of the zone's hosts send between availability zones.
+        #[serde(default)]
+        links: LinkUsage,
+    },
     /// A query for the peer's data from the store.
     Query(StateQuery),
     /// The reply to a query.
     Reply(StateReply),
+    /// Asks the zone's leader for a retry.
+    RetryQuery { nonce: u64, service: ServiceId },
+    /// The reply to a query for a retry.
+    RetryReply { nonce: u64, is_granted: bool },
 }
 
 /// Readings that endpoints reported to the zone's leader.
 type Readings = BTreeMap<EndpointId, SharedReading>;
 
+/// Failures of endpoints that the sender noticed.
+type FailureReports = BTreeMap<EndpointId, FailureReport>;
+
 /// Exchanges reserved load, endpoint readings and store data with other hosts.
 pub struct PeerLink {
     state: Rc<GatewayState>,
@@ -65,6 +107,10 @@
     ///
     /// With this limit, each reading is sent twice to other availability zones.
     const MAX_READING_AGE: Duration = Duration::from_millis(600);
+    /// Time for which a failure of an endpoint is reported; it covers the loss of some messages.
+    const FAILURE_REPORT_TIME: Duration = Duration::from_millis(1_000);
+    /// Pause before a message about a failure, in which failures of other endpoints are collected.
+    const FAILURE_REPORT_DELAY: Duration = Duration::from_millis(10);
     /// Maximum size of a message, in bytes; it fits one datagram.
     const MAX_MESSAGE_BYTES: usize = 60 * 1_024;
 
@@ -186,7 +232,11 @@
     async fn send_messages(&self, socket: &UdpSocket) {
         let mut rounds: u32 = 0;
         loop {
-            sleep(Self::MESSAGE_INTERVAL).await;
+            let found = self.state.failure_found.notified();
+            let is_urgent = timeout(Self::MESSAGE_INTERVAL, found).await.is_ok();
+            if is_urgent {
+                sleep(Self::FAILURE_REPORT_DELAY).await;
+            }
             rounds = rounds.wrapping_add(1);
             let is_zone_leader = self.state.is_zone_leader();
             let now = self.state.now();
@@ -197,19 +247,46 @@
             };
             let used = self.state.load.borrow().own_usage().clone();
             let host = self.state.settings.host.clone();
-            let message = PeerMessage::Host { host, used, readings: readings.clone() };
+            let failures = self.failure_reports(None);
+            self.state.retries.set_leader(is_zone_leader, now);
+            let requests = self.state.retries.request_counts(now);
+            let grants = self.state.retries.grant_records(now);
+            let readings_copy = readings.clone();
+            let message = PeerMessage::Host {
+                host,
+                used,
+                readings: readings_copy,
+                failures,
+                requests,
+                grants,
+                links: self.state.load.borrow_mut().links.own_usage(now),
+                organisations: self.state.organisations.borrow().own_usage().clone(),
+            };
             let peers = self.state.exchange.peer_addresses();
             send_to_all(socket, &message, &peers).await;
-            if is_zone_leader && rounds.is_multiple_of(Self::ROUNDS_PER_ZONE_MESSAGE) {
+            let is_due = is_urgent || rounds.is_multiple_of(Self::ROUNDS_PER_ZONE_MESSAGE);
+            if is_zone_leader && is_due {
                 let used = self.state.load.borrow().zone_usage(now);
                 let zone = self.state.settings.zone.clone();
+                let failures = self.failure_reports(Some(&zone));
+                let links = self.state.load.borrow_mut().links.zone_usage(now);
+                let message = PeerMessage::Zone { zone, used, readings, failures, links };
                 let other_zone_hosts = self.other_zone_hosts.borrow().clone();
-                send_to_all(socket, &PeerMessage::Zone { zone, used, readings }, &other_zone_hosts)
-                    .await;
+                send_to_all(socket, &message, &other_zone_hosts).await;
             }
         }
     }
 
+    /// Returns the recent failures of endpoints, of one zone or of all.
+    fn failure_reports(&self, zone: Option<&ZoneId>) -> FailureReports {
+        let directory = self.state.directory.borrow();
+        let failures = directory.recent_failures(Self::FAILURE_REPORT_TIME, self.state.now());
+        failures
+            .filter(|(entry, _)| zone.is_none_or(|zone| zone == &entry.zone))
+            .map(|(entry, report)| (entry.endpoint.clone(), report))
+            .collect()
+    }
+
     async fn receive_messages(&self, socket: &UdpSocket) {
         let mut buffer = vec![0; Self::MAX_MESSAGE_BYTES];
         loop {
@@ -219,6 +296,11 @@
                         let reply = StateExchange::reply(&self.state, query);
                         send_to_all(socket, &PeerMessage::Reply(reply), &[from]).await;
                     }
+                    Ok(PeerMessage::RetryQuery { nonce, service }) => {
+                        let is_granted = self.state.grant_retry(&service);
+                        let reply = PeerMessage::RetryReply { nonce, is_granted };
+                        send_to_all(socket, &reply, &[from]).await;
+                    }
                     Ok(message) => {
                         if let PeerMessage::Host { host, .. } = &message {
                             self.state.exchange.add_peer(host, from);
@@ -238,25 +320,50 @@
     fn apply_message(&self, message: PeerMessage) {
         let now = self.state.now();
         let mut load = self.state.load.borrow_mut();
-        let readings = match message {
-            PeerMessage::Host { host, used, readings } => {
+        let (readings, failures) = match message {
+            PeerMessage::Host {
+                host,
+                used,
+                readings,
+                failures,
+                requests,
+                grants,
+                links,
+                organisations,
+            } => {
+                let mut organisation_load = self.state.organisations.borrow_mut();
+                organisation_load.record_peer(host.clone(), organisations, now);
+                load.links.record_peer(host.clone(), links, now);
+                self.state.retries.record_peer(host.clone(), requests, grants, now);
                 load.record_peer_usage(host, used, now);
-                readings
+                (readings, failures)
             }
-            PeerMessage::Zone { zone, used, readings } => {
+            PeerMessage::Zone { zone, used, readings, failures, links } => {
+                load.links.record_zone(zone.clone(), links, now);
                 load.record_zone_usage(zone, used, now);
-                readings
+                (readings, failures)
             }
             PeerMessage::Reply(reply) => {
                 self.state.exchange.complete_query(reply);
                 return;
             }
+            PeerMessage::RetryReply { nonce, is_granted } => {
+                self.state.exchange.complete_retry_query(nonce, is_granted);
+                return;
+            }
             // Queries are answered in `receive_messages`.
-            PeerMessage::Query(_) => return,
+            PeerMessage::Query(_) | PeerMessage::RetryQuery { .. } => return,
         };
+        let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
         for (endpoint, reading) in readings {
+            let mut directory = self.state.directory.borrow_mut();
+            directory.record_peer_response(&endpoint, at(reading.age_ms));
             load.merge_reading(endpoint, reading, now);
         }
+        drop(load);
+        for (endpoint, report) in failures {
+            self.state.record_peer_failure(&endpoint, report);
+        }
     }
 }
 
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -1,7 +1,7 @@
 use {
     crate::process::{peer_link::PeerMessage, GatewayState},
     cassiafield_core::{
-        ids::{HostId, Moment},
+        ids::{HostId, Moment, ServiceId},
         process::ListChanges,
     },
     std::{
@@ -43,6 +43,7 @@
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, SocketAddr>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<StateReply>>>,
+    pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     next_nonce: Cell<u64>,
 }
 
@@ -62,6 +63,8 @@
 impl StateExchange {
     /// Timeout of a query; peers are in the same availability zone.
     const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
+    /// Timeout of a query for a retry; the caller waits meanwhile.
+    const RETRY_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
 
     pub(super) fn attach_socket(&self, socket: Rc<UdpSocket>) {
         *self.socket.borrow_mut() = Some(socket);
@@ -103,6 +106,33 @@
         reply.map(|reply| ReceivedReply { reply, requested_at })
     }
 
+    /// Asks a peer to grant a retry from the zone's pool; returns `false` if it does not reply.
+    pub(super) async fn query_retry(&self, peer: &HostId, service: &ServiceId) -> bool {
+        let socket = self.socket.borrow().clone();
+        let address = self.peers.borrow().get(peer).copied();
+        let (Some(socket), Some(address)) = (socket, address) else { return false };
+        let nonce = self.next_nonce.get().wrapping_add(1);
+        self.next_nonce.set(nonce);
+        let message = PeerMessage::RetryQuery { nonce, service: service.clone() };
+        let Ok(bytes) = rmp_serde::to_vec(&message) else { return false };
+        let (sender, receiver) = oneshot::channel();
+        self.pending_retries.borrow_mut().insert(nonce, sender);
+        let is_granted = match socket.send_to(&bytes, address).await {
+            Ok(_) => matches!(timeout(Self::RETRY_QUERY_TIMEOUT, receiver).await, Ok(Ok(true))),
+            Err(_) => false,
+        };
+        self.pending_retries.borrow_mut().remove(&nonce);
+        is_granted
+    }
+
+    /// Passes the reply to a query for a retry on; late replies are dropped.
+    pub(super) fn complete_retry_query(&self, nonce: u64, is_granted: bool) {
+        if let Some(sender) = self.pending_retries.borrow_mut().remove(&nonce) {
+            // The query may have timed out meanwhile.
+            let _is_late = sender.send(is_granted).is_err();
+        }
+    }
+
     /// Builds the reply to a query from this host's data.
     pub(super) fn reply(state: &GatewayState, query: StateQuery) -> StateReply {
         let age = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -63,7 +63,8 @@
             {
                 break;
             }
-            if sends > 0 && !self.context.state.acquire_retry(&self.context.service.service) {
+            let service = &self.context.service.service;
+            if sends > 0 && !self.context.state.acquire_retry(service).await {
                 break;
             }
             let Some(entry) = self.choose(&excluded) else { break };
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -5,6 +5,7 @@
             call_context::CallContext,
             caller_request::strip_hop_headers,
             refusal_response::refusal_response,
+            stream_path::QueueWait,
             stream_relay::{ReadOutcome, StreamAttempt, StreamRelay},
             ResponseBody,
         },
@@ -14,7 +15,7 @@
     cassiafield_core::{
         ids::{EndpointId, ModelId},
         process::{PathError, PlannedPath},
-        request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute},
+        request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts},
         version::{RequestKind, ServiceRule},
     },
     http::{HeaderValue, Request, Response, StatusCode},
@@ -63,29 +64,17 @@
 impl StreamCall {
     /// Timeout of opening a connection to an endpoint.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-    /// Maximum time from sending a request to the response head.
-    ///
-    /// It is above the time that a working path takes under load and below the time after which
-    /// callers disconnect.
-    const HEAD_TIMEOUT: Duration = Duration::from_millis(1_700);
-    /// Minimum wait for the response head before the path's endpoints are probed.
-    ///
-    /// A request that meets a failed endpoint then still has half of a usual objective left.
-    const MIN_HEAD_PROBE_DELAY: Duration = Duration::from_millis(150);
-    /// Additional wait, in multiples of the expected time to the first event.
-    ///
-    /// It allows for prompts that arrived earlier and are processed first.
-    const HEAD_PROBE_DELAY_FACTOR: u32 = 2;
     /// Maximum number of sends of a request, over all endpoints.
     const MAX_SENDS: u32 = 5;
     /// Fraction of the objective that a request may wait for memory.
     ///
     /// The rest is left for the first event.
     const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
-    /// Minimum retry delay advised to callers; jitter raises it up to threefold.
-    ///
-    /// Most running streams end within it, and the jitter spreads the retries.
-    const RETRY_AFTER: Duration = Duration::from_millis(1_500);
+    /// Minimum retry delay advised to callers while layers have no endpoint; jitter raises it up to
+    /// threefold.
+    const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+    /// Part of the remaining time that callers wait at most before they return, in percent.
+    const MAX_RETRY_DELAY_PERCENT: u32 = 30;
     /// Maximum number of response chunks buffered for a slow caller.
     const MAX_BUFFERED_CHUNKS: usize = 16;
 
@@ -130,10 +119,10 @@
         let mut verdict = RequestVerdict::NotRun;
         let mut cause = RefusalCause::NoEndpoint;
         for number in 0..Self::MAX_SENDS {
-            if !self.acquire_send() {
+            if !self.acquire_send().await {
                 break;
             }
-            match self.attempt(start, self.initial_queue_wait()).await {
+            match self.attempt(start, QueueWait::First(self.initial_queue_wait())).await {
                 Ok((head, attempt, first)) => return self.start_relay(head, attempt, first),
                 Err(AttemptError::NoPath(found)) => {
                     if number == 0 {
@@ -160,15 +149,16 @@
     /// Returns `true` if the request may be sent now.
     ///
     /// Every send but the first takes from the retry budget.
-    pub(super) fn acquire_send(&self) -> bool {
+    pub(super) async fn acquire_send(&self) -> bool {
         let has_time = !self.context.remaining_time().is_zero();
         has_time
             && self.sends < Self::MAX_SENDS
-            && (self.sends == 0 || self.context.state.acquire_retry(&self.context.service.service))
+            && (self.sends == 0
+                || self.context.state.acquire_retry(&self.context.service.service).await)
     }
 
-    pub(super) fn acquire_resume(&self) -> bool {
-        self.context.rule.kind == RequestKind::ResumableStream && self.acquire_send()
+    pub(super) async fn acquire_resume(&self) -> bool {
+        self.context.rule.kind == RequestKind::ResumableStream && self.acquire_send().await
     }
 
     /// Returns how long a new request may wait for memory.
@@ -185,6 +175,7 @@
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.count_refusal(cause);
+        let retry_after = is_not_run.then(|| self.retry_delay(cause));
         let bottleneck = match self.bottleneck.get() {
             Some(error) => format!("{error}{}", self.describe_bottleneck(error)),
             None => self.refusal_reason().to_owned(),
@@ -195,11 +186,24 @@
             .verdict(verdict)
             .sends(self.sends)
             .log(format_args!(
-                "{bottleneck}; route {}, tokens {}+{}",
-                self.context.rule.name, self.prompt_tokens, self.output_tokens,
+                "{bottleneck}; route {}, tokens {}+{}, {:.1} times the equal share in use, return after {} ms",
+                self.context.rule.name,
+                self.prompt_tokens,
+                self.output_tokens,
+                self.organisation_excess(),
+                retry_after.unwrap_or_default().as_millis(),
             ));
-        let retry_after = Self::RETRY_AFTER.mul_f64(1.0 + 2.0 * fastrand::f64());
-        refusal_response(cause, is_not_run.then_some(retry_after))
+        refusal_response(cause, retry_after)
+    }
+
+    /// Returns when the caller should return.
+    fn retry_delay(&self, cause: RefusalCause) -> Duration {
+        if cause == RefusalCause::NoEndpoint {
+            return Self::UNAVAILABLE_RETRY_DELAY.mul_f64(1.0 + 2.0 * fastrand::f64());
+        }
+        let state = &self.context.state;
+        let max_delay = self.context.remaining_time() * Self::MAX_RETRY_DELAY_PERCENT / 100;
+        state.admission_queue.next_return(max_delay, state.now())
     }
 
     /// Returns why the request is not sent again although a path may exist.
@@ -208,6 +212,8 @@
             "the deadline has passed"
         } else if self.sends >= Self::MAX_SENDS {
             "the send limit is reached"
+        } else if self.sends == 0 {
+            "no connection to an endpoint could be opened"
         } else {
             "the retry budget is used up"
         }
@@ -215,11 +221,11 @@
 
     /// Plans a path, sends the request over it and waits for the first events after `last_event`.
     ///
-    /// Planning waits up to `wait` for memory.
+    /// Planning waits for memory as `wait` allows.
     pub(super) async fn attempt(
         &mut self,
         last_event: u64,
-        wait: Duration,
+        wait: QueueWait,
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
         let path = self.plan_with_wait(wait).await?;
         let Some(first) = path.route.stages().first().cloned() else {
@@ -228,8 +234,9 @@
         let Ok(address) = first.address.parse::<SocketAddrV4>() else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
         };
-        let reservation =
-            self.context.state.reserve(&path.route, self.prompt_tokens + self.output_tokens / 2);
+        let tokens = self.prompt_tokens + self.output_tokens / 2;
+        let organisation = self.context.request.organisation.as_ref();
+        let reservation = self.context.state.reserve(&path.route, tokens, organisation);
         let now = self.context.state.now();
         let connect_timeout = Self::CONNECT_TIMEOUT.min(self.context.remaining_time());
         let opened = self.context.state.pool.checkout(address, false, now, connect_timeout).await;
@@ -245,6 +252,7 @@
             .ok_or(AttemptError::NoPath(RefusalCause::BadRequest))?;
         self.sends += 1;
         self.context.record_send();
+        self.record_transfers(&path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
         }
@@ -258,8 +266,19 @@
             // Any endpoint of the path may be the cause; those that failed a probe are in `excluded`
             // already.
             Err(ConnectionError::TimedOut) => {
+                self.context
+                    .decision(LogEvent::TryFailed)
+                    .verdict(RequestVerdict::MayHaveRun)
+                    .sends(self.sends)
+                    .endpoint(&first.endpoint)
+                    .log(format_args!("no answer in time; route {}", describe_route(&path.route)));
                 let stages = path.route.stages().iter();
+                let is_unexplained =
+                    !stages.clone().any(|stage| self.excluded.contains(&stage.endpoint));
                 self.suspects.extend(stages.map(|stage| stage.endpoint.clone()));
+                if is_unexplained {
+                    self.context.state.record_stall(&path.route, sent_at);
+                }
                 return Err(AttemptError::MayHaveRun);
             }
             Err(error) => return Err(self.record_connection_failure(&first.endpoint, &error)),
@@ -284,11 +303,14 @@
             splitter,
             route: path.route.clone(),
             reservation,
+            timeouts: self.timeouts(),
+            typical_gap: self.expected_gap(&path),
         };
         let head = Response::from_parts(parts, ());
         match attempt.next_events(&self.context.state, self.context.remaining_time()).await {
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
+                self.context.state.record_progress(&path.route);
                 self.context.decision(LogEvent::StreamStarted).sends(self.sends).log(format_args!(
                     "{} ms after its arrival, {} ms after it was sent; planned first {:.1} ms, token {:.1} ms; tokens {}+{}; route {}",
                     now.since(self.context.request.received_at).as_millis(),
@@ -317,36 +339,54 @@
         request: Request<Full<Bytes>>,
         path: &PlannedPath,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        let route = &path.route;
-        let probe_delay = Self::head_probe_delay(path);
-        let started_at = self.context.state.now();
-        let response_timeout = Self::HEAD_TIMEOUT.min(self.context.remaining_time());
+        let (route, timeouts) = (&path.route, self.timeouts());
+        let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
+        let probe_delay = timeouts.head_probe_delay(expected);
+        let response_timeout = timeouts.head_timeout().min(self.context.remaining_time());
         let state = Rc::clone(&self.context.state);
+        let started_at = state.now();
         let mut sending = pin!(connection.http.send(request, response_timeout));
+        let mut unresponsive = pin!(state.wait_for_unresponsive(route, probe_delay));
         loop {
             let unresponsive = tokio::select! {
                 result = sending.as_mut() => return result,
-                unresponsive = state.wait_for_unresponsive(route) => unresponsive,
-                () = sleep(probe_delay) => state.unresponsive_endpoints(route).await,
+                unresponsive = unresponsive.as_mut() => unresponsive,
+                () = sleep(probe_delay) => {
+                    state.start_probes(route, started_at);
+                    continue;
+                }
             };
-            if !unresponsive.is_empty() {
-                let time = state.now().since(started_at);
-                self.context.decision(LogEvent::StreamBroken).sends(self.sends).log(format_args!(
-                    "no answer after {} ms; unresponsive: {}",
-                    time.as_millis(),
-                    join_ids(&unresponsive),
-                ));
-                self.excluded.extend(unresponsive);
-                return Err(ConnectionError::TimedOut);
-            }
+            let time = state.now().since(started_at);
+            self.context.decision(LogEvent::StreamBroken).sends(self.sends).log(format_args!(
+                "no answer after {} ms; unresponsive: {}",
+                time.as_millis(),
+                join_ids(&unresponsive),
+            ));
+            self.excluded.extend(unresponsive);
+            return Err(ConnectionError::TimedOut);
         }
     }
 
-    /// Returns how long to wait for the response head before the path's endpoints are probed.
-    fn head_probe_delay(path: &PlannedPath) -> Duration {
-        let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
-        let probe_delay = Self::MIN_HEAD_PROBE_DELAY + expected * Self::HEAD_PROBE_DELAY_FACTOR;
-        probe_delay.min(StreamAttempt::STALL_PROBE_INTERVAL)
+    /// Records the activations that the stream will send between availability zones.
+    fn record_transfers(&self, path: &PlannedPath) {
+        let Some(engine) = &self.context.service.engine else { return };
+        let tokens = f64::from(self.prompt_tokens) + f64::from(self.output_tokens);
+        let bytes = tokens * engine.activation_bytes;
+        let now = self.context.state.now();
+        let mut load = self.context.state.load.borrow_mut();
+        for pair in &path.crossings {
+            load.links.record(pair.clone(), bytes, now);
+        }
+    }
+
+    pub(super) const fn timeouts(&self) -> StreamTimeouts {
+        StreamTimeouts::of(&self.context.rule)
+    }
+
+    /// Returns the expected time between two events on a path.
+    fn expected_gap(&self, path: &PlannedPath) -> Duration {
+        let tokens = self.context.service.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1));
+        Duration::from_secs_f64(path.token_ms.max(0.0) * f64::from(tokens) / 1e3)
     }
 
     fn stream_request(&self, path: &PlannedPath, last_event: u64) -> Option<Request<Full<Bytes>>> {
@@ -421,7 +461,8 @@
             return AttemptError::NotRun;
         }
         let (mut parts, body) = response.into_parts();
-        match timeout(Self::HEAD_TIMEOUT.min(self.context.remaining_time()), body.collect()).await {
+        let body_timeout = self.timeouts().head_timeout().min(self.context.remaining_time());
+        match timeout(body_timeout, body.collect()).await {
             Ok(Ok(body)) => {
                 strip_hop_headers(&mut parts.headers);
                 let body = ResponseBody::from_bytes(body.to_bytes());
@@ -461,12 +502,23 @@
         ));
         self.excluded.extend(error.endpoints_to_exclude(attempt));
         if error.is_unexplained_stall() {
+            let now = self.context.state.now();
+            let since = now.earlier_by(attempt.timeouts.stall_timeout());
+            self.context.state.record_stall(&attempt.route, since);
             let stages = attempt.route.stages().iter();
             self.suspects.extend(stages.map(|stage| stage.endpoint.clone()));
         }
     }
 }
 
+/// Returns a path's endpoints and layers, for the log.
+pub(super) fn describe_route(route: &StageRoute) -> String {
+    let stages = route.stages().iter();
+    let described: Vec<String> =
+        stages.map(|stage| format!("{}={}", stage.endpoint, stage.span)).collect();
+    described.join(",")
+}
+
 /// Joins endpoint names for the log.
 pub(super) fn join_ids(endpoints: &[EndpointId]) -> String {
     let names: Vec<&str> = endpoints.iter().map(EndpointId::as_str).collect();
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -4,32 +4,60 @@
     crate::request::stream_call::{AttemptError, StreamCall},
     cassiafield_core::{
         ids::EndpointId,
-        process::{EngineProfile, PathError, PathPlanner, PathRequest, PlannedPath},
+        process::{
+            EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
+        },
         request::RefusalCause,
     },
     std::time::Duration,
 };
 
+/// How long a stream may wait for memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum QueueWait {
+    /// A stream that has not started waits only if it is likely to get memory in time.
+    First(Duration),
+    /// A stream that its caller is receiving waits in any case: otherwise it is lost.
+    Resume(Duration),
+}
+
+impl QueueWait {
+    const fn duration(self) -> Duration {
+        match self {
+            QueueWait::First(duration) | QueueWait::Resume(duration) => duration,
+        }
+    }
+}
+
 impl StreamCall {
     /// Maximum planned gap between events, in multiples of the route's event-gap objective.
     ///
     /// Callers disconnect after eight times the objective.
     const MAX_EVENT_GAP_FACTOR: f64 = 3.0;
+    /// Fraction of the request memory of other zones' endpoints that new streams may fill.
+    ///
+    /// The rest is for requests of the other zone's own callers.
+    const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
 
-    /// Plans a path; waits up to `wait` for memory if the endpoints are full.
-    pub(super) async fn plan_with_wait(&self, wait: Duration) -> Result<PlannedPath, AttemptError> {
+    /// Plans a path; waits for memory as `wait` allows if the endpoints are full.
+    pub(super) async fn plan_with_wait(
+        &self,
+        wait: QueueWait,
+    ) -> Result<PlannedPath, AttemptError> {
         let started_at = self.context.state.now();
-        let max_wait = wait.min(self.context.remaining_time());
+        let max_wait = wait.duration().min(self.context.remaining_time());
         let mut has_waited = false;
         loop {
-            let planned = self.plan();
+            let planned = self.plan(wait);
             let now = self.context.state.now();
             let left = max_wait.saturating_sub(now.since(started_at));
             let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
             if !is_full || left.is_zero() {
                 return planned;
             }
-            if !has_waited && !self.context.state.admission_queue.has_capacity(left, now) {
+            let is_first = matches!(wait, QueueWait::First(_));
+            let queue = &self.context.state.admission_queue;
+            if is_first && !has_waited && !queue.has_capacity(left, now) {
                 return planned;
             }
             has_waited = true;
@@ -37,7 +65,7 @@
         }
     }
 
-    fn plan(&self) -> Result<PlannedPath, AttemptError> {
+    fn plan(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
         let Some(engine) = &self.context.service.engine else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
         };
@@ -51,6 +79,7 @@
         };
         let max_firsts = usize::try_from(self.context.rule.attempts.max(1)).unwrap_or(usize::MAX);
         let has_max_firsts = self.sent_to.len() >= max_firsts;
+        let (memory_fraction, foreign_memory_fraction) = self.memory_fractions(wait);
         let request = PathRequest {
             model: &self.model,
             service: &self.context.service.service,
@@ -59,6 +88,8 @@
             output_tokens: self.output_tokens,
             excluded: &self.excluded,
             allowed_firsts: has_max_firsts.then_some(&self.sent_to[..]),
+            memory_fraction,
+            foreign_memory_fraction,
         };
         let excluded_and_suspect: Vec<EndpointId> =
             self.excluded.iter().chain(&self.suspects).cloned().collect();
@@ -80,6 +111,28 @@
         Ok(path)
     }
 
+    /// Returns the fractions of the request memory that the stream may fill in the own zone and in
+    /// other zones.
+    fn memory_fractions(&self, wait: QueueWait) -> (f64, f64) {
+        let max = OrganisationLoad::MAX_MEMORY_FRACTION;
+        if matches!(wait, QueueWait::Resume(_)) {
+            return (max, max);
+        }
+        let state = &self.context.state;
+        let organisation = self.context.request.organisation.as_ref();
+        let load = state.organisations.borrow();
+        let own = organisation.map_or(max, |found| load.memory_fraction(found, state.now()));
+        (own, Self::FOREIGN_MEMORY_FRACTION)
+    }
+
+    /// Returns the memory that the request's organisation uses, relative to an equal share.
+    pub(super) fn organisation_excess(&self) -> f64 {
+        let state = &self.context.state;
+        let organisation = self.context.request.organisation.as_ref();
+        let load = state.organisations.borrow();
+        organisation.map_or(0.0, |organisation| load.excess(organisation, state.now()))
+    }
+
     /// Returns `true` if the path's events would come so slowly that callers would disconnect.
     fn is_too_slow(&self, engine: &EngineProfile, path: &PlannedPath) -> bool {
         let gap_ms = path.token_ms * f64::from(engine.tokens_per_event.max(1));
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -3,7 +3,8 @@
         connection::PooledConnection,
         process::{GatewayState, ReservedLoad},
         request::{
-            stream_call::{join_ids, AttemptError, StreamCall},
+            stream_call::{describe_route, join_ids, AttemptError, StreamCall},
+            stream_path::QueueWait,
             ResponseAborted,
         },
     },
@@ -11,11 +12,11 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
-        request::{EventError, EventSplitter, StageRoute},
+        request::{EventError, EventSplitter, StageRoute, StreamTimeouts},
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
-    std::{fmt, time::Duration},
+    std::{fmt, pin::pin, rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
 };
 
@@ -27,6 +28,9 @@
     pub(super) splitter: EventSplitter,
     pub(super) route: StageRoute,
     pub(super) reservation: ReservedLoad,
+    pub(super) timeouts: StreamTimeouts,
+    /// Typical time between two events on the path: first as planned, then as measured.
+    pub(super) typical_gap: Duration,
 }
 
 /// Result of waiting for the next events.
@@ -93,36 +97,31 @@
 }
 
 impl StreamAttempt {
-    /// Time without events after which the path's endpoints are probed.
-    pub(super) const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(450);
-    /// Time without events after which a stream moves to another path although its endpoints
-    /// respond.
-    ///
-    /// Callers disconnect after two seconds.
-    const STALL_TIMEOUT: Duration = Duration::from_millis(1_300);
-
-    /// Waits for the next complete events.
+    /// Waits until the next complete events arrive.
     pub(super) async fn next_events(
         &mut self,
-        state: &GatewayState,
+        state: &Rc<GatewayState>,
         remaining_time: Duration,
     ) -> ReadOutcome {
-        let mut stalled = Duration::ZERO;
+        let waiting_since = state.now();
+        let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
+        let stall_timeout = self.timeouts.stall_timeout();
+        let mut unresponsive = pin!(state.wait_for_unresponsive(&self.route, probe_delay));
         loop {
-            if stalled >= remaining_time {
-                return ReadOutcome::Failed(StreamError::DeadlineExceeded);
-            }
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
-                unresponsive = state.wait_for_unresponsive(&self.route) => {
+                unresponsive = unresponsive.as_mut() => {
                     return ReadOutcome::Failed(StreamError::Stalled(unresponsive));
                 }
-                () = sleep(Self::STALL_PROBE_INTERVAL) => {
-                    stalled += Self::STALL_PROBE_INTERVAL;
-                    let unresponsive = state.unresponsive_endpoints(&self.route).await;
-                    if !unresponsive.is_empty() || stalled >= Self::STALL_TIMEOUT {
-                        return ReadOutcome::Failed(StreamError::Stalled(unresponsive));
+                () = sleep(probe_delay) => {
+                    let waited = state.now().since(waiting_since);
+                    if waited >= remaining_time {
+                        return ReadOutcome::Failed(StreamError::DeadlineExceeded);
                     }
+                    if waited >= stall_timeout {
+                        return ReadOutcome::Failed(StreamError::Stalled(Vec::new()));
+                    }
+                    state.start_probes(&self.route, waiting_since);
                     continue;
                 }
             };
@@ -131,9 +130,13 @@
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
                     }
-                    match self.take_complete_events() {
+                    match take_complete_events(&mut self.splitter) {
                         Ok(events) if events.is_empty() => {}
-                        Ok(events) => return ReadOutcome::Events(events),
+                        Ok(events) => {
+                            let gap = state.now().since(waiting_since);
+                            self.typical_gap = moving_average(self.typical_gap, gap);
+                            return ReadOutcome::Events(events);
+                        }
                         Err(error) => return ReadOutcome::Failed(StreamError::Event(error)),
                     }
                 }
@@ -146,25 +149,9 @@
         }
     }
 
-    fn take_complete_events(&mut self) -> Result<Bytes, EventError> {
-        let mut events = BytesMut::new();
-        loop {
-            match self.splitter.next_event() {
-                Ok(Some(event)) => events.extend_from_slice(&event.bytes),
-                Ok(None) => return Ok(events.freeze()),
-                Err(_) if !events.is_empty() => return Ok(events.freeze()),
-                Err(error) => return Err(error),
-            }
-        }
-    }
-
     /// Returns the path's endpoints and layers, for the log.
     pub(super) fn describe_route(&self) -> String {
-        let stages = self.route.stages().iter();
-        stages
-            .map(|stage| format!("{}={}", stage.endpoint, stage.span))
-            .collect::<Vec<_>>()
-            .join(",")
+        describe_route(&self.route)
     }
 
     async fn release(mut self, state: &GatewayState, max_idle: usize) {
@@ -177,6 +164,25 @@
     }
 }
 
+/// Returns the moving average of the gaps between events after another gap.
+fn moving_average(average: Duration, gap: Duration) -> Duration {
+    /// Weight of the latest gap.
+    const WEIGHT: f64 = 0.2;
+    average.mul_f64(1.0 - WEIGHT) + gap.mul_f64(WEIGHT)
+}
+
+fn take_complete_events(splitter: &mut EventSplitter) -> Result<Bytes, EventError> {
+    let mut events = BytesMut::new();
+    loop {
+        match splitter.next_event() {
+            Ok(Some(event)) => events.extend_from_slice(&event.bytes),
+            Ok(None) => return Ok(events.freeze()),
+            Err(_) if !events.is_empty() => return Ok(events.freeze()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Relays the events of a stream to its caller, and moves to another path when one fails.
 pub(super) struct StreamRelay {
     call: StreamCall,
@@ -190,9 +196,6 @@
 }
 
 impl StreamRelay {
-    /// Maximum wait for memory while a caller waits for its next event.
-    const MAX_RESUME_WAIT: Duration = Duration::from_millis(700);
-
     pub(super) const fn new(
         call: StreamCall,
         attempt: StreamAttempt,
@@ -247,6 +250,9 @@
                 ReadOutcome::End => {
                     let last_event = self.last_event.unwrap_or(0);
                     let call = &self.call;
+                    if let Some(attempt) = &self.attempt {
+                        call.context.state.record_progress(&attempt.route);
+                    }
                     let gap = self.longest_gap.as_millis();
                     call.context.record_completion(
                         call.sends,
@@ -282,8 +288,9 @@
             return None;
         }
         let last_event = self.last_event?;
-        while self.call.acquire_resume() {
-            match self.call.attempt(last_event, Self::MAX_RESUME_WAIT).await {
+        while self.call.acquire_resume().await {
+            let wait = self.call.timeouts().resume_wait();
+            match self.call.attempt(last_event, QueueWait::Resume(wait)).await {
                 Ok((_, attempt, events)) => {
                     self.call.context.state.metrics.count_broken_stream(true);
                     let path = attempt.describe_route();
--- a/crates/cassiafield-standin/src/zone_simulator.rs
+++ b/crates/cassiafield-standin/src/zone_simulator.rs
@@ -3,7 +3,7 @@
         ids::{EndpointId, ModelId, Moment, ZoneId},
         process::{
             AcceleratorProfile, EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile,
-            LoadReservation, PathPlanner, PathRequest,
+            LoadReservation, OrganisationLoad, PathPlanner, PathRequest,
         },
         request::LayerSpan,
     },
@@ -190,6 +190,8 @@
             output_tokens: self.engine.mean_output_tokens,
             excluded: &[],
             allowed_firsts: None,
+            memory_fraction: OrganisationLoad::MAX_MEMORY_FRACTION,
+            foreign_memory_fraction: OrganisationLoad::MAX_MEMORY_FRACTION,
         };
         let Ok(planned) = planner.plan(&request) else {
             self.outcome.refused += 1;
--- a/crates/cassiafield-standin/tests/zone_simulator.rs
+++ b/crates/cassiafield-standin/tests/zone_simulator.rs
@@ -83,7 +83,8 @@
 fn settled_placement(mut candidates: Vec<PlacementCandidate>) -> Vec<PlacementCandidate> {
     let engine = engine();
     for _ in 0..20 {
-        let orders = LayerPlacement { engine: &engine }.assign(&candidates);
+        let orders =
+            LayerPlacement { engine: &engine, are_links_scarce: false }.assign(&candidates);
         if orders.is_empty() {
             break;
         }
