feat: one host reads the store for all zones where the limits leave time

The intervals were constants that fit limits of 2 s and no others. The planner's refusal for slow paths is named in the log.

--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -30,8 +30,10 @@
 mod return_schedule;
 mod route_planner;
 mod slot_allocator;
+mod sync_intervals;
 mod usage_record;
 mod zone_cost_model;
+mod zone_leaders;
 
 pub use self::{
     allowance_ledger::{AllowanceLedger, AllowanceRefusal},
@@ -63,6 +65,8 @@
     return_schedule::ReturnSchedule,
     route_planner::{RouteCapacity, RoutePlanner, RouteRequest, RoutingError},
     slot_allocator::{LocalLimit, SlotAllocator, SlotDemand},
+    sync_intervals::SyncIntervals,
     usage_record::{RequestClass, UsageCount, UsageOutcome, UsageRecord, LATENCY_BOUNDS_MS},
     zone_cost_model::ZoneCostModel,
+    zone_leaders::ZoneLeaders,
 };
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -55,12 +55,15 @@
         /// The last layer boundary that a path with enough capacity reaches.
         layer: u16,
     },
+    /// Events over the best path would come so slowly that callers disconnect.
+    TooSlow,
 }
 
 impl fmt::Display for PathError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             PathError::NoCover => f.write_str("the endpoints in use do not hold all layers"),
+            PathError::TooSlow => f.write_str("the best path is too slow"),
             PathError::NoMemory { layer } => write!(f, "no path has room beyond layer {layer}"),
         }
     }
--- /dev/null
+++ b/crates/cassiafield-core/src/process/sync_intervals.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+/// The intervals at which hosts read the platform's store and query each other.
+///
+/// They follow from the time within which a change must be in force on every host, and from the time
+/// after which no request with a revoked key may run.
+///
+/// ```
+/// use {cassiafield_core::process::SyncIntervals, std::time::Duration};
+///
+/// let intervals = SyncIntervals::new(Duration::from_secs(2), Duration::from_secs(5));
+/// assert_eq!(intervals.read_interval(), Duration::from_millis(800));
+/// assert_eq!(intervals.max_peer_data_age(), Duration::from_millis(1_300));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SyncIntervals {
+    change_limit: Duration,
+    revocation_limit: Duration,
+}
+
+impl SyncIntervals {
+    /// Part of the revocation limit that the base of the intervals is at most, in percent.
+    ///
+    /// Hosts that query others must have data that is recent enough to be ready.
+    const REVOCATION_BASE_PERCENT: u32 = 40;
+    /// Part of the revocation limit that bounds the age of a peer's data, in percent.
+    const REVOCATION_AGE_PERCENT: u32 = 60;
+    /// Pause between two reads of the store, in percent of the base.
+    const READ_PERCENT: u32 = 40;
+    /// Pause between two queries to another host, in percent of the base.
+    const QUERY_PERCENT: u32 = 20;
+    /// Delay after a failed read, in percent of the base.
+    const ERROR_PERCENT: u32 = 10;
+    /// Pause between two reads during an outage of the store on hosts that do not lead their zone, in
+    /// percent of the base.
+    const OUTAGE_PERCENT: u32 = 80;
+    /// Maximum age of a peer's data, in percent of the limit.
+    ///
+    /// The rest covers the time until the next query.
+    const AGE_PERCENT: u32 = 65;
+    /// Time that the calls on the way from the store to a host may take together.
+    const TRANSIT_TIME: Duration = Duration::from_millis(200);
+    /// Shortest interval.
+    const MIN_INTERVAL: Duration = Duration::from_millis(50);
+
+    /// Creates the intervals for the time within which a change must be in force, and the time after
+    /// which no request with a revoked key may run.
+    #[must_use]
+    pub const fn new(change_limit: Duration, revocation_limit: Duration) -> Self {
+        Self { change_limit, revocation_limit }
+    }
+
+    fn base(&self) -> Duration {
+        self.change_limit.min(self.revocation_limit * Self::REVOCATION_BASE_PERCENT / 100)
+    }
+
+    fn of_base(&self, percent: u32) -> Duration {
+        (self.base() * percent / 100).max(Self::MIN_INTERVAL)
+    }
+
+    /// Returns the pause between two reads of the store.
+    #[must_use]
+    pub fn read_interval(&self) -> Duration {
+        self.of_base(Self::READ_PERCENT)
+    }
+
+    /// Returns the pause between two queries to another host.
+    #[must_use]
+    pub fn query_interval(&self) -> Duration {
+        self.of_base(Self::QUERY_PERCENT)
+    }
+
+    /// Returns the delay after a failed read.
+    #[must_use]
+    pub fn error_backoff(&self) -> Duration {
+        self.of_base(Self::ERROR_PERCENT)
+    }
+
+    /// Returns the pause between two reads during an outage of the store, on hosts that do not lead
+    /// their availability zone.
+    #[must_use]
+    pub fn outage_backoff(&self) -> Duration {
+        self.of_base(Self::OUTAGE_PERCENT)
+    }
+
+    /// Returns the maximum age of a peer's data that makes a read of the store unnecessary.
+    #[must_use]
+    pub fn max_peer_data_age(&self) -> Duration {
+        let by_revocation = self.revocation_limit * Self::REVOCATION_AGE_PERCENT / 100;
+        self.change_limit.min(by_revocation) * Self::AGE_PERCENT / 100
+    }
+
+    /// Returns `true` if one host may read the store for all availability zones.
+    ///
+    /// Its data reaches the other hosts by way of their zone's leader, one query later.
+    #[must_use]
+    pub fn allows_fleet_reader(&self) -> bool {
+        let age = self.read_interval() + self.query_interval() * 2 + Self::TRANSIT_TIME;
+        age <= self.max_peer_data_age()
+    }
+}
--- a/crates/cassiafield-gateway/src/process/gateway_settings.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_settings.rs
@@ -1,5 +1,8 @@
 use {
-    cassiafield_core::ids::{HostId, ZoneId},
+    cassiafield_core::{
+        ids::{HostId, ZoneId},
+        process::SyncIntervals,
+    },
     std::{net::SocketAddrV4, time::Duration},
 };
 
@@ -20,6 +23,8 @@
     pub metrics_address: SocketAddrV4,
     /// Address of the platform's store.
     pub store_address: SocketAddrV4,
+    /// Time within which a change of the configuration or of an endpoint must be in force.
+    pub change_limit: Duration,
     /// Time after which a revoked key must not be accepted any more.
     pub revocation_limit: Duration,
     /// Time from the stop signal until the process is killed.
@@ -35,3 +40,11 @@
     /// Maximum number of open file descriptors of the process.
     pub max_descriptors: usize,
 }
+
+impl GatewaySettings {
+    /// Returns the intervals at which the host reads the store and queries other hosts.
+    #[must_use]
+    pub const fn sync_intervals(&self) -> SyncIntervals {
+        SyncIntervals::new(self.change_limit, self.revocation_limit)
+    }
+}
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -302,8 +302,15 @@
                         send_to_all(socket, &reply, &[from]).await;
                     }
                     Ok(message) => {
-                        if let PeerMessage::Host { host, .. } = &message {
-                            self.state.exchange.add_peer(host, from);
+                        match &message {
+                            PeerMessage::Host { host, .. } => {
+                                self.state.exchange.add_peer(host, from);
+                            }
+                            PeerMessage::Zone { zone, .. } => {
+                                let now = self.state.now();
+                                self.state.exchange.record_zone_leader(zone.clone(), from, now);
+                            }
+                            _ => {}
                         }
                         self.apply_message(message);
                     }
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -1,8 +1,8 @@
 use {
     crate::process::{peer_link::PeerMessage, GatewayState},
     cassiafield_core::{
-        ids::{HostId, Moment, ServiceId},
-        process::ListChanges,
+        ids::{HostId, Moment, ServiceId, ZoneId},
+        process::{ListChanges, ZoneLeaders},
     },
     std::{
         cell::{Cell, RefCell},
@@ -42,6 +42,7 @@
 pub(crate) struct StateExchange {
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, SocketAddr>>,
+    zone_leaders: RefCell<ZoneLeaders>,
     pending: RefCell<HashMap<u64, oneshot::Sender<StateReply>>>,
     pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     next_nonce: Cell<u64>,
@@ -61,7 +62,7 @@
 }
 
 impl StateExchange {
-    /// Timeout of a query; peers are in the same availability zone.
+    /// Timeout of a query.
     const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
     /// Timeout of a query for a retry; the caller waits meanwhile.
     const RETRY_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
@@ -86,10 +87,27 @@
         self.peers.borrow().values().copied().collect()
     }
 
-    /// Queries a peer; returns `None` if its address is unknown or it does not reply.
-    pub(super) async fn query(&self, state: &GatewayState, peer: &HostId) -> Option<ReceivedReply> {
+    pub(super) fn peer_address(&self, peer: &HostId) -> Option<SocketAddr> {
+        self.peers.borrow().get(peer).copied()
+    }
+
+    /// Records a message from the leader of another availability zone.
+    pub(super) fn record_zone_leader(&self, zone: ZoneId, address: SocketAddr, now: Moment) {
+        self.zone_leaders.borrow_mut().record(zone, address, now);
+    }
+
+    /// Returns the host that reads the store for the leaders of all zones; `None` if it is this one.
+    pub(super) fn fleet_reader(&self, state: &GatewayState) -> Option<SocketAddr> {
+        self.zone_leaders.borrow().reader(&state.settings.zone, state.now())
+    }
+
+    /// Queries the host at `address`; returns `None` if it does not reply.
+    pub(super) async fn query(
+        &self,
+        state: &GatewayState,
+        address: SocketAddr,
+    ) -> Option<ReceivedReply> {
         let socket = self.socket.borrow().clone()?;
-        let address = *self.peers.borrow().get(peer)?;
         let nonce = self.next_nonce.get().wrapping_add(1);
         self.next_nonce.set(nonce);
         let newest_entry = state.endpoint_list.borrow().newest();
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -8,15 +8,16 @@
         ids::{HostId, Moment},
         process::{EndpointEntry, ListedEntry},
     },
-    std::{collections::HashSet, rc::Rc, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
 
 /// Synchronises a host's configuration and endpoints with the store.
 ///
 /// One host of each availability zone reads the store and the others query it, so that the number
-/// of store calls grows with zones and changes rather than with hosts. A host whose zone leader is
-/// unresponsive or outdated reads the store itself; if the store fails, it queries a random peer.
+/// of store calls grows with zones and changes rather than with hosts. Where the limits leave time
+/// for one more query, one host reads for all zones. A host whose reader is unresponsive or outdated
+/// reads the store itself; if the store fails, it queries a random peer.
 pub struct StoreSync {
     state: Rc<GatewayState>,
     configuration: StoreClient,
@@ -37,22 +38,6 @@
 }
 
 impl StoreSync {
-    /// Pause between two reads of the store.
-    ///
-    /// A change must take effect, and a leaving endpoint get no new work, within two seconds; hosts
-    /// that query the reader add their own interval.
-    const READ_INTERVAL: Duration = Duration::from_millis(800);
-    /// Pause between two queries to the zone leader.
-    const QUERY_INTERVAL: Duration = Duration::from_millis(400);
-    /// Delay after a failed read.
-    const ERROR_BACKOFF: Duration = Duration::from_millis(200);
-    /// Pause between two reads during a store outage, on hosts other than the zone leader.
-    ///
-    /// Every call adds load, and the zone leader is the first to notice the recovery.
-    const OUTAGE_BACKOFF: Duration = Duration::from_millis(1_600);
-    /// Maximum age of a peer's data that makes a read of the store unnecessary.
-    const MAX_PEER_DATA_AGE: Duration = Duration::from_millis(1_300);
-
     /// Creates the synchronisation of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
@@ -80,37 +65,60 @@
         loop {
             let leader = self.state.zone_leader();
             let is_zone_leader = leader == self.state.settings.host;
-            let mut reads = RequiredReads { configuration: true, endpoints: true };
-            if !is_zone_leader {
-                reads = self.query_peer(&leader).await;
-            }
+            let reads = self.query_leader(&leader, is_zone_leader).await;
+            let has_reads = reads.configuration || reads.endpoints;
             let is_done = self.may_call_store(is_zone_leader) && self.read_store(reads).await;
             if !is_done {
                 if let Some(peer) = self.state.random_peer() {
                     self.query_peer(&peer).await;
                 }
             }
+            let intervals = self.state.settings.sync_intervals();
             let interval = match (is_done, is_zone_leader) {
-                (true, true) => Self::READ_INTERVAL,
-                (_, false) => Self::QUERY_INTERVAL,
-                (false, true) => Self::ERROR_BACKOFF,
+                (true, true) if has_reads => intervals.read_interval(),
+                (true, _) | (_, false) => intervals.query_interval(),
+                (false, true) => intervals.error_backoff(),
             };
             sleep(interval).await;
         }
     }
 
+    /// Queries the host that reads the store for this one, and applies its data; returns what this
+    /// host must read itself.
+    async fn query_leader(&self, leader: &HostId, is_zone_leader: bool) -> RequiredReads {
+        if !is_zone_leader {
+            return self.query_peer(leader).await;
+        }
+        let reader = self.state.exchange.fleet_reader(&self.state);
+        match reader.filter(|_| self.state.settings.sync_intervals().allows_fleet_reader()) {
+            Some(reader) => self.query_address(reader).await,
+            None => RequiredReads { configuration: true, endpoints: true },
+        }
+    }
+
     /// Returns `true` if this host may call the store now.
     fn may_call_store(&self, is_zone_leader: bool) -> bool {
-        let now = self.state.now();
-        let is_backing_off = self.failed_at.is_some_and(|at| now.since(at) < Self::OUTAGE_BACKOFF);
+        let (now, intervals) = (self.state.now(), self.state.settings.sync_intervals());
+        let is_backing_off =
+            self.failed_at.is_some_and(|at| now.since(at) < intervals.outage_backoff());
         is_zone_leader || !is_backing_off
     }
 
     /// Queries a peer and applies its data; returns what must still be read from the store.
     async fn query_peer(&self, peer: &HostId) -> RequiredReads {
+        match self.state.exchange.peer_address(peer) {
+            Some(address) => self.query_address(address).await,
+            None => RequiredReads { configuration: true, endpoints: true },
+        }
+    }
+
+    async fn query_address(&self, address: SocketAddr) -> RequiredReads {
         let mut reads = RequiredReads { configuration: true, endpoints: true };
-        let Some(data) = self.state.exchange.query(&self.state, peer).await else { return reads };
-        let max_age_micros = u64::try_from(Self::MAX_PEER_DATA_AGE.as_micros()).unwrap_or(u64::MAX);
+        let Some(data) = self.state.exchange.query(&self.state, address).await else {
+            return reads;
+        };
+        let max_age = self.state.settings.sync_intervals().max_peer_data_age();
+        let max_age_micros = u64::try_from(max_age.as_micros()).unwrap_or(u64::MAX);
         if let Some((revision, age)) = data.reply.configuration {
             if revision == self.state.configuration_revision() {
                 self.state.confirm_configuration(data.known_at(age));
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -102,10 +102,11 @@
             self.bottleneck.set(Some(error));
             AttemptError::NoPath(match error {
                 PathError::NoCover => RefusalCause::NoEndpoint,
-                PathError::NoMemory { .. } => RefusalCause::Overloaded,
+                PathError::NoMemory { .. } | PathError::TooSlow => RefusalCause::Overloaded,
             })
         })?;
         if self.sends == 0 && self.is_too_slow(engine, &path) {
+            self.bottleneck.set(Some(PathError::TooSlow));
             return Err(AttemptError::NoPath(RefusalCause::Overloaded));
         }
         Ok(path)
