--- a/crates/cassiafield-core/src/process/retry_pool.rs
+++ b/crates/cassiafield-core/src/process/retry_pool.rs
@@ -78,6 +78,16 @@
         self.known_since = self.known_since.min(received_at.earlier_by(known));
     }
 
+    /// Takes into account what another leader of the zone has granted, which led while this host was
+    /// suspended; its record includes the grants that it had inherited.
+    pub fn observe(&mut self, record: GrantRecord, now: Moment) {
+        self.remove_expired(now);
+        let unknown = record.granted.saturating_sub(self.granted());
+        if unknown > 0 {
+            self.grants.push_back((now, unknown));
+        }
+    }
+
     /// Returns the record for a successor.
     pub fn record(&mut self, now: Moment) -> GrantRecord {
         self.remove_expired(now);
--- a/crates/cassiafield-core/tests/retry_quota.rs
+++ b/crates/cassiafield-core/tests/retry_quota.rs
@@ -156,6 +156,22 @@
     assert_eq!(pool.grant(1, traffic, Moment::from_millis(60_000)), 1);
 }
 
+/// A leader is suspended, another host leads the zone meanwhile, and the first one wakes up.
+#[test]
+fn a_leader_that_wakes_up_counts_what_its_substitute_granted() {
+    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: 9 };
+    let now = Moment::from_millis(50_000);
+    let mut suspended = RetryPool::new(LIMITS, Moment::ORIGIN);
+    suspended.grant(10, traffic, now);
+    let mut substitute = RetryPool::new(LIMITS, now);
+    substitute.inherit(suspended.record(now), now, now);
+    let later = now + Duration::from_secs(3);
+    let granted = substitute.grant(1_000, traffic, later);
+    assert!(granted > 0);
+    suspended.observe(substitute.record(later), later);
+    assert_eq!(suspended.grant(1_000, traffic, later), 0);
+}
+
 #[test]
 fn a_new_leader_with_a_record_continues_the_former_leaders_count() {
     let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: 9 };
--- a/crates/cassiafield-gateway/src/process/retry_broker.rs
+++ b/crates/cassiafield-gateway/src/process/retry_broker.rs
@@ -123,6 +123,11 @@
         now: Moment,
     ) {
         self.peer_requests.borrow_mut().insert(host, (now, counts));
+        for (service, record) in &grants {
+            if let Some(pool) = self.pools.borrow_mut().get_mut(service) {
+                pool.observe(*record, now);
+            }
+        }
         if !grants.is_empty() {
             *self.former_grants.borrow_mut() = Some((now, grants));
         }
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -51,11 +51,16 @@
             let planned = self.plan(wait);
             let now = self.context.state.now();
             let left = max_wait.saturating_sub(now.since(started_at));
-            let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
-            if !is_full || left.is_zero() {
+            let is_first = matches!(wait, QueueWait::First(_));
+            // A stream that its caller is receiving also waits for missing layers: endpoints that
+            // were avoided may be in use again before the caller disconnects.
+            let can_wait = match &planned {
+                Err(AttemptError::NoPath(cause)) => !is_first || *cause == RefusalCause::Overloaded,
+                _ => false,
+            };
+            if !can_wait || left.is_zero() {
                 return planned;
             }
-            let is_first = matches!(wait, QueueWait::First(_));
             let queue = &self.context.state.admission_queue;
             if is_first && !has_waited && !queue.has_capacity(left, now) {
                 return planned;
