fix: a stopping zone leader hands over; resumed streams ask again for a retry

Change: hosts that stop say so and no longer lead (ZoneMembers); a silent host leads for 0.7 s instead of 1.5 s; a stream that its caller is receiving asks for a retry again until the time in which it may be resumed has passed.

--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -216,13 +216,6 @@
         shared.collect()
     }
 
-    /// Returns the peers that have reported their usage recently.
-    pub fn peers(&self, now: Moment) -> impl Iterator<Item = &HostId> {
-        let recent =
-            move |remote: &RemoteUsage| now.since(remote.received_at) < Self::REMOTE_RETENTION;
-        self.peers.iter().filter(move |(_, remote)| recent(remote)).map(|(host, _)| host)
-    }
-
     /// Returns the total usage by this host and its peers in the availability zone.
     #[must_use]
     pub fn zone_usage(&self, now: Moment) -> BTreeMap<EndpointId, EngineUsage> {
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -34,6 +34,7 @@
 mod usage_record;
 mod zone_cost_model;
 mod zone_leaders;
+mod zone_members;
 
 pub use self::{
     allowance_ledger::{AllowanceLedger, AllowanceRefusal},
@@ -69,4 +70,5 @@
     usage_record::{RequestClass, UsageCount, UsageOutcome, UsageRecord, LATENCY_BOUNDS_MS},
     zone_cost_model::ZoneCostModel,
     zone_leaders::ZoneLeaders,
+    zone_members::ZoneMembers,
 };
--- a/crates/cassiafield-core/tests/fleet_sync.rs
+++ b/crates/cassiafield-core/tests/fleet_sync.rs
@@ -3,8 +3,8 @@
 
 use {
     cassiafield_core::{
-        ids::{Moment, ZoneId},
-        process::{SyncIntervals, ZoneLeaders},
+        ids::{HostId, Moment, ZoneId},
+        process::{SyncIntervals, ZoneLeaders, ZoneMembers},
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
@@ -152,3 +152,61 @@
         }
     }
 }
+
+fn host(index: usize) -> HostId {
+    format!("host-{index:03}").parse().expect("a valid name")
+}
+
+/// The streams of a zone are resumed out of the leader's budget; when the leader stops, the next host
+/// must lead before it has gone.
+#[test]
+fn a_stopping_leader_is_replaced_while_it_still_runs() {
+    let mut members = ZoneMembers::default();
+    for millis in (0..5_000).step_by(150) {
+        let now = Moment::from_millis(millis);
+        members.record(&host(0), millis >= 3_000, now);
+        members.record(&host(1), false, now);
+        let leader = members.leader(&host(2), false, now).clone();
+        assert_eq!(leader, if millis >= 3_000 { host(1) } else { host(0) }, "at {millis} ms");
+        let first = host(0);
+        let seen_by_itself = members.leader(&first, millis >= 3_000, now);
+        assert_eq!(*seen_by_itself, leader, "at {millis} ms");
+    }
+}
+
+#[test]
+fn a_leader_that_falls_silent_is_replaced_within_a_second() {
+    let mut members = ZoneMembers::default();
+    members.record(&host(0), false, Moment::from_millis(10_000));
+    members.record(&host(1), false, Moment::from_millis(10_900));
+    assert_eq!(*members.leader(&host(2), false, Moment::from_millis(10_600)), host(0));
+    assert_eq!(*members.leader(&host(2), false, Moment::from_millis(11_000)), host(1));
+    assert_eq!(members.live(Moment::from_millis(11_000)).count(), 2);
+}
+
+#[test]
+fn a_zone_of_stopping_hosts_still_has_a_leader() {
+    let mut members = ZoneMembers::default();
+    let now = Moment::from_millis(10_000);
+    members.record(&host(1), true, now);
+    assert_eq!(*members.leader(&host(0), true, now), host(0));
+    assert_eq!(*members.leader(&host(2), true, now), host(1));
+    assert_eq!(*members.leader(&host(2), false, now), host(2));
+}
+
+/// All hosts of a zone start at the same time, as after a loss of power.
+#[test]
+fn hosts_that_start_together_agree_on_one_leader() {
+    for count in [1, 3, 39, 200] {
+        let mut views: Vec<ZoneMembers> = vec![ZoneMembers::default(); count];
+        let now = Moment::from_millis(1_000);
+        for (index, view) in views.iter_mut().enumerate() {
+            for other in (0..count).filter(|other| *other != index) {
+                view.record(&host(other), false, now);
+            }
+        }
+        for (index, view) in views.iter().enumerate() {
+            assert_eq!(*view.leader(&host(index), false, now), host(0), "{count} hosts");
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -12,6 +12,7 @@
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
             DataAge, EndpointDirectory, EngineLoad, FailureReport, ListedEntries, OrganisationLoad,
+            ZoneMembers,
         },
         request::StageRoute,
         version::{CallerLimits, RouteTable, ServiceRule},
@@ -36,6 +37,8 @@
     pub directory: RefCell<EndpointDirectory>,
     /// Load of the model endpoints.
     pub load: RefCell<EngineLoad>,
+    /// The other hosts of the availability zone.
+    pub(super) members: RefCell<ZoneMembers>,
     /// Memory in use by organisation.
     pub organisations: RefCell<OrganisationLoad>,
     /// Counters and histograms.
@@ -86,6 +89,7 @@
             pool: ConnectionPool::default(),
             directory: RefCell::default(),
             load: RefCell::default(),
+            members: RefCell::default(),
             organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
@@ -391,13 +395,10 @@
     }
 
     /// Returns the leader of the availability zone.
-    ///
-    /// It is the first by name of the hosts whose messages arrive.
     #[must_use]
     pub fn zone_leader(&self) -> HostId {
-        let load = self.load.borrow();
-        let first = load.peers(self.now()).min().filter(|peer| **peer < self.settings.host);
-        first.unwrap_or(&self.settings.host).clone()
+        let members = self.members.borrow();
+        members.leader(&self.settings.host, self.is_stopping(), self.now()).clone()
     }
 
     /// Returns `true` if this host leads its availability zone.
@@ -409,8 +410,8 @@
     /// Returns a random live peer in the availability zone.
     #[must_use]
     pub fn random_peer(&self) -> Option<HostId> {
-        let load = self.load.borrow();
-        let peers: Vec<&HostId> = load.peers(self.now()).collect();
+        let members = self.members.borrow();
+        let peers: Vec<&HostId> = members.live(self.now()).collect();
         (!peers.is_empty()).then(|| peers[fastrand::usize(..peers.len())].clone())
     }
 
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -59,6 +59,9 @@
         /// Memory that the host's streams have reserved, by organisation.
         #[serde(default)]
         organisations: OrganisationUsage,
+        /// Whether the host is stopping and gives up the lead of its zone.
+        #[serde(default)]
+        is_stopping: bool,
     },
     /// The load that all hosts of an availability zone have reserved, sent to the hosts of other
     /// zones.
@@ -261,6 +264,7 @@
                 grants,
                 links: self.state.load.borrow_mut().links.own_usage(now),
                 organisations: self.state.organisations.borrow().own_usage().clone(),
+                is_stopping: self.state.is_stopping(),
             };
             let peers = self.state.exchange.peer_addresses();
             send_to_all(socket, &message, &peers).await;
@@ -337,7 +341,9 @@
                 grants,
                 links,
                 organisations,
+                is_stopping,
             } => {
+                self.state.members.borrow_mut().record(&host, is_stopping, now);
                 let mut organisation_load = self.state.organisations.borrow_mut();
                 organisation_load.record_peer(host.clone(), organisations, now);
                 load.links.record_peer(host.clone(), links, now);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -158,7 +158,14 @@
     }
 
     pub(super) async fn acquire_resume(&self) -> bool {
-        self.context.rule.kind == RequestKind::ResumableStream && self.acquire_send().await
+        self.may_resume() && self.acquire_send().await
+    }
+
+    /// Returns `true` if the stream may go on over another path, apart from the retry budget.
+    pub(super) fn may_resume(&self) -> bool {
+        self.context.rule.kind == RequestKind::ResumableStream
+            && self.sends < Self::MAX_SENDS
+            && !self.context.remaining_time().is_zero()
     }
 
     /// Returns how long a new request may wait for memory.
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -196,6 +196,9 @@
 }
 
 impl StreamRelay {
+    /// Interval between two attempts to take a retry from the budget.
+    const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+
     pub(super) const fn new(
         call: StreamCall,
         attempt: StreamAttempt,
@@ -288,9 +291,10 @@
             return None;
         }
         let last_event = self.last_event?;
-        while self.call.acquire_resume().await {
-            let wait = self.call.timeouts().resume_wait();
-            match self.call.attempt(last_event, QueueWait::Resume(wait)).await {
+        let broken_at = self.call.context.state.now();
+        let resume_wait = self.call.timeouts().resume_wait();
+        while self.wait_for_resume(broken_at, resume_wait).await {
+            match self.call.attempt(last_event, QueueWait::Resume(resume_wait)).await {
                 Ok((_, attempt, events)) => {
                     self.call.context.state.metrics.count_broken_stream(true);
                     let path = attempt.describe_route();
@@ -309,6 +313,22 @@
         None
     }
 
+    /// Acquires the right to resume; tries again until `max_wait` after `broken_at`.
+    ///
+    /// The retry budget may have room in a moment, and the caller still waits.
+    async fn wait_for_resume(&self, broken_at: Moment, max_wait: Duration) -> bool {
+        loop {
+            if self.call.acquire_resume().await {
+                return true;
+            }
+            let waited = self.call.context.state.now().since(broken_at);
+            if !self.call.may_resume() || waited + Self::BUDGET_RETRY_INTERVAL > max_wait {
+                return false;
+            }
+            sleep(Self::BUDGET_RETRY_INTERVAL).await;
+        }
+    }
+
     async fn abort(&self) {
         self.call.context.state.metrics.count_broken_stream(false);
         let last_event = self.last_event.unwrap_or(0);
