feat: StreamGivenUp and StreamBroken say why a stream ended

Callers saw answers end early. 1402 gave the last event alone, so the log could not tell a used-up retry budget from a missing path, the send limit, a kind that may not be sent again or the deadline, nor a silent endpoint from a broken connection.

1402 now says what broke the path, how long the caller got no event, what refused the resumption (with the bottleneck of the planning) and whether the host is stopping. 1404 says for how long no event came. `cassiafield_streams_given_up_total{reason}` counts them. Nothing else changes.

A run with a used-up budget at a stopping host, for example:

1404 StreamBroken: stalled; unresponsive: i-1 after event 5; 793 ms without events; route i-1=0..8 1402 StreamGivenUp: last event 5, 1550 ms ago; stalled; unresponsive: i-1; not resumed: retry-budget; the host is stopping

--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod answer_assembly;
 mod call_claim;
 mod event_splitter;
+mod give_up_reason;
 mod layer_span;
 mod refusal_cause;
 mod request_verdict;
@@ -15,6 +16,7 @@
     answer_assembly::{AnswerAssembly, DropReason, FrameAction},
     call_claim::{CallClaim, CallOutcome, ClaimEvent, ClaimRecord, ClaimState, ClaimStep},
     event_splitter::{EventError, EventSplitter, StreamEvent},
+    give_up_reason::GiveUpReason,
     layer_span::{LayerSpan, SpanError},
     refusal_cause::RefusalCause,
     request_verdict::RequestVerdict,
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,10 @@
 use {
     crate::process::metric_builder::MetricBuilder,
-    cassiafield_core::{ids::OrganisationId, request::RefusalCause, version::RequestKind},
+    cassiafield_core::{
+        ids::OrganisationId,
+        request::{GiveUpReason, RefusalCause},
+        version::RequestKind,
+    },
     prometheus::{
         Encoder as _, Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, Registry,
         TextEncoder,
@@ -39,6 +43,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     broken_streams: IntCounterVec,
+    given_up_streams: IntCounterVec,
     orders: IntCounterVec,
     store_calls: IntCounterVec,
     connections: IntCounter,
@@ -128,6 +133,11 @@
                 "Streams whose path failed, by whether they went on",
                 &["outcome"],
             ),
+            given_up_streams: builder.counters(
+                "cassiafield_streams_given_up_total",
+                "Streams ended before their answer was complete, by why they could not go on",
+                &["reason"],
+            ),
             orders: builder.counters(
                 "cassiafield_layer_orders_total",
                 "Orders to hold layers",
@@ -211,6 +221,11 @@
             .inc();
     }
 
+    /// Counts a stream that was ended before its answer was complete.
+    pub fn count_given_up_stream(&self, reason: GiveUpReason) {
+        self.given_up_streams.with_label_values(&[reason.name()]).inc();
+    }
+
     /// Counts a layer order.
     pub fn count_layer_order(&self, is_accepted: bool) {
         self.orders.with_label_values(&[if is_accepted { "yes" } else { "no" }]).inc();
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -15,7 +15,9 @@
     cassiafield_core::{
         ids::{EndpointId, ModelId},
         process::{PathError, PlannedPath},
-        request::{EventSplitter, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts},
+        request::{
+            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
+        },
         version::{RequestKind, ServiceRule},
     },
     http::{HeaderValue, Request, Response, StatusCode},
@@ -157,15 +159,32 @@
                 || self.context.state.acquire_retry(&self.context.service.service).await)
     }
 
-    pub(super) async fn acquire_resume(&self) -> bool {
-        self.may_resume() && self.acquire_send().await
+    /// Takes what the stream needs to be sent again.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it must not be sent again now.
+    pub(super) async fn acquire_resume(&self) -> Result<(), GiveUpReason> {
+        if let Some(reason) = self.resume_refusal() {
+            return Err(reason);
+        }
+        if self.acquire_send().await {
+            return Ok(());
+        }
+        Err(self.resume_refusal().unwrap_or(GiveUpReason::RetryBudget))
     }
 
-    /// Returns `true` if the stream may go on over another path, apart from the retry budget.
-    pub(super) fn may_resume(&self) -> bool {
-        self.context.rule.kind == RequestKind::ResumableStream
-            && self.sends < Self::MAX_SENDS
-            && !self.context.remaining_time().is_zero()
+    /// Returns why the stream must not be sent again, apart from the retry budget; `None` if it may.
+    pub(super) fn resume_refusal(&self) -> Option<GiveUpReason> {
+        if self.context.remaining_time().is_zero() {
+            Some(GiveUpReason::DeadlineExceeded)
+        } else if self.context.rule.kind != RequestKind::ResumableStream {
+            Some(GiveUpReason::NotResumable)
+        } else if self.sends >= Self::MAX_SENDS {
+            Some(GiveUpReason::SendLimit)
+        } else {
+            None
+        }
     }
 
     /// Returns how long a new request may wait for memory.
@@ -332,7 +351,8 @@
             }
             ReadOutcome::End => Ok((head, attempt, Bytes::new())),
             ReadOutcome::Failed(error) => {
-                self.record_stream_error(&attempt, &error);
+                let waited = self.context.state.now().since(sent_at);
+                self.record_stream_error(&attempt, &error, waited);
                 Err(AttemptError::MayHaveRun)
             }
         }
@@ -501,10 +521,12 @@
         &mut self,
         attempt: &StreamAttempt,
         error: &super::stream_relay::StreamError,
+        waited: Duration,
     ) {
         self.context.decision(LogEvent::StreamBroken).sends(self.sends).log(format_args!(
-            "{error} after event {}; route {}",
+            "{error} after event {}; {} ms without events; route {}",
             attempt.splitter.last_id().unwrap_or(0),
+            waited.as_millis(),
             attempt.describe_route(),
         ));
         self.excluded.extend(error.endpoints_to_exclude(attempt));
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -7,7 +7,7 @@
         process::{
             EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
         },
-        request::RefusalCause,
+        request::{GiveUpReason, RefusalCause},
     },
     std::time::Duration,
 };
@@ -173,6 +173,15 @@
         found.map_or_else(String::new, |text| format!(": {text}"))
     }
 
+    /// Describes why there is no path, for the log; empty for other reasons.
+    pub(super) fn describe_missing_path(&self, reason: GiveUpReason) -> String {
+        let is_path_missing = matches!(reason, GiveUpReason::NoEndpoint | GiveUpReason::Overloaded);
+        match self.bottleneck.get().filter(|_| is_path_missing) {
+            Some(error) => format!(", {error}{}", self.describe_bottleneck(error)),
+            None => String::new(),
+        }
+    }
+
     /// Describes the host's view of an endpoint that refused the request.
     pub(super) fn describe_endpoint(&self, endpoint: &EndpointId) -> String {
         let described = self.with_planner(|planner| {
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -12,7 +12,9 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
-        request::{EventError, EventSplitter, StageRoute, StreamTimeouts},
+        request::{
+            EventError, EventSplitter, GiveUpReason, RefusalCause, StageRoute, StreamTimeouts,
+        },
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
@@ -190,6 +192,8 @@
     attempt: Option<StreamAttempt>,
     /// The last event relayed.
     last_event: Option<u64>,
+    /// When events were relayed last.
+    relayed_at: Option<Moment>,
     /// Longest time between two relayed events.
     longest_gap: Duration,
     sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
@@ -205,7 +209,8 @@
         sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
     ) -> Self {
         let longest_gap = Duration::ZERO;
-        Self { call, attempt: Some(attempt), last_event: None, longest_gap, sender }
+        let attempt = Some(attempt);
+        Self { call, attempt, last_event: None, relayed_at: None, longest_gap, sender }
     }
 
     /// Runs until the stream completes or fails, or the caller disconnects.
@@ -234,14 +239,13 @@
         let mut next = ReadOutcome::Events(first);
         let context = &self.call.context;
         let gaps = context.state.metrics.event_gaps(context.request.organisation.as_ref());
-        let mut relayed_at: Option<Moment> = None;
         loop {
             match next {
                 ReadOutcome::Events(events) => {
                     self.last_event =
                         self.attempt.as_ref().and_then(|attempt| attempt.splitter.last_id());
                     let now = self.call.context.state.now();
-                    if let Some(before) = relayed_at.replace(now) {
+                    if let Some(before) = self.relayed_at.replace(now) {
                         let gap = now.since(before);
                         gaps.observe(gap.as_secs_f64());
                         self.longest_gap = self.longest_gap.max(gap);
@@ -265,12 +269,12 @@
                     return;
                 }
                 ReadOutcome::Failed(error) => match self.resume(&error).await {
-                    Some(events) => {
+                    Ok(events) => {
                         next = ReadOutcome::Events(events);
                         continue;
                     }
-                    None => {
-                        self.abort().await;
+                    Err(reason) => {
+                        self.abort(&error, reason).await;
                         return;
                     }
                 },
@@ -282,18 +286,24 @@
     }
 
     /// Moves the stream to another path and returns its first events.
-    async fn resume(&mut self, error: &StreamError) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot move.
+    async fn resume(&mut self, error: &StreamError) -> Result<Bytes, GiveUpReason> {
         // The failed path is released first, since the next one may need its memory.
         if let Some(attempt) = self.attempt.take() {
-            self.call.record_stream_error(&attempt, error);
+            let waited = self.time_without_events();
+            self.call.record_stream_error(&attempt, error, waited);
         }
         if matches!(error, StreamError::DeadlineExceeded) {
-            return None;
+            return Err(GiveUpReason::DeadlineExceeded);
         }
-        let last_event = self.last_event?;
+        let last_event = self.last_event.ok_or(GiveUpReason::NotResumable)?;
         let broken_at = self.call.context.state.now();
         let resume_wait = self.call.timeouts().resume_wait();
-        while self.wait_for_resume(broken_at, resume_wait).await {
+        loop {
+            self.wait_for_resume(broken_at, resume_wait).await?;
             match self.call.attempt(last_event, QueueWait::Resume(resume_wait)).await {
                 Ok((_, attempt, events)) => {
                     self.call.context.state.metrics.count_broken_stream(true);
@@ -304,39 +314,57 @@
                         .sends(call.sends)
                         .log(format_args!("after event {last_event} over {path}"));
                     self.attempt = Some(attempt);
-                    return Some(events);
+                    return Ok(events);
                 }
                 Err(AttemptError::NotRun | AttemptError::MayHaveRun) => {}
-                Err(AttemptError::NoPath(_) | AttemptError::Failed(_)) => return None,
+                Err(AttemptError::NoPath(RefusalCause::Overloaded)) => {
+                    return Err(GiveUpReason::Overloaded)
+                }
+                Err(AttemptError::NoPath(_)) => return Err(GiveUpReason::NoEndpoint),
+                Err(AttemptError::Failed(_)) => return Err(GiveUpReason::EndpointFailed),
             }
         }
-        None
     }
 
     /// Acquires the right to resume; tries again until `max_wait` after `broken_at`.
     ///
     /// The retry budget may have room in a moment, and the caller still waits.
-    async fn wait_for_resume(&self, broken_at: Moment, max_wait: Duration) -> bool {
+    async fn wait_for_resume(
+        &self,
+        broken_at: Moment,
+        max_wait: Duration,
+    ) -> Result<(), GiveUpReason> {
         loop {
-            if self.call.acquire_resume().await {
-                return true;
-            }
+            let Err(reason) = self.call.acquire_resume().await else { return Ok(()) };
             let waited = self.call.context.state.now().since(broken_at);
-            if !self.call.may_resume() || waited + Self::BUDGET_RETRY_INTERVAL > max_wait {
-                return false;
+            if reason != GiveUpReason::RetryBudget
+                || waited + Self::BUDGET_RETRY_INTERVAL > max_wait
+            {
+                return Err(reason);
             }
             sleep(Self::BUDGET_RETRY_INTERVAL).await;
         }
     }
 
-    async fn abort(&self) {
-        self.call.context.state.metrics.count_broken_stream(false);
+    /// Returns the time since events were relayed last.
+    fn time_without_events(&self) -> Duration {
+        let now = self.call.context.state.now();
+        self.relayed_at.map_or(Duration::ZERO, |relayed_at| now.since(relayed_at))
+    }
+
+    async fn abort(&self, error: &StreamError, reason: GiveUpReason) {
+        let state = &self.call.context.state;
+        state.metrics.count_broken_stream(false);
+        state.metrics.count_given_up_stream(reason);
         let last_event = self.last_event.unwrap_or(0);
-        self.call
-            .context
-            .decision(LogEvent::StreamGivenUp)
-            .sends(self.call.sends)
-            .log(format_args!("last event {last_event}"));
+        self.call.context.decision(LogEvent::StreamGivenUp).sends(self.call.sends).log(
+            format_args!(
+                "last event {last_event}, {} ms ago; {error}; not resumed: {reason}{}{}",
+                self.time_without_events().as_millis(),
+                self.call.describe_missing_path(reason),
+                if state.is_stopping() { "; the host is stopping" } else { "" },
+            ),
+        );
         // The send fails if the caller has disconnected already.
         drop(self.sender.send(Err(ResponseAborted)).await);
     }
--- a/crates/cassiafield-gateway/tests/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/tests/gateway_metrics.rs
@@ -1,7 +1,11 @@
 //! The metrics text of a host.
 
 use {
-    cassiafield_core::{ids::OrganisationId, request::RefusalCause, version::RequestKind},
+    cassiafield_core::{
+        ids::OrganisationId,
+        request::{GiveUpReason, RefusalCause},
+        version::RequestKind,
+    },
     cassiafield_gateway::process::{GatewayMetrics, GaugeValues},
     std::time::Duration,
 };
@@ -26,6 +30,7 @@
     metrics.count_refusal(RefusalCause::Overloaded);
     metrics.count_retry_request(false);
     metrics.count_broken_stream(true);
+    metrics.count_given_up_stream(GiveUpReason::RetryBudget);
     metrics.count_layer_order(false);
     metrics.store_calls().with_label_values(&["list", "unreachable"]).inc();
     let text = text(&metrics);
@@ -39,6 +44,7 @@
         "cassiafield_refused_total{cause=\"overloaded\"} 1",
         "cassiafield_retries_total{granted=\"no\"} 1",
         "cassiafield_streams_broken_total{outcome=\"resumed\"} 1",
+        "cassiafield_streams_given_up_total{reason=\"retry-budget\"} 1",
         "cassiafield_layer_orders_total{accepted=\"no\"} 1",
         "cassiafield_store_calls_total{call=\"list\",result=\"unreachable\"} 1",
         "cassiafield_configuration_age_seconds 0.7",
