fix: a silent endpoint no longer ends a stream

Callers saw: answers that ended early while their endpoint was still at work on them, many of one host within a few milliseconds.

Cause: a failed probe (150 ms) of one endpoint, or the stall timeout, ended the attempt of every stream over it at once. The relay then closed the connection, which cancelled the work, and only afterwards asked for a retry, for a path and for memory. If the budget, the planning, the send limit or the kind of request refused, the answer ended. A stream that may not be sent again always ended, and one that had no response head yet was answered 502.

Now: - A silent path stays open, with its reservation, until another one has delivered its first events. Whichever delivers first goes on, the other's connection is closed and never returned to the pool. The new attempt starts after the last event relayed, and only events of one path are relayed, so none is missing or doubled. Planning counts the old path's memory as free. - If no resumption is granted, the stream waits on the old path and asks again every 150 ms, beyond the callers' usual patience every second. The plan comes first, so that no retry is taken from the budget in vain. Budget, MAX_SENDS and the limit on endpoints hold as before. - A path that has broken is given up when the callers' patience has passed, or at once for the deadline, the send limit or a kind that may not be resumed. It was given up after 45% of the patience, and at once without a path. - Requests that may not be sent again wait for the response head, the first and each further event until the deadline. Their stalls still count against the path for new streams. - A path that delivers again (1409 StreamReturned) is no longer blamed: not excluded for this stream and not avoided for others. - When the caller leaves, both paths are dropped.

Not changed: a request that may be repeated and has no first event yet still leaves a silent path before a retry is granted, and may be answered 502.

--- a/crates/cassiafield-core/src/request/give_up_reason.rs
+++ b/crates/cassiafield-core/src/request/give_up_reason.rs
@@ -31,6 +31,15 @@
         GiveUpReason::EndpointFailed,
     ];
 
+    /// Returns `true` if the stream will not be sent again however long its caller waits.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(
+            self,
+            GiveUpReason::DeadlineExceeded | GiveUpReason::NotResumable | GiveUpReason::SendLimit
+        )
+    }
+
     /// Returns the name in logs and metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/cassiafield-core/src/request/stream_timeouts.rs
+++ b/crates/cassiafield-core/src/request/stream_timeouts.rs
@@ -38,6 +38,12 @@
     /// Time that a stream whose path failed may wait for memory on another path, in percent of the
     /// callers' patience; the failure was noticed within about a fifth of it.
     const RESUME_WAIT_PERCENT: u32 = 45;
+    /// Interval between two attempts to resume a stream while its caller is likely to wait.
+    const RESUME_INTERVAL: Duration = Duration::from_millis(150);
+    /// Interval between two attempts to resume a stream beyond the callers' usual patience.
+    ///
+    /// Many streams may wait at silent paths, and each attempt may query the zone's leader.
+    const LATE_RESUME_INTERVAL: Duration = Duration::from_secs(1);
     /// Time without an event after which endpoints are probed, in percent of the gap objective.
     ///
     /// The rest of the objective is for the probe and for the prefill on another path.
@@ -90,6 +96,23 @@
         self.caller_patience() * Self::RESUME_WAIT_PERCENT / 100
     }
 
+    /// Returns the pause before the next attempt to resume a stream, `waited` after its path failed.
+    #[must_use]
+    pub fn resume_interval(&self, waited: Duration) -> Duration {
+        if waited < self.caller_patience() {
+            Self::RESUME_INTERVAL
+        } else {
+            Self::LATE_RESUME_INTERVAL
+        }
+    }
+
+    /// Returns `true` if a stream whose path broke may still be resumed `since_event` after its last
+    /// event; later its caller has disconnected.
+    #[must_use]
+    pub fn is_worth_resuming(&self, since_event: Duration) -> bool {
+        since_event < self.caller_patience()
+    }
+
     /// Returns the time without events after which the endpoints of a stream's path are probed.
     #[must_use]
     pub fn stall_probe_delay(&self, expected_gap: Duration) -> Duration {
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -256,7 +256,13 @@
         organisation: Option<&OrganisationId>,
     ) -> ReservedLoad {
         let reservation = self.load.borrow_mut().reserve(route, tokens);
-        ReservedLoad::new(Rc::clone(self), reservation, organisation.cloned(), tokens)
+        ReservedLoad::new(
+            Rc::clone(self),
+            reservation,
+            route.clone(),
+            organisation.cloned(),
+            tokens,
+        )
     }
 
     /// Records the first attempt of a request to a service, which adds to its retry budget.
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -3,6 +3,7 @@
     cassiafield_core::{
         ids::{EndpointId, OrganisationId},
         process::LoadReservation,
+        request::StageRoute,
     },
     std::{cell::Cell, rc::Rc},
 };
@@ -41,6 +42,7 @@
 pub struct ReservedLoad {
     state: Rc<GatewayState>,
     reservation: Option<LoadReservation>,
+    route: StageRoute,
     /// The organisation of the stream.
     organisation: Option<OrganisationId>,
     /// The reserved tokens.
@@ -51,13 +53,23 @@
     pub(super) fn new(
         state: Rc<GatewayState>,
         reservation: LoadReservation,
+        route: StageRoute,
         organisation: Option<OrganisationId>,
         tokens: u32,
     ) -> Self {
         if let Some(organisation) = &organisation {
             state.organisations.borrow_mut().reserve(organisation, tokens);
         }
-        Self { state, reservation: Some(reservation), organisation, tokens }
+        Self { state, reservation: Some(reservation), route, organisation, tokens }
+    }
+
+    /// Calls `plan` as if nothing were reserved.
+    pub fn without<T>(&mut self, plan: impl FnOnce() -> T) -> T {
+        let Some(reservation) = self.reservation.take() else { return plan() };
+        self.state.load.borrow_mut().release(reservation);
+        let planned = plan();
+        self.reservation = Some(self.state.load.borrow_mut().reserve(&self.route, self.tokens));
+        planned
     }
 
     /// Releases the reservation.
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         connection::{ConnectionError, PooledConnection},
+        process::ReservedLoad,
         request::{
             call_context::CallContext,
             caller_request::strip_hop_headers,
@@ -23,7 +24,13 @@
     http::{HeaderValue, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Full},
     hyper::body::Incoming,
-    std::{cell::Cell, net::SocketAddrV4, pin::pin, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddrV4,
+        pin::pin,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::mpsc,
         time::{sleep, timeout},
@@ -43,6 +50,8 @@
     pub(super) sends: u32,
     /// First endpoints of the paths that the request was sent over.
     pub(super) sent_to: Vec<EndpointId>,
+    /// Reservation of a silent path that the next one may replace.
+    pub(super) replaced: RefCell<Option<ReservedLoad>>,
     /// Why the last failed planning found no path.
     pub(super) bottleneck: Cell<Option<PathError>>,
     pub(super) model: ModelId,
@@ -104,6 +113,7 @@
             suspects: Vec::new(),
             sends: 0,
             sent_to: Vec::new(),
+            replaced: RefCell::default(),
             bottleneck: Cell::new(None),
             model,
             prompt_tokens,
@@ -328,12 +338,14 @@
             body,
             splitter,
             route: path.route.clone(),
-            reservation,
+            reservation: Some(reservation),
             timeouts: self.timeouts(),
             typical_gap: self.expected_gap(&path),
         };
         let head = Response::from_parts(parts, ());
-        match attempt.next_events(&self.context.state, self.context.remaining_time()).await {
+        let remaining_time = self.context.remaining_time();
+        let may_leave = self.may_leave_silent_path();
+        match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
                 self.context.state.record_progress(&path.route);
@@ -358,8 +370,15 @@
         }
     }
 
-    /// Sends a request and waits for the response head while the path's endpoints respond to
-    /// probes.
+    /// Returns `true` if the request may be sent again after an endpoint was silent.
+    ///
+    /// The silent endpoint may have run it, and may still respond.
+    pub(super) const fn may_leave_silent_path(&self) -> bool {
+        self.context.rule.kind.is_retryable()
+    }
+
+    /// Sends a request and waits for the response head; if the request may be sent again, only
+    /// while the path's endpoints respond to probes.
     async fn await_response_head(
         &mut self,
         connection: &mut PooledConnection,
@@ -369,17 +388,25 @@
         let (route, timeouts) = (&path.route, self.timeouts());
         let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
         let probe_delay = timeouts.head_probe_delay(expected);
-        let response_timeout = timeouts.head_timeout().min(self.context.remaining_time());
+        let may_leave = self.may_leave_silent_path();
+        let head_timeout = if may_leave { timeouts.head_timeout() } else { Duration::MAX };
+        let response_timeout = head_timeout.min(self.context.remaining_time());
         let state = Rc::clone(&self.context.state);
         let started_at = state.now();
         let mut sending = pin!(connection.http.send(request, response_timeout));
         let mut unresponsive = pin!(state.wait_for_unresponsive(route, probe_delay));
+        let mut has_stalled = false;
         loop {
             let unresponsive = tokio::select! {
                 result = sending.as_mut() => return result,
-                unresponsive = unresponsive.as_mut() => unresponsive,
+                unresponsive = unresponsive.as_mut(), if may_leave => unresponsive,
                 () = sleep(probe_delay) => {
                     state.start_probes(route, started_at);
+                    let is_late = state.now().since(started_at) >= timeouts.head_timeout();
+                    if is_late && !has_stalled {
+                        has_stalled = true;
+                        state.record_stall(route, started_at);
+                    }
                     continue;
                 }
             };
@@ -517,6 +544,15 @@
         Response::from_parts(parts, ResponseBody::from_chunks(receiver))
     }
 
+    /// Records that a path on which the stream had stalled delivers again.
+    pub(super) fn record_return(&mut self, route: &StageRoute) {
+        let is_on_route =
+            |endpoint: &EndpointId| route.stages().iter().any(|stage| &stage.endpoint == endpoint);
+        self.excluded.retain(|endpoint| !is_on_route(endpoint));
+        self.suspects.retain(|endpoint| !is_on_route(endpoint));
+        self.context.state.record_progress(route);
+    }
+
     pub(super) fn record_stream_error(
         &mut self,
         attempt: &StreamAttempt,
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -70,7 +70,17 @@
         }
     }
 
+    /// Plans a path.
+    ///
+    /// It may use the memory of the path that it replaces.
     fn plan(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
+        match self.replaced.borrow_mut().as_mut() {
+            Some(replaced) => replaced.without(|| self.plan_with_free_memory(wait)),
+            None => self.plan_with_free_memory(wait),
+        }
+    }
+
+    fn plan_with_free_memory(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
         let Some(engine) = &self.context.service.engine else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
         };
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -18,8 +18,17 @@
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
-    std::{fmt, pin::pin, rc::Rc, time::Duration},
-    tokio::{sync::mpsc, time::sleep},
+    std::{
+        fmt,
+        future::{pending, Future},
+        pin::pin,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// A stream on one path.
@@ -29,7 +38,8 @@
     pub(super) body: Incoming,
     pub(super) splitter: EventSplitter,
     pub(super) route: StageRoute,
-    pub(super) reservation: ReservedLoad,
+    /// `None` while another path is sought that may replace this one.
+    pub(super) reservation: Option<ReservedLoad>,
     pub(super) timeouts: StreamTimeouts,
     /// Typical time between two events on the path: first as planned, then as measured.
     pub(super) typical_gap: Duration,
@@ -60,6 +70,11 @@
 }
 
 impl StreamError {
+    /// Returns `true` if the path may still deliver.
+    const fn is_silence(&self) -> bool {
+        matches!(self, StreamError::Stalled(_))
+    }
+
     /// Returns `true` if the stream stalled although all endpoints of its path respond to probes.
     pub(super) fn is_unexplained_stall(&self) -> bool {
         matches!(self, StreamError::Stalled(unresponsive) if unresponsive.is_empty())
@@ -99,20 +114,26 @@
 }
 
 impl StreamAttempt {
-    /// Waits until the next complete events arrive.
+    /// Waits until the next complete events arrive; with `may_leave`, only until the path is found
+    /// to be silent.
+    ///
+    /// New streams avoid a path that stalls in either case.
     pub(super) async fn next_events(
         &mut self,
         state: &Rc<GatewayState>,
         remaining_time: Duration,
+        may_leave: bool,
     ) -> ReadOutcome {
         let waiting_since = state.now();
         let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
         let stall_timeout = self.timeouts.stall_timeout();
         let mut unresponsive = pin!(state.wait_for_unresponsive(&self.route, probe_delay));
-        loop {
-            let frame = tokio::select! {
-                frame = self.body.frame() => frame,
-                unresponsive = unresponsive.as_mut() => {
+        let mut reading = pin!(read_events(&mut self.body, &mut self.splitter));
+        let mut has_stalled = false;
+        let outcome = loop {
+            tokio::select! {
+                outcome = reading.as_mut() => break outcome,
+                unresponsive = unresponsive.as_mut(), if may_leave => {
                     return ReadOutcome::Failed(StreamError::Stalled(unresponsive));
                 }
                 () = sleep(probe_delay) => {
@@ -121,34 +142,33 @@
                         return ReadOutcome::Failed(StreamError::DeadlineExceeded);
                     }
                     if waited >= stall_timeout {
-                        return ReadOutcome::Failed(StreamError::Stalled(Vec::new()));
-                    }
-                    state.start_probes(&self.route, waiting_since);
-                    continue;
-                }
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Some(bytes) = frame.data_ref() {
-                        self.splitter.push(bytes);
-                    }
-                    match take_complete_events(&mut self.splitter) {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => {
-                            let gap = state.now().since(waiting_since);
-                            self.typical_gap = moving_average(self.typical_gap, gap);
-                            return ReadOutcome::Events(events);
+                        if may_leave {
+                            return ReadOutcome::Failed(StreamError::Stalled(Vec::new()));
+                        }
+                        if !has_stalled {
+                            state.record_stall(&self.route, waiting_since);
                         }
-                        Err(error) => return ReadOutcome::Failed(StreamError::Event(error)),
+                        has_stalled = true;
                     }
+                    state.start_probes(&self.route, waiting_since);
                 }
-                Some(Err(error)) => return ReadOutcome::Failed(StreamError::Broken(error)),
-                None if self.splitter.has_partial_event() => {
-                    return ReadOutcome::Failed(StreamError::Truncated)
-                }
-                None => return ReadOutcome::End,
+            }
+        };
+        if matches!(outcome, ReadOutcome::Events(_)) {
+            let gap = state.now().since(waiting_since);
+            self.typical_gap = moving_average(self.typical_gap, gap);
+            if has_stalled {
+                state.record_progress(&self.route);
             }
         }
+        outcome
+    }
+
+    /// Waits until the next complete events arrive, however long the path is silent.
+    async fn late_events(&mut self, remaining_time: Duration) -> ReadOutcome {
+        let reading = read_events(&mut self.body, &mut self.splitter);
+        let outcome = timeout(remaining_time, reading).await;
+        outcome.unwrap_or(ReadOutcome::Failed(StreamError::DeadlineExceeded))
     }
 
     /// Returns the path's endpoints and layers, for the log.
@@ -159,7 +179,7 @@
     async fn release(mut self, state: &GatewayState, max_idle: usize) {
         /// Time for a connection to become ready again after its response was read.
         const READY_TIMEOUT: Duration = Duration::from_millis(2);
-        self.reservation.release();
+        drop(self.reservation.take());
         if self.is_reusable && self.connection.http.wait_ready(READY_TIMEOUT).await {
             self.connection.return_to(&state.pool, max_idle, state.now());
         }
@@ -173,6 +193,31 @@
     average.mul_f64(1.0 - WEIGHT) + gap.mul_f64(WEIGHT)
 }
 
+/// Reads a body until events are complete or the stream ends.
+///
+/// Nothing is lost if the returned future is dropped.
+async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> ReadOutcome {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    splitter.push(bytes);
+                }
+                match take_complete_events(splitter) {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => return ReadOutcome::Events(events),
+                    Err(error) => return ReadOutcome::Failed(StreamError::Event(error)),
+                }
+            }
+            Some(Err(error)) => return ReadOutcome::Failed(StreamError::Broken(error)),
+            None if splitter.has_partial_event() => {
+                return ReadOutcome::Failed(StreamError::Truncated)
+            }
+            None => return ReadOutcome::End,
+        }
+    }
+}
+
 fn take_complete_events(splitter: &mut EventSplitter) -> Result<Bytes, EventError> {
     let mut events = BytesMut::new();
     loop {
@@ -200,9 +245,6 @@
 }
 
 impl StreamRelay {
-    /// Interval between two attempts to take a retry from the budget.
-    const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(150);
-
     pub(super) const fn new(
         call: StreamCall,
         attempt: StreamAttempt,
@@ -268,12 +310,12 @@
                     call.context.in_flight.mark_complete();
                     return;
                 }
-                ReadOutcome::Failed(error) => match self.resume(&error).await {
-                    Ok(events) => {
-                        next = ReadOutcome::Events(events);
+                ReadOutcome::Failed(error) => match self.recover(error).await {
+                    Ok(outcome) => {
+                        next = outcome;
                         continue;
                     }
-                    Err(reason) => {
+                    Err((error, reason)) => {
                         self.abort(&error, reason).await;
                         return;
                     }
@@ -281,69 +323,139 @@
             }
             let remaining_time = self.call.context.remaining_time();
             let Some(attempt) = self.attempt.as_mut() else { return };
-            next = attempt.next_events(&self.call.context.state, remaining_time).await;
+            let may_leave = self.call.resume_refusal().is_none();
+            next = attempt.next_events(&self.call.context.state, remaining_time, may_leave).await;
         }
     }
 
-    /// Moves the stream to another path and returns its first events.
+    /// Goes on after the path failed, and returns the next events.
+    ///
+    /// A silent path stays open until another one has delivered; whichever delivers first goes on.
     ///
     /// # Errors
     ///
-    /// Returns why it cannot move.
-    async fn resume(&mut self, error: &StreamError) -> Result<Bytes, GiveUpReason> {
-        // The failed path is released first, since the next one may need its memory.
-        if let Some(attempt) = self.attempt.take() {
+    /// Returns what broke the path and why the stream cannot be resumed.
+    async fn recover(
+        &mut self,
+        mut error: StreamError,
+    ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
+        let failed_at = self.call.context.state.now();
+        let mut silent_path = None;
+        if let Some(mut attempt) = self.attempt.take() {
             let waited = self.time_without_events();
-            self.call.record_stream_error(&attempt, error, waited);
+            self.call.record_stream_error(&attempt, &error, waited);
+            if error.is_silence() {
+                self.call.replaced.replace(attempt.reservation.take());
+                silent_path = Some(attempt);
+            }
         }
         if matches!(error, StreamError::DeadlineExceeded) {
-            return Err(GiveUpReason::DeadlineExceeded);
+            return Err((error, GiveUpReason::DeadlineExceeded));
         }
-        let last_event = self.last_event.ok_or(GiveUpReason::NotResumable)?;
-        let broken_at = self.call.context.state.now();
-        let resume_wait = self.call.timeouts().resume_wait();
+        let (last_event, mut last_refusal) = (self.last_event, None);
+        let mut queue_wait = self.call.timeouts().resume_wait();
         loop {
-            self.wait_for_resume(broken_at, resume_wait).await?;
-            match self.call.attempt(last_event, QueueWait::Resume(resume_wait)).await {
-                Ok((_, attempt, events)) => {
-                    self.call.context.state.metrics.count_broken_stream(true);
-                    let path = attempt.describe_route();
-                    let call = &self.call;
-                    call.context
-                        .decision(LogEvent::StreamResumed)
-                        .sends(call.sends)
-                        .log(format_args!("after event {last_event} over {path}"));
-                    self.attempt = Some(attempt);
-                    return Ok(events);
+            let mut broken_path = None;
+            let resumed = {
+                let remaining_time = self.call.context.remaining_time();
+                let wait = QueueWait::Resume(queue_wait);
+                let mut resuming = pin!(resume_elsewhere(&mut self.call, last_event, wait));
+                loop {
+                    match race(&mut silent_path, remaining_time, resuming.as_mut()).await {
+                        RaceStep::Done(resumed) => break Ok(resumed),
+                        RaceStep::Delivered(outcome) => break Err(outcome),
+                        RaceStep::Broken(found) => {
+                            broken_path = silent_path.take().zip(Some(found));
+                        }
+                    }
                 }
-                Err(AttemptError::NotRun | AttemptError::MayHaveRun) => {}
-                Err(AttemptError::NoPath(RefusalCause::Overloaded)) => {
-                    return Err(GiveUpReason::Overloaded)
+            };
+            // Later attempts check for a path now and then instead of staying in the queue.
+            queue_wait = Duration::ZERO;
+            if let Some((path, found)) = broken_path {
+                error = self.record_broken(&path, found);
+            }
+            let reason = match resumed {
+                Ok(Ok((attempt, events))) => {
+                    // Closing its connection cancels the work on the path that is left.
+                    drop((silent_path, self.call.replaced.take()));
+                    return Ok(self.record_resumption(attempt, events));
+                }
+                Ok(Err(reason)) => reason,
+                Err(outcome) => return self.stay(silent_path, outcome, error),
+            };
+            // The deadline says less than what refused the stream until then.
+            let refusal = last_refusal.filter(|_| reason == GiveUpReason::DeadlineExceeded);
+            let refusal = *last_refusal.insert(refusal.unwrap_or(reason));
+            let timeouts = self.call.timeouts();
+            let is_abandoned =
+                reason.is_final() || !timeouts.is_worth_resuming(self.time_without_events());
+            if silent_path.is_none() && is_abandoned {
+                return Err((error, refusal));
+            }
+            let pause = async {
+                if reason.is_final() {
+                    pending::<()>().await;
+                }
+                let waited = self.call.context.state.now().since(failed_at);
+                sleep(timeouts.resume_interval(waited)).await;
+            };
+            let remaining_time = self.call.context.remaining_time();
+            match race(&mut silent_path, remaining_time, pause).await {
+                RaceStep::Done(()) => {}
+                RaceStep::Delivered(outcome) => return self.stay(silent_path, outcome, error),
+                RaceStep::Broken(found) => {
+                    if let Some(path) = silent_path.take() {
+                        error = self.record_broken(&path, found);
+                    }
                 }
-                Err(AttemptError::NoPath(_)) => return Err(GiveUpReason::NoEndpoint),
-                Err(AttemptError::Failed(_)) => return Err(GiveUpReason::EndpointFailed),
             }
         }
     }
 
-    /// Acquires the right to resume; tries again until `max_wait` after `broken_at`.
-    ///
-    /// The retry budget may have room in a moment, and the caller still waits.
-    async fn wait_for_resume(
-        &self,
-        broken_at: Moment,
-        max_wait: Duration,
-    ) -> Result<(), GiveUpReason> {
-        loop {
-            let Err(reason) = self.call.acquire_resume().await else { return Ok(()) };
-            let waited = self.call.context.state.now().since(broken_at);
-            if reason != GiveUpReason::RetryBudget
-                || waited + Self::BUDGET_RETRY_INTERVAL > max_wait
-            {
-                return Err(reason);
-            }
-            sleep(Self::BUDGET_RETRY_INTERVAL).await;
+    /// Records that the stream goes on over another path with `events`.
+    fn record_resumption(&mut self, attempt: StreamAttempt, events: Bytes) -> ReadOutcome {
+        let (call, last_event) = (&self.call, self.last_event.unwrap_or(0));
+        call.context.state.metrics.count_broken_stream(true);
+        let path = attempt.describe_route();
+        call.context
+            .decision(LogEvent::StreamResumed)
+            .sends(call.sends)
+            .log(format_args!("after event {last_event} over {path}"));
+        self.attempt = Some(attempt);
+        ReadOutcome::Events(events)
+    }
+
+    /// Keeps the stream on its silent path, which has delivered `outcome`.
+    fn stay(
+        &mut self,
+        silent_path: Option<StreamAttempt>,
+        outcome: ReadOutcome,
+        error: StreamError,
+    ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
+        let Some(mut attempt) = silent_path else { return Ok(outcome) };
+        if let ReadOutcome::Failed(_) = outcome {
+            return Err((error, GiveUpReason::DeadlineExceeded));
         }
+        attempt.reservation = self.call.replaced.take();
+        self.call.record_return(&attempt.route);
+        let call = &self.call;
+        call.context.decision(LogEvent::StreamReturned).sends(call.sends).log(format_args!(
+            "{} ms after event {}; {error}; route {}",
+            self.time_without_events().as_millis(),
+            self.last_event.unwrap_or(0),
+            attempt.describe_route(),
+        ));
+        self.attempt = Some(attempt);
+        Ok(outcome)
+    }
+
+    /// Records that a silent path has broken, and returns the error.
+    fn record_broken(&mut self, path: &StreamAttempt, error: StreamError) -> StreamError {
+        let waited = self.time_without_events();
+        self.call.record_stream_error(path, &error, waited);
+        drop(self.call.replaced.take());
+        error
     }
 
     /// Returns the time since events were relayed last.
@@ -369,3 +481,70 @@
         drop(self.sender.send(Err(ResponseAborted)).await);
     }
 }
+
+/// Result of waiting for a silent path and something else at the same time.
+enum RaceStep<T> {
+    /// The other future completed first.
+    Done(T),
+    /// The silent path delivered, or the deadline has passed.
+    Delivered(ReadOutcome),
+    /// The silent path has broken, and the other future was not yet complete.
+    Broken(StreamError),
+}
+
+/// Waits until a silent path delivers or `other` completes.
+async fn race<T>(
+    silent_path: &mut Option<StreamAttempt>,
+    remaining_time: Duration,
+    other: impl Future<Output = T>,
+) -> RaceStep<T> {
+    let late_events = async {
+        match silent_path {
+            Some(attempt) => attempt.late_events(remaining_time).await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        outcome = late_events => match outcome {
+            ReadOutcome::Failed(StreamError::DeadlineExceeded) => RaceStep::Delivered(outcome),
+            ReadOutcome::Failed(error) => RaceStep::Broken(error),
+            ReadOutcome::Events(_) | ReadOutcome::End => RaceStep::Delivered(outcome),
+        },
+        done = other => RaceStep::Done(done),
+    }
+}
+
+/// Sends the stream over another path, and waits for its first events after `last_event`.
+async fn resume_elsewhere(
+    call: &mut StreamCall,
+    last_event: Option<u64>,
+    wait: QueueWait,
+) -> Result<(StreamAttempt, Bytes), GiveUpReason> {
+    let last_event = last_event.ok_or(GiveUpReason::NotResumable)?;
+    loop {
+        if let Some(reason) = call.resume_refusal() {
+            return Err(reason);
+        }
+        // A retry without a path would be taken from the budget in vain.
+        if let Err(error) = call.plan_with_wait(wait).await {
+            return Err(give_up_reason(&error));
+        }
+        call.acquire_resume().await?;
+        match call.attempt(last_event, wait).await {
+            Ok((_, attempt, events)) => return Ok((attempt, events)),
+            Err(AttemptError::NotRun | AttemptError::MayHaveRun) => {}
+            Err(error) => return Err(give_up_reason(&error)),
+        }
+    }
+}
+
+const fn give_up_reason(error: &AttemptError) -> GiveUpReason {
+    match error {
+        AttemptError::NoPath(RefusalCause::Overloaded) => GiveUpReason::Overloaded,
+        AttemptError::NoPath(_) => GiveUpReason::NoEndpoint,
+        AttemptError::NotRun | AttemptError::MayHaveRun | AttemptError::Failed(_) => {
+            GiveUpReason::EndpointFailed
+        }
+    }
+}
