feat(gateway): log requests in flight at a stop and connections that the host closes

A stop wrote how many requests were in flight at its start and its end, not which ones, how far they were, or why the host closed a connection.

The registry of open connections replaces the listener's count. At the start of a stop, at the end of the drain period and at the exit each busy connection gives one line (event 1007); each close by the host gives one with its reason (event 1104). Two counters show the closes and the requests that they cut. No decision changes here.

--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowance_ledger;
 mod allowance_share;
+mod connection_activity;
 mod data_age;
 mod demand_meter;
 mod endpoint_directory;
@@ -39,6 +40,7 @@
 pub use self::{
     allowance_ledger::{AllowanceLedger, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
+    connection_activity::{ClosePolicy, CloseReason, ConnectionActivity, ConnectionPhase},
     data_age::DataAge,
     endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
     endpoint_entry::{EndpointEntry, EndpointIncarnation},
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -1,11 +1,14 @@
 use {
-    crate::request::ResponseBody,
+    crate::{
+        connection::{tracked_stream::TrackedStream, CallerConnection, ConnectionRegistry},
+        request::ResponseBody,
+    },
     cassiafield::process::LogEvent,
+    cassiafield_core::process::CloseReason,
     http::{Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
-        cell::Cell,
         convert::Infallible,
         future::Future,
         io,
@@ -15,7 +18,7 @@
         time::Duration,
     },
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::TcpListener,
         task::spawn_local,
         time::{sleep, timeout},
     },
@@ -27,6 +30,7 @@
     fn respond(
         self: Rc<Self>,
         request: Request<Incoming>,
+        connection: Rc<CallerConnection>,
     ) -> Pin<Box<dyn Future<Output = Response<ResponseBody>>>>;
 
     /// Returns the idle timeout of connections.
@@ -35,26 +39,21 @@
     /// Returns the maximum size of a request header, in bytes.
     fn max_header_bytes(&self) -> usize;
 
-    /// Returns `true` if idle connections should be closed so that callers reconnect to other
-    /// hosts.
-    fn should_close_connections(&self) -> bool;
+    /// Returns why idle connections should be closed so that callers reconnect to other hosts, if
+    /// they should.
+    fn close_wish(&self) -> Option<CloseReason>;
+
+    /// Records that the host closes a connection.
+    fn record_close(&self, connection: &CallerConnection, reason: CloseReason);
 }
 
 /// Accepts connections from callers.
 #[derive(Debug)]
 pub struct CallerListener {
     listener: TcpListener,
-    open_connections: Rc<Cell<usize>>,
     max_connections: usize,
 }
 
-/// Activity of one connection.
-#[derive(Debug, Default)]
-struct ConnectionState {
-    in_flight: Cell<u32>,
-    served: Cell<u64>,
-}
-
 impl CallerListener {
     /// Length of the listen backlog.
     const BACKLOG: i32 = 1_024;
@@ -83,7 +82,7 @@
         socket.bind(&std::net::SocketAddr::V4(address).into())?;
         socket.listen(Self::BACKLOG)?;
         let listener = TcpListener::from_std(socket.into())?;
-        Ok(Self { listener, open_connections: Rc::new(Cell::new(0)), max_connections })
+        Ok(Self { listener, max_connections })
     }
 
     /// Returns the local address.
@@ -96,16 +95,24 @@
     }
 
     /// Accepts and serves connections until the future is dropped.
-    pub async fn serve<S: CallerService + 'static>(self, service: Rc<S>) {
+    pub async fn serve<S: CallerService + 'static>(
+        self,
+        service: Rc<S>,
+        registry: Rc<ConnectionRegistry>,
+    ) {
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) if self.open_connections.get() < self.max_connections => {
-                    self.open_connections.set(self.open_connections.get() + 1);
-                    let open_connections = Rc::clone(&self.open_connections);
+                Ok((stream, _)) if registry.len() < self.max_connections => {
+                    if let Err(error) = stream.set_nodelay(true) {
+                        LogEvent::AcceptFailed.log(error);
+                        continue;
+                    }
+                    let connection = Rc::new(CallerConnection::new(stream));
+                    let entry = registry.add(&connection);
                     let service = Rc::clone(&service);
                     spawn_local(async move {
-                        serve_connection(stream, service).await;
-                        open_connections.set(open_connections.get() - 1);
+                        serve_connection(connection, service).await;
+                        drop(entry);
                     });
                 }
                 Ok(_) => LogEvent::AcceptFailed.log("too many open connections"),
@@ -118,64 +125,61 @@
     }
 }
 
-async fn serve_connection<S: CallerService + 'static>(stream: TcpStream, service: Rc<S>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        LogEvent::AcceptFailed.log(error);
-        return;
-    }
-    let state = Rc::new(ConnectionState::default());
+async fn serve_connection<S: CallerService + 'static>(
+    connection: Rc<CallerConnection>,
+    service: Rc<S>,
+) {
     let handler = {
-        let (state, service) = (Rc::clone(&state), Rc::clone(&service));
+        let (connection, service) = (Rc::clone(&connection), Rc::clone(&service));
         service_fn(move |request| {
-            let (state, service) = (Rc::clone(&state), Rc::clone(&service));
-            state.in_flight.set(state.in_flight.get() + 1);
-            state.served.set(state.served.get() + 1);
-            let guard = ResponseGuard(state);
-            async move {
-                let response = service.respond(request).await;
-                Ok::<_, Infallible>(response.map(|body| body.with_guard(guard)))
-            }
+            let guard = connection.begin_request();
+            let response = Rc::clone(&service).respond(request, Rc::clone(&connection));
+            async move { Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard))) }
         })
     };
-    let connection = Builder::new()
+    let exchange = Builder::new()
         .max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), handler);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        // Errors here are the caller's: it disconnected or sent an invalid request.
-        _ = connection.as_mut() => return,
-        () = wait_until_idle(&state, &*service) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    drop(timeout(CallerListener::CLOSE_TIMEOUT, connection).await);
-}
-
-/// Counts a request as in flight until its response has been sent or dropped.
-#[derive(Debug)]
-pub struct ResponseGuard(Rc<ConnectionState>);
-
-impl Drop for ResponseGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
-    }
+        .serve_connection(TokioIo::new(TrackedStream::new(Rc::clone(&connection))), handler);
+    let mut exchange = pin!(exchange);
+    let reason = tokio::select! {
+        result = exchange.as_mut() => {
+            let reason =
+                if result.is_ok() { CloseReason::LastResponse } else { CloseReason::Failed };
+            if !connection.activity().is_input_ended() {
+                service.record_close(&connection, reason);
+            }
+            return;
+        }
+        reason = wait_until_idle(&connection, &*service) => reason,
+    };
+    exchange.as_mut().graceful_shutdown();
+    drop(timeout(CallerListener::CLOSE_TIMEOUT, exchange).await);
+    service.record_close(&connection, reason);
 }
 
 /// Waits until a connection should be closed.
 ///
 /// That is the case when it exceeds its idle timeout, or is idle while callers should use other
 /// hosts.
-async fn wait_until_idle<S: CallerService>(state: &ConnectionState, service: &S) {
-    let mut seen = (0, 0);
+async fn wait_until_idle<S: CallerService>(
+    connection: &CallerConnection,
+    service: &S,
+) -> CloseReason {
+    let mut seen = (false, 0);
     let mut idle = Duration::ZERO;
     loop {
         sleep(CallerListener::IDLE_CHECK_INTERVAL).await;
-        let found = (state.in_flight.get(), state.served.get());
-        let is_idle = found.0 == 0 && found == seen;
+        let activity = connection.activity();
+        let found = (activity.has_open_request(), activity.request_count());
+        let is_idle = !found.0 && found == seen;
         seen = found;
         idle = if is_idle { idle + CallerListener::IDLE_CHECK_INTERVAL } else { Duration::ZERO };
         let idle_timeout = service.idle_timeout() + CallerListener::IDLE_MARGIN;
-        if idle >= idle_timeout || (is_idle && service.should_close_connections()) {
-            return;
+        if idle >= idle_timeout {
+            return CloseReason::IdleTimeout;
+        }
+        if let Some(reason) = service.close_wish().filter(|_| is_idle) {
+            return reason;
         }
     }
 }
--- /dev/null
+++ b/crates/cassiafield-gateway/src/connection/connection_registry.rs
@@ -0,0 +1,55 @@
+use {
+    crate::connection::CallerConnection,
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        rc::Rc,
+    },
+};
+
+/// The open connections of callers.
+#[derive(Default)]
+pub struct ConnectionRegistry {
+    connections: RefCell<BTreeMap<u64, Rc<CallerConnection>>>,
+    next_number: Cell<u64>,
+}
+
+/// Keeps a connection in the registry until it is dropped.
+pub(super) struct RegistryEntry {
+    registry: Rc<ConnectionRegistry>,
+    number: u64,
+}
+
+impl ConnectionRegistry {
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Returns `true` if no connection is open.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.connections.borrow().is_empty()
+    }
+
+    /// Returns the connections that have read a part of a request and not answered it completely.
+    #[must_use]
+    pub fn busy_connections(&self) -> Vec<Rc<CallerConnection>> {
+        let connections = self.connections.borrow();
+        connections.values().filter(|c| !c.activity().is_between_requests()).cloned().collect()
+    }
+
+    pub(super) fn add(self: &Rc<Self>, connection: &Rc<CallerConnection>) -> RegistryEntry {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        self.connections.borrow_mut().insert(number, Rc::clone(connection));
+        RegistryEntry { registry: Rc::clone(self), number }
+    }
+}
+
+impl Drop for RegistryEntry {
+    fn drop(&mut self) {
+        self.registry.connections.borrow_mut().remove(&self.number);
+    }
+}
--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -1,14 +1,19 @@
 //! Connections to callers, endpoints and the platform's store.
 
+mod caller_connection;
 mod caller_listener;
 mod connection_pool;
+mod connection_registry;
 mod http_connection;
 mod platform_codec;
 mod store_client;
+mod tracked_stream;
 
 pub use self::{
-    caller_listener::{CallerListener, CallerService, ResponseGuard},
+    caller_connection::{CallerConnection, RequestLabel, ResponseGuard},
+    caller_listener::{CallerListener, CallerService},
     connection_pool::{ConnectionPool, PooledConnection},
+    connection_registry::ConnectionRegistry,
     http_connection::{ConnectionError, HttpConnection},
     platform_codec::{
         EndpointReport, HeaderNames, PlatformCodec, StoreCall, StoreCallError, StoreItem,
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,8 @@
 use {
     crate::process::metric_builder::MetricBuilder,
-    cassiafield_core::{ids::OrganisationId, request::RefusalCause, version::RequestKind},
+    cassiafield_core::{
+        ids::OrganisationId, process::CloseReason, request::RefusalCause, version::RequestKind,
+    },
     prometheus::{
         Encoder as _, Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, Registry,
         TextEncoder,
@@ -42,6 +44,8 @@
     orders: IntCounterVec,
     store_calls: IntCounterVec,
     connections: IntCounter,
+    closed_connections: IntCounterVec,
+    requests_cut: IntCounterVec,
     probes: IntCounter,
 }
 
@@ -140,6 +144,16 @@
             ),
             connections: builder
                 .counter("cassiafield_channels_total", "Connections opened to endpoints"),
+            closed_connections: builder.counters(
+                "cassiafield_caller_connections_closed_total",
+                "Connections of callers that the host closed",
+                &["reason"],
+            ),
+            requests_cut: builder.counters(
+                "cassiafield_requests_cut_total",
+                "Requests that ended with their connection, before a complete answer",
+                &["reason"],
+            ),
             probes: builder
                 .counter("cassiafield_probes_total", "Endpoints asked whether they live"),
             registry: builder.into_registry(),
@@ -227,6 +241,14 @@
         self.connections.inc();
     }
 
+    /// Counts a caller's connection that the host closed, and the request that this cut, if any.
+    pub fn count_close(&self, reason: CloseReason, is_request_cut: bool) {
+        self.closed_connections.with_label_values(&[reason.name()]).inc();
+        if is_request_cut {
+            self.requests_cut.with_label_values(&[reason.name()]).inc();
+        }
+    }
+
     /// Counts a health probe of an endpoint.
     pub fn count_probe(&self) {
         self.probes.inc();
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -1,6 +1,8 @@
 use {
     crate::{
-        connection::{CallerListener, PlatformCodec},
+        connection::{
+            CallerConnection, CallerListener, CallerService as _, ConnectionRegistry, PlatformCodec,
+        },
         process::{
             health_probe::HealthProbe, monitoring_server::MonitoringServer, EngineMonitor,
             GatewaySettings, GatewayState, LayerPlacer, PeerLink, StoreSync,
@@ -8,7 +10,8 @@
         request::HostService,
     },
     anyhow::Context as _,
-    cassiafield::process::LogEvent,
+    cassiafield::process::{LogEvent, RequestDecision},
+    cassiafield_core::process::CloseReason,
     http::StatusCode,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -84,8 +87,10 @@
         ));
         Self::spawn_background(&state, readiness_server).await;
         let service = Rc::new(HostService::new(Rc::clone(&state)));
-        let listener = spawn_local(callers.serve(service)).abort_handle();
-        Ok(RunningHost { state, listener, caller_address, ready_address })
+        let connections = Rc::new(ConnectionRegistry::default());
+        let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
+        let listener = spawn_local(serving).abort_handle();
+        Ok(RunningHost { state, service, connections, listener, caller_address, ready_address })
     }
 
     async fn spawn_background(state: &Rc<GatewayState>, readiness_server: MonitoringServer) {
@@ -122,6 +127,8 @@
 /// A host that serves requests.
 pub struct RunningHost {
     state: Rc<GatewayState>,
+    service: Rc<HostService>,
+    connections: Rc<ConnectionRegistry>,
     listener: AbortHandle,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
@@ -149,16 +156,52 @@
         state.begin_shutdown();
         let started_at = state.now();
         let stop_timeout = state.settings.stop_grace.saturating_sub(GatewayServer::STOP_MARGIN);
-        LogEvent::HostStopping.log(format_args!("{} requests in flight", state.in_flight_count()));
+        LogEvent::HostStopping.log(format_args!(
+            "{} requests in flight, {} connections",
+            state.in_flight_count(),
+            self.connections.len(),
+        ));
+        self.log_requests("start of the stop");
+        let mut is_draining = true;
         loop {
             sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
             let elapsed = state.now().since(started_at);
+            if is_draining && elapsed >= GatewayState::DRAIN_PERIOD {
+                is_draining = false;
+                self.log_requests("end of the drain period");
+            }
             let is_done = elapsed >= GatewayState::DRAIN_PERIOD && state.in_flight_count() == 0;
             if is_done || elapsed >= stop_timeout {
                 break;
             }
         }
+        self.log_requests("exit");
+        for connection in self.connections.busy_connections() {
+            self.service.record_close(&connection, CloseReason::StopLimit);
+        }
         self.listener.abort();
         LogEvent::HostStopped.log(format_args!("{} requests aborted", state.in_flight_count()));
     }
+
+    /// Logs the requests in flight at a step of the stop.
+    fn log_requests(&self, step: &str) {
+        for connection in self.connections.busy_connections() {
+            self.log_request(&connection, step);
+        }
+    }
+
+    fn log_request(&self, connection: &CallerConnection, step: &str) {
+        let activity = connection.activity();
+        let request = connection.request().filter(|_| activity.has_open_request());
+        let (id, route, age) = request.as_ref().map_or(("-", "-", Duration::ZERO), |request| {
+            (&request.id, &request.route, self.state.now().since(request.received_at))
+        });
+        RequestDecision::new(LogEvent::RequestAtStop, id, self.state.snapshot()).log(format_args!(
+            "{step}: route {route}, {} ms old, {}, {} bytes read and {} written",
+            age.as_millis(),
+            activity.phase(),
+            activity.request_bytes(),
+            activity.response_bytes(),
+        ));
+    }
 }
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::CallerService,
+        connection::{CallerConnection, CallerService, RequestLabel},
         process::GatewayState,
         request::{
             call_context::CallContext, caller_request::strip_hop_headers, plain_call::PlainCall,
@@ -11,6 +11,7 @@
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::OrganisationId,
+        process::CloseReason,
         request::{RefusalCause, RequestVerdict},
         version::{RouteRule, RouteTable},
     },
@@ -42,7 +43,11 @@
         Self { state }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: &CallerConnection,
+    ) -> Response<ResponseBody> {
         let received_at = self.state.now();
         let (parts, body) = request.into_parts();
         let admitted = match self.admit(&parts, received_at) {
@@ -50,6 +55,11 @@
             Err(cause) => return self.refuse(&parts, cause),
         };
         let mut admitted = admitted;
+        connection.set_request(RequestLabel {
+            id: admitted.request.id.clone(),
+            route: admitted.rule.name.as_str().into(),
+            received_at,
+        });
         let limit = admitted.table.limits().max_body_bytes;
         match Limited::new(body, limit).collect().await {
             Ok(collected) => admitted.request.body = collected.to_bytes(),
@@ -60,6 +70,7 @@
                 return self.refuse(&parts, cause);
             }
         }
+        connection.record_body_end();
         self.dispatch(&parts, admitted).await
     }
 
@@ -184,9 +195,10 @@
     fn respond(
         self: Rc<Self>,
         request: Request<Incoming>,
+        connection: Rc<CallerConnection>,
     ) -> Pin<Box<dyn Future<Output = Response<ResponseBody>>>> {
         Box::pin(async move {
-            let mut response = self.handle(request).await;
+            let mut response = self.handle(request, &connection).await;
             self.set_connection_close(&mut response);
             response
         })
@@ -200,7 +212,29 @@
         self.state.caller_limits().max_header_bytes
     }
 
-    fn should_close_connections(&self) -> bool {
-        self.state.should_close_connections()
+    fn close_wish(&self) -> Option<CloseReason> {
+        let reason =
+            if self.state.is_stopping() { CloseReason::Stopping } else { CloseReason::NotReady };
+        self.state.should_close_connections().then_some(reason)
+    }
+
+    fn record_close(&self, connection: &CallerConnection, reason: CloseReason) {
+        let activity = connection.activity();
+        let is_request_cut = activity.has_open_request();
+        self.state.metrics.count_close(reason, is_request_cut);
+        let request = connection.request().filter(|_| is_request_cut);
+        RequestDecision::new(
+            LogEvent::ConnectionClosed,
+            request.as_ref().map_or("-", |request| &request.id),
+            self.state.snapshot(),
+        )
+        .log(format_args!(
+            "{}, {}, {} requests, request cut: {is_request_cut}, {} bytes read and {} written",
+            reason.name(),
+            activity.phase(),
+            activity.request_count(),
+            activity.request_bytes(),
+            activity.response_bytes(),
+        ));
     }
 }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -63,9 +63,11 @@
     1004 HostStopped Info "The host has stopped.";
     1005 SettingsReloaded Info "The host received a request to reload its settings.";
     1006 MetricsUnavailable Warning "The host serves no metrics.";
+    1007 RequestAtStop Info "A request was in flight at a step of the host's stop.";
     1101 AcceptFailed Warning "A listener could not accept connections; it retries or restarts.";
     1102 ThreadFailed Error "A thread could not be started.";
     1103 CallerGone Info "A caller disconnected; its stream was cancelled.";
+    1104 ConnectionClosed Info "The host closed a caller's connection.";
     1201 ListsTaken Info "A newer revision of the operators' lists is in force.";
     1202 ListsRejected Error "A revision of the operators' lists cannot be read; the previous one stays in force.";
     1203 StoreUnreachable Warning "The platform store does not answer.";
