fix(gateway): close connections only between requests, and exit after the last byte is taken

What callers saw: requests without a whole answer around a SIGTERM of their host.

Cause: the host counted a request from the end of its head to the end of its response's production. - A connection on which a part of a head had been read counted as idle. The library's graceful shutdown closes it, or lets the request begin and cuts its response after CLOSE_TIMEOUT, 2 s. - Heads and bodies on their way and responses in the library's buffer were not in flight, so `RunningHost::close` returned and the process ended with them. - Unread bytes of a request turned the close of its connection into a reset, which discards the response. - The listener ended with connections in its queue, which the kernel then resets.

Why it works: `ConnectionActivity` decides. A close needs a connection between requests, and a last look at the socket that finds nothing unread; the library's graceful shutdown is not used any more, so a response has no time limit but the stop limit. A connection without any request so far is left open until the exit. A head that stays incomplete is closed after the header timeout of the configuration, which nothing enforced before. The host ends its own side first, and discards input until the caller has closed or 2 s have passed. At the exit the host refuses new requests with 503, Retry-After and `Connection: close`, serves the listener's queue, and ends when all connections are closed or at the stop limit.

--- a/crates/cassiafield-gateway/src/connection/caller_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_connection.rs
@@ -1,8 +1,26 @@
 use {
-    cassiafield_core::{ids::Moment, process::ConnectionActivity},
+    cassiafield_core::{
+        ids::Moment,
+        process::{ClosePolicy, CloseReason, ConnectionActivity},
+    },
     compact_str::CompactString,
-    std::{cell::RefCell, rc::Rc},
-    tokio::net::TcpStream,
+    socket2::SockRef,
+    std::{
+        cell::{Cell, RefCell},
+        future::poll_fn,
+        io,
+        mem::MaybeUninit,
+        net::Shutdown,
+        pin::Pin,
+        rc::Rc,
+        task::{ready, Poll},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead as _, ReadBuf},
+        net::TcpStream,
+        time::timeout,
+    },
 };
 
 /// A connection from a caller.
@@ -10,6 +28,7 @@
     pub(super) socket: RefCell<TcpStream>,
     pub(super) activity: RefCell<ConnectionActivity>,
     request: RefCell<Option<RequestLabel>>,
+    is_closing: Cell<bool>,
 }
 
 /// What the log says about the request that a connection carries.
@@ -27,9 +46,26 @@
 pub struct ResponseGuard(Rc<CallerConnection>);
 
 impl CallerConnection {
+    /// Maximum time that a caller gets to close its side after the host has closed its own.
+    const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Size of the buffer for bytes that are discarded.
+    const DISCARD_BUFFER_BYTES: usize = 4 * 1_024;
+
     pub(super) fn new(socket: TcpStream) -> Self {
         let socket = RefCell::new(socket);
-        Self { socket, activity: RefCell::default(), request: RefCell::default() }
+        Self {
+            socket,
+            activity: RefCell::default(),
+            request: RefCell::default(),
+            is_closing: Cell::new(false),
+        }
+    }
+
+    /// Returns `true` if a part of a request has been read and the request not been answered
+    /// completely.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.is_closing.get() && !self.activity.borrow().is_between_requests()
     }
 
     /// Returns the activity so far.
@@ -49,6 +85,43 @@
         *self.request.borrow_mut() = Some(label);
     }
 
+    /// Returns `true` if the socket holds bytes, an error or the end of the input that have not been
+    /// read yet.
+    pub(super) fn has_unread_input(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*self.socket.borrow()).peek(&mut byte);
+        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Closes the connection without losing what the caller has still to read.
+    ///
+    /// A socket that is closed while it holds unread bytes, or that receives bytes after its close,
+    /// resets the connection, and the reset discards what is on its way to the caller. So the host
+    /// ends its own side first, and then discards input until the caller has ended the other.
+    pub(super) async fn close(&self) {
+        self.is_closing.set(true);
+        // It fails only if the connection is broken, and then there is nothing to wait for.
+        if SockRef::from(&*self.socket.borrow()).shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut buffer = [0; Self::DISCARD_BUFFER_BYTES];
+        let discarded = poll_fn(|context| loop {
+            let mut unread = ReadBuf::new(&mut buffer);
+            let mut socket = self.socket.borrow_mut();
+            let read = ready!(Pin::new(&mut *socket).poll_read(context, &mut unread));
+            if read.is_err() || unread.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        });
+        // A caller that keeps its side open has had enough time to read the response.
+        drop(timeout(Self::LINGER_TIMEOUT, discarded).await);
+    }
+
+    /// Returns why the connection should be closed now, if it should.
+    pub(super) fn check(&self, policy: &ClosePolicy, now: Moment) -> Option<CloseReason> {
+        self.activity.borrow_mut().check(policy, now)
+    }
+
     /// Records that the body of the current request was read completely.
     pub fn record_body_end(&self) {
         self.activity.borrow_mut().record_body_end();
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -4,10 +4,14 @@
         request::ResponseBody,
     },
     cassiafield::process::LogEvent,
-    cassiafield_core::process::CloseReason,
+    cassiafield_core::{
+        ids::Moment,
+        process::{ClosePolicy, CloseReason},
+    },
     http::{Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     std::{
         convert::Infallible,
         future::Future,
@@ -18,7 +22,7 @@
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         task::spawn_local,
         time::{sleep, timeout},
     },
@@ -36,6 +40,12 @@
     /// Returns the idle timeout of connections.
     fn idle_timeout(&self) -> Duration;
 
+    /// Returns the maximum time to receive a request header.
+    fn header_timeout(&self) -> Duration;
+
+    /// Returns the current time.
+    fn now(&self) -> Moment;
+
     /// Returns the maximum size of a request header, in bytes.
     fn max_header_bytes(&self) -> usize;
 
@@ -63,8 +73,8 @@
     ///
     /// A request that is sent just before the advertised timeout is then still accepted.
     const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
-    /// Maximum duration of a connection's graceful shutdown.
-    const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Interval at which a connection is checked once the process is about to exit.
+    const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
     /// Delay after a failed accept.
     const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
     /// Minimum read buffer that hyper accepts, in bytes.
@@ -94,43 +104,107 @@
         self.listener.local_addr()
     }
 
-    /// Accepts and serves connections until the future is dropped.
+    /// Accepts and serves connections until the exit begins.
+    ///
+    /// Connections that wait to be accepted at that moment are served too.
     pub async fn serve<S: CallerService + 'static>(
         self,
         service: Rc<S>,
         registry: Rc<ConnectionRegistry>,
     ) {
+        let mut exit_begun = pin!(registry.wait_for_exit());
         loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) if registry.len() < self.max_connections => {
-                    if let Err(error) = stream.set_nodelay(true) {
-                        LogEvent::AcceptFailed.log(error);
-                        continue;
-                    }
-                    let connection = Rc::new(CallerConnection::new(stream));
-                    let entry = registry.add(&connection);
-                    let service = Rc::clone(&service);
-                    spawn_local(async move {
-                        serve_connection(connection, service).await;
-                        drop(entry);
-                    });
-                }
-                Ok(_) => LogEvent::AcceptFailed.log("too many open connections"),
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = exit_begun.as_mut() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => self.serve_stream(stream, &service, &registry),
                 Err(error) => {
                     LogEvent::AcceptFailed.log(error);
                     sleep(Self::ACCEPT_BACKOFF).await;
                 }
             }
         }
+        self.serve_waiting(&service, &registry);
+    }
+
+    /// Serves the connections that the kernel holds for the listener.
+    fn serve_waiting<S: CallerService + 'static>(
+        &self,
+        service: &Rc<S>,
+        registry: &Rc<ConnectionRegistry>,
+    ) {
+        loop {
+            let accepted = SockRef::from(&self.listener).accept().and_then(|(socket, _)| {
+                socket.set_nonblocking(true)?;
+                TcpStream::from_std(socket.into())
+            });
+            match accepted {
+                Ok(stream) => self.serve_stream(stream, service, registry),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    LogEvent::AcceptFailed.log(error);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn serve_stream<S: CallerService + 'static>(
+        &self,
+        stream: TcpStream,
+        service: &Rc<S>,
+        registry: &Rc<ConnectionRegistry>,
+    ) {
+        if registry.len() >= self.max_connections {
+            LogEvent::AcceptFailed.log("too many open connections");
+            return;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            LogEvent::AcceptFailed.log(error);
+            return;
+        }
+        let connection = Rc::new(CallerConnection::new(stream));
+        let entry = registry.add(&connection);
+        let (service, registry) = (Rc::clone(service), Rc::clone(registry));
+        spawn_local(async move {
+            serve_connection(connection, service, registry).await;
+            drop(entry);
+        });
     }
 }
 
+/// Serves a connection to its end.
+///
+/// The library's graceful shutdown is not used: it closes a connection on which a part of the next
+/// head has been read. The connection is dropped between requests instead.
 async fn serve_connection<S: CallerService + 'static>(
     connection: Rc<CallerConnection>,
     service: Rc<S>,
+    registry: Rc<ConnectionRegistry>,
 ) {
+    let reason = exchange_requests(&connection, &service, &registry).await;
+    let activity = connection.activity();
+    if activity.is_input_ended() {
+        return;
+    }
+    service.record_close(&connection, reason);
+    // A response that was aborted must not look complete, and the caller has nothing to read.
+    if reason == CloseReason::Failed && activity.has_open_request() {
+        return;
+    }
+    connection.close().await;
+}
+
+/// Serves requests until the connection ends or should be closed; returns the reason.
+async fn exchange_requests<S: CallerService + 'static>(
+    connection: &Rc<CallerConnection>,
+    service: &Rc<S>,
+    registry: &ConnectionRegistry,
+) -> CloseReason {
     let handler = {
-        let (connection, service) = (Rc::clone(&connection), Rc::clone(&service));
+        let (connection, service) = (Rc::clone(connection), Rc::clone(service));
         service_fn(move |request| {
             let guard = connection.begin_request();
             let response = Rc::clone(&service).respond(request, Rc::clone(&connection));
@@ -139,47 +213,36 @@
     };
     let exchange = Builder::new()
         .max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TrackedStream::new(Rc::clone(&connection))), handler);
+        .serve_connection(TokioIo::new(TrackedStream::new(Rc::clone(connection))), handler);
     let mut exchange = pin!(exchange);
-    let reason = tokio::select! {
-        result = exchange.as_mut() => {
-            let reason =
-                if result.is_ok() { CloseReason::LastResponse } else { CloseReason::Failed };
-            if !connection.activity().is_input_ended() {
-                service.record_close(&connection, reason);
+    loop {
+        tokio::select! {
+            result = exchange.as_mut() => {
+                return if result.is_ok() { CloseReason::LastResponse } else { CloseReason::Failed };
             }
-            return;
+            () = wait_for_check(registry) => {}
         }
-        reason = wait_until_idle(&connection, &*service) => reason,
-    };
-    exchange.as_mut().graceful_shutdown();
-    drop(timeout(CallerListener::CLOSE_TIMEOUT, exchange).await);
-    service.record_close(&connection, reason);
+        let wish = registry.is_exiting().then_some(CloseReason::Exiting);
+        let policy = ClosePolicy {
+            idle_timeout: service.idle_timeout() + CallerListener::IDLE_MARGIN,
+            header_timeout: service.header_timeout() + CallerListener::IDLE_MARGIN,
+            wish: wish.or_else(|| service.close_wish()),
+        };
+        match connection.check(&policy, service.now()) {
+            Some(CloseReason::HeaderTimeout) => return CloseReason::HeaderTimeout,
+            // A request that has just arrived is served first.
+            Some(reason) if !connection.has_unread_input() => return reason,
+            Some(_) | None => {}
+        }
+    }
 }
 
-/// Waits until a connection should be closed.
-///
-/// That is the case when it exceeds its idle timeout, or is idle while callers should use other
-/// hosts.
-async fn wait_until_idle<S: CallerService>(
-    connection: &CallerConnection,
-    service: &S,
-) -> CloseReason {
-    let mut seen = (false, 0);
-    let mut idle = Duration::ZERO;
-    loop {
-        sleep(CallerListener::IDLE_CHECK_INTERVAL).await;
-        let activity = connection.activity();
-        let found = (activity.has_open_request(), activity.request_count());
-        let is_idle = !found.0 && found == seen;
-        seen = found;
-        idle = if is_idle { idle + CallerListener::IDLE_CHECK_INTERVAL } else { Duration::ZERO };
-        let idle_timeout = service.idle_timeout() + CallerListener::IDLE_MARGIN;
-        if idle >= idle_timeout {
-            return CloseReason::IdleTimeout;
-        }
-        if let Some(reason) = service.close_wish().filter(|_| is_idle) {
-            return reason;
-        }
+/// Waits until a connection should be checked.
+async fn wait_for_check(registry: &ConnectionRegistry) {
+    if registry.is_exiting() {
+        sleep(CallerListener::EXIT_CHECK_INTERVAL).await;
+    } else {
+        // Ends early when the exit begins.
+        drop(timeout(CallerListener::IDLE_CHECK_INTERVAL, registry.wait_for_exit()).await);
     }
 }
--- a/crates/cassiafield-gateway/src/connection/connection_registry.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_registry.rs
@@ -5,6 +5,7 @@
         collections::BTreeMap,
         rc::Rc,
     },
+    tokio::sync::Notify,
 };
 
 /// The open connections of callers.
@@ -12,6 +13,8 @@
 pub struct ConnectionRegistry {
     connections: RefCell<BTreeMap<u64, Rc<CallerConnection>>>,
     next_number: Cell<u64>,
+    is_exiting: Cell<bool>,
+    exit_begun: Notify,
 }
 
 /// Keeps a connection in the registry until it is dropped.
@@ -33,11 +36,37 @@
         self.connections.borrow().is_empty()
     }
 
+    /// Returns `true` if a connection has read a part of a request and not answered it completely.
+    #[must_use]
+    pub fn is_any_busy(&self) -> bool {
+        self.connections.borrow().values().any(|connection| connection.is_busy())
+    }
+
     /// Returns the connections that have read a part of a request and not answered it completely.
     #[must_use]
     pub fn busy_connections(&self) -> Vec<Rc<CallerConnection>> {
         let connections = self.connections.borrow();
-        connections.values().filter(|c| !c.activity().is_between_requests()).cloned().collect()
+        connections.values().filter(|connection| connection.is_busy()).cloned().collect()
+    }
+
+    /// Has all connections closed as soon as they are between requests.
+    pub fn begin_exit(&self) {
+        self.is_exiting.set(true);
+        self.exit_begun.notify_waiters();
+    }
+
+    /// Returns `true` if the process is about to exit.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        self.is_exiting.get()
+    }
+
+    /// Waits until the process is about to exit.
+    pub(super) async fn wait_for_exit(&self) {
+        let begun = self.exit_begun.notified();
+        if !self.is_exiting.get() {
+            begun.await;
+        }
     }
 
     pub(super) fn add(self: &Rc<Self>, connection: &Rc<CallerConnection>) -> RegistryEntry {
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -17,7 +17,7 @@
     tokio::{
         runtime::Builder,
         signal::unix::{signal, SignalKind},
-        task::{spawn_local, AbortHandle, LocalSet},
+        task::{spawn_local, JoinHandle, LocalSet},
         time::sleep,
     },
 };
@@ -41,7 +41,7 @@
         Self { state: Rc::new(GatewayState::new(settings, Rc::from(codec))) }
     }
 
-    /// Serves until SIGTERM, then until no requests are in flight or the stop limit is near.
+    /// Serves until SIGTERM, then until all callers have been answered or the stop limit is near.
     ///
     /// # Errors
     ///
@@ -89,7 +89,7 @@
         let service = Rc::new(HostService::new(Rc::clone(&state)));
         let connections = Rc::new(ConnectionRegistry::default());
         let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
-        let listener = spawn_local(serving).abort_handle();
+        let listener = spawn_local(serving);
         Ok(RunningHost { state, service, connections, listener, caller_address, ready_address })
     }
 
@@ -129,7 +129,7 @@
     state: Rc<GatewayState>,
     service: Rc<HostService>,
     connections: Rc<ConnectionRegistry>,
-    listener: AbortHandle,
+    listener: JoinHandle<()>,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
 }
@@ -150,9 +150,10 @@
     /// Stops the host.
     ///
     /// It asks callers to reconnect elsewhere, keeps serving for [`GatewayState::DRAIN_PERIOD`] and
-    /// waits for requests in flight, all within the platform's limit.
-    pub async fn close(self) {
-        let state = &self.state;
+    /// waits for requests in flight. Then it refuses what still arrives, and closes all connections.
+    /// All this ends at the platform's limit.
+    pub async fn close(mut self) {
+        let state = Rc::clone(&self.state);
         state.begin_shutdown();
         let started_at = state.now();
         let stop_timeout = state.settings.stop_grace.saturating_sub(GatewayServer::STOP_MARGIN);
@@ -162,24 +163,28 @@
             self.connections.len(),
         ));
         self.log_requests("start of the stop");
-        let mut is_draining = true;
-        loop {
+        let elapsed = || state.now().since(started_at);
+        while elapsed() < GatewayState::DRAIN_PERIOD.min(stop_timeout) {
+            sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
+        }
+        self.log_requests("end of the drain period");
+        let is_busy = || self.connections.is_any_busy() || state.in_flight_count() > 0;
+        while is_busy() && elapsed() < stop_timeout {
             sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
-            let elapsed = state.now().since(started_at);
-            if is_draining && elapsed >= GatewayState::DRAIN_PERIOD {
-                is_draining = false;
-                self.log_requests("end of the drain period");
-            }
-            let is_done = elapsed >= GatewayState::DRAIN_PERIOD && state.in_flight_count() == 0;
-            if is_done || elapsed >= stop_timeout {
-                break;
-            }
         }
         self.log_requests("exit");
+        // From here on no request is accepted, so no connection gets busy for long.
+        state.begin_exit();
+        self.connections.begin_exit();
+        if let Err(error) = (&mut self.listener).await {
+            LogEvent::AcceptFailed.log(error);
+        }
+        while !self.connections.is_empty() && elapsed() < stop_timeout {
+            sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
+        }
         for connection in self.connections.busy_connections() {
             self.service.record_close(&connection, CloseReason::StopLimit);
         }
-        self.listener.abort();
         LogEvent::HostStopped.log(format_args!("{} requests aborted", state.in_flight_count()));
     }
 
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -61,6 +61,7 @@
     endpoints_age: Cell<DataAge>,
     pub(super) retries: RetryBroker,
     stop_started: Cell<Option<Moment>>,
+    is_exiting: Cell<bool>,
 }
 
 impl GatewayState {
@@ -107,6 +108,7 @@
             endpoints_age: Cell::default(),
             retries,
             stop_started: Cell::new(None),
+            is_exiting: Cell::new(false),
         }
     }
 
@@ -216,6 +218,9 @@
     /// its exit.
     #[must_use]
     pub fn remaining_service_time(&self) -> Duration {
+        if self.is_exiting.get() {
+            return Duration::ZERO;
+        }
         let Some(started_at) = self.stop_started.get() else { return Duration::MAX };
         let elapsed = self.now().since(started_at);
         if elapsed < Self::DRAIN_PERIOD {
@@ -229,6 +234,11 @@
         self.stop_started.set(Some(self.now()));
     }
 
+    /// Records that the host is about to exit; it refuses all further requests.
+    pub fn begin_exit(&self) {
+        self.is_exiting.set(true);
+    }
+
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight_count(&self) -> u32 {
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -10,7 +10,7 @@
     },
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
-        ids::OrganisationId,
+        ids::{Moment, OrganisationId},
         process::CloseReason,
         request::{RefusalCause, RequestVerdict},
         version::{RouteRule, RouteTable},
@@ -83,13 +83,8 @@
     }
 
     /// Determines the route and the organisation of a request from the current configuration.
-    fn admit(
-        &self,
-        parts: &Parts,
-        received_at: cassiafield_core::ids::Moment,
-    ) -> Result<AdmittedRequest, RefusalCause> {
-        let remaining_service_time = self.state.remaining_service_time();
-        if remaining_service_time.is_zero() {
+    fn admit(&self, parts: &Parts, received_at: Moment) -> Result<AdmittedRequest, RefusalCause> {
+        if self.state.remaining_service_time().is_zero() {
             return Err(RefusalCause::NotReady);
         }
         let table = self.state.route_table().ok_or(RefusalCause::NotReady)?;
@@ -127,12 +122,18 @@
             timeout: timeout.map(Duration::from_millis),
             organisation,
         };
-        if request.remaining_time(rule.timeout, received_at) > remaining_service_time {
+        if !self.fits_remaining_service(&request, &rule) {
             return Err(RefusalCause::NotReady);
         }
         Ok(AdmittedRequest { table, rule, request })
     }
 
+    /// Returns `true` if the host will serve long enough for the request's deadline.
+    fn fits_remaining_service(&self, request: &CallerRequest, rule: &RouteRule) -> bool {
+        let remaining_time = request.remaining_time(rule.timeout, self.state.now());
+        remaining_time <= self.state.remaining_service_time()
+    }
+
     fn authenticate(
         &self,
         table: &RouteTable,
@@ -208,6 +209,14 @@
         self.state.caller_limits().idle_timeout
     }
 
+    fn header_timeout(&self) -> Duration {
+        self.state.caller_limits().header_timeout
+    }
+
+    fn now(&self) -> Moment {
+        self.state.now()
+    }
+
     fn max_header_bytes(&self) -> usize {
         self.state.caller_limits().max_header_bytes
     }
