fix(gateway): check a request's deadline against the stop again once its body is complete

What callers saw: a request whose head came before or early in a stop and whose body came after the drain period was sent to an endpoint although its deadline was later than the exit, which then cut it.

Cause: only the head's arrival was compared with the time that the host has left, and in the drain period that time is unlimited.

Evidence: on the code before

a_body_that_arrives_too_late_for_its_deadline_is_refused status 0, 0 bytes, complete false, error None

Why it works: the same comparison runs after the body, just before dispatch. The request has not run then, so 503 with Retry-After is true. After: 11 of 11 tests of process_stop pass.

--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -71,6 +71,10 @@
             }
         }
         connection.record_body_end();
+        // The body may have taken so long that the response no longer fits before the exit.
+        if !self.fits_remaining_service(&admitted.request, &admitted.rule) {
+            return self.refuse(&parts, RefusalCause::NotReady);
+        }
         self.dispatch(&parts, admitted).await
     }
 
