--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -1,6 +1,8 @@
 use {
     crate::{
-        connection::{CallerListener, PlatformCodec},
+        connection::{
+            CallerConnection, CallerListener, CallerService as _, ConnectionRegistry, PlatformCodec,
+        },
         process::{
             health_probe::HealthProbe, monitoring_server::MonitoringServer, EngineMonitor,
             GatewaySettings, GatewayState, LayerPlacer, PeerLink, StoreSync,
@@ -8,13 +10,14 @@
         request::HostService,
     },
     anyhow::Context as _,
-    cassiafield::process::LogEvent,
+    cassiafield::process::{LogEvent, RequestDecision},
+    cassiafield_core::process::CloseReason,
     http::StatusCode,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         runtime::Builder,
         signal::unix::{signal, SignalKind},
-        task::{spawn_local, AbortHandle, LocalSet},
+        task::{spawn_local, JoinHandle, LocalSet},
         time::sleep,
     },
 };
@@ -38,7 +41,7 @@
         Self { state: Rc::new(GatewayState::new(settings, Rc::from(codec))) }
     }
 
-    /// Serves until SIGTERM, then until no requests are in flight or the stop limit is near.
+    /// Serves until SIGTERM, then until all callers have been answered or the stop limit is near.
     ///
     /// # Errors
     ///
@@ -84,8 +87,10 @@
         ));
         Self::spawn_background(&state, readiness_server).await;
         let service = Rc::new(HostService::new(Rc::clone(&state)));
-        let listener = spawn_local(callers.serve(service)).abort_handle();
-        Ok(RunningHost { state, listener, caller_address, ready_address })
+        let connections = Rc::new(ConnectionRegistry::default());
+        let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
+        let listener = spawn_local(serving);
+        Ok(RunningHost { state, service, connections, listener, caller_address, ready_address })
     }
 
     async fn spawn_background(state: &Rc<GatewayState>, readiness_server: MonitoringServer) {
@@ -122,7 +127,9 @@
 /// A host that serves requests.
 pub struct RunningHost {
     state: Rc<GatewayState>,
-    listener: AbortHandle,
+    service: Rc<HostService>,
+    connections: Rc<ConnectionRegistry>,
+    listener: JoinHandle<()>,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
 }
@@ -143,22 +150,63 @@
     /// Stops the host.
     ///
     /// It asks callers to reconnect elsewhere, keeps serving for [`GatewayState::DRAIN_PERIOD`] and
-    /// waits for requests in flight, all within the platform's limit.
-    pub async fn close(self) {
-        let state = &self.state;
+    /// waits for requests in flight. Then it refuses what still arrives, and closes all connections.
+    /// All this ends at the platform's limit.
+    pub async fn close(mut self) {
+        let state = Rc::clone(&self.state);
         state.begin_shutdown();
         let started_at = state.now();
         let stop_timeout = state.settings.stop_grace.saturating_sub(GatewayServer::STOP_MARGIN);
-        LogEvent::HostStopping.log(format_args!("{} requests in flight", state.in_flight_count()));
-        loop {
+        LogEvent::HostStopping.log(format_args!(
+            "{} requests in flight, {} connections",
+            state.in_flight_count(),
+            self.connections.len(),
+        ));
+        self.log_requests("start of the stop");
+        let elapsed = || state.now().since(started_at);
+        while elapsed() < GatewayState::DRAIN_PERIOD.min(stop_timeout) {
+            sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
+        }
+        self.log_requests("end of the drain period");
+        let is_busy = || self.connections.is_any_busy() || state.in_flight_count() > 0;
+        while is_busy() && elapsed() < stop_timeout {
+            sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
+        }
+        self.log_requests("exit");
+        // From here on no request is accepted, so no connection gets busy for long.
+        state.begin_exit();
+        self.connections.begin_exit();
+        if let Err(error) = (&mut self.listener).await {
+            LogEvent::AcceptFailed.log(error);
+        }
+        while !self.connections.is_empty() && elapsed() < stop_timeout {
             sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
-            let elapsed = state.now().since(started_at);
-            let is_done = elapsed >= GatewayState::DRAIN_PERIOD && state.in_flight_count() == 0;
-            if is_done || elapsed >= stop_timeout {
-                break;
-            }
         }
-        self.listener.abort();
+        for connection in self.connections.busy_connections() {
+            self.service.record_close(&connection, CloseReason::StopLimit);
+        }
         LogEvent::HostStopped.log(format_args!("{} requests aborted", state.in_flight_count()));
     }
+
+    /// Logs the requests in flight at a step of the stop.
+    fn log_requests(&self, step: &str) {
+        for connection in self.connections.busy_connections() {
+            self.log_request(&connection, step);
+        }
+    }
+
+    fn log_request(&self, connection: &CallerConnection, step: &str) {
+        let activity = connection.activity();
+        let request = connection.request().filter(|_| activity.has_open_request());
+        let (id, route, age) = request.as_ref().map_or(("-", "-", Duration::ZERO), |request| {
+            (&request.id, &request.route, self.state.now().since(request.received_at))
+        });
+        RequestDecision::new(LogEvent::RequestAtStop, id, self.state.snapshot()).log(format_args!(
+            "{step}: route {route}, {} ms old, {}, {} bytes read and {} written",
+            age.as_millis(),
+            activity.phase(),
+            activity.request_bytes(),
+            activity.response_bytes(),
+        ));
+    }
 }
