fix(gateway): a change reaches every host in time although a store call on its way gets no answer

One store call without an answer cost a host behind its zone's leader 900 ms for the timeout and 1,600 ms in which it makes no call. The leader's own delays add to that, and so do the age of data that the host had accepted and the timeout of a query. The configuration was applied only when the list of endpoints had been read too. A revision was taken as it came, so a slow answer of an earlier call lowered it, and two hosts with an older version could confirm it to each other as the newest.

Fix. - The list of endpoints is read by a task of its own (EndpointSync). - A read that has no answer after 10% of the base interval, or whose connection breaks, is made once more over a new connection (StoreReader). A refusal, 429 too, is an answer and is not repeated at once. After a slow or missing answer there is no second call until the store answers in time again. - Each message between hosts states the sender's revision; a leader that takes a new one sends at once and again 50 ms later. A host that hears of a newer revision reads it after at most 5% of the base interval, whatever its delay after an outage; refused reads double their delay up to that of an outage. A revision that the store turns out not to have is read once. - The age of a peer's data that is accepted leaves time for the next query, its timeout, a second call and its answer. - VersionOrder decides what is taken: the highest version, and the revision falls only with a newer version. An answer with a lower revision to an earlier call confirms nothing. Hosts confirm data to each other by version and revision.

A member makes no store call in a calm zone, and a leader as many as before.

--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -24,14 +24,17 @@
 mod organisation_load;
 mod path_planner;
 mod rate_bucket;
+mod read_schedule;
 mod retry_budget;
 mod retry_pool;
 mod retry_quota;
 mod return_schedule;
+mod revision_notice;
 mod route_planner;
 mod slot_allocator;
 mod sync_intervals;
 mod usage_record;
+mod version_order;
 mod zone_cost_model;
 mod zone_leaders;
 mod zone_members;
@@ -60,14 +63,17 @@
     organisation_load::{OrganisationLoad, OrganisationUsage},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
+    read_schedule::{ReadOutcome, ReadSchedule, ReaderRole},
     retry_budget::RetryBudget,
     retry_pool::{GrantRecord, RetryPool, ZoneTraffic},
     retry_quota::{RetryLimits, RetryQuota},
     return_schedule::ReturnSchedule,
+    revision_notice::RevisionNotice,
     route_planner::{RouteCapacity, RoutePlanner, RouteRequest, RoutingError},
     slot_allocator::{LocalLimit, SlotAllocator, SlotDemand},
     sync_intervals::SyncIntervals,
     usage_record::{RequestClass, UsageCount, UsageOutcome, UsageRecord, LATENCY_BOUNDS_MS},
+    version_order::{VersionOrder, VersionVerdict},
     zone_cost_model::ZoneCostModel,
     zone_leaders::ZoneLeaders,
     zone_members::ZoneMembers,
--- a/crates/cassiafield-core/src/process/sync_intervals.rs
+++ b/crates/cassiafield-core/src/process/sync_intervals.rs
@@ -10,7 +10,7 @@
 ///
 /// let intervals = SyncIntervals::new(Duration::from_secs(2), Duration::from_secs(5));
 /// assert_eq!(intervals.read_interval(), Duration::from_millis(800));
-/// assert_eq!(intervals.max_peer_data_age(), Duration::from_millis(1_300));
+/// assert_eq!(intervals.max_peer_data_age(), Duration::from_millis(1_180));
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SyncIntervals {
@@ -34,15 +34,30 @@
     /// Pause between two reads during an outage of the store on hosts that do not lead their zone, in
     /// percent of the base.
     const OUTAGE_PERCENT: u32 = 80;
+    /// Delay of the second call of a read, in percent of the base.
+    const SECOND_CALL_PERCENT: u32 = 10;
+    /// Longest random delay of a read after a notice, in percent of the base.
+    ///
+    /// All hosts of the fleet read then.
+    const NOTICE_SPREAD_PERCENT: u32 = 5;
     /// Maximum age of a peer's data, in percent of the limit.
     ///
-    /// The rest covers the time until the next query.
+    /// A host whose data gets as old until its next query still counts as ready.
     const AGE_PERCENT: u32 = 65;
     /// Time that the calls on the way from the store to a host may take together.
     const TRANSIT_TIME: Duration = Duration::from_millis(200);
+    /// Time that a host's own call to the store may take.
+    const CALL_TIME: Duration = Duration::from_millis(100);
     /// Shortest interval.
     const MIN_INTERVAL: Duration = Duration::from_millis(50);
 
+    /// Pause before an urgent message to peers, in which further news are collected.
+    pub const URGENT_MESSAGE_DELAY: Duration = Duration::from_millis(10);
+    /// Time after which a message about a new revision is repeated, as messages may be lost.
+    pub const REPEATED_MESSAGE_DELAY: Duration = Duration::from_millis(50);
+    /// Timeout of a query to another host.
+    pub const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
+
     /// Creates the intervals for the time within which a change must be in force, and the time after
     /// which no request with a revoked key may run.
     #[must_use]
@@ -83,11 +98,38 @@
         self.of_base(Self::OUTAGE_PERCENT)
     }
 
+    /// Returns the time after which a call without an answer is made once more.
+    #[must_use]
+    pub fn second_call_delay(&self) -> Duration {
+        self.of_base(Self::SECOND_CALL_PERCENT)
+    }
+
+    /// Returns the longest random delay of a read after a notice of a newer revision.
+    #[must_use]
+    pub fn notice_spread(&self) -> Duration {
+        self.base() * Self::NOTICE_SPREAD_PERCENT / 100
+    }
+
+    /// Returns the time within which a host starts to read a change that a zone's leader has, if one
+    /// message between them is lost.
+    #[must_use]
+    pub fn notice_delay(&self) -> Duration {
+        Self::URGENT_MESSAGE_DELAY + Self::REPEATED_MESSAGE_DELAY + self.notice_spread()
+    }
+
     /// Returns the maximum age of a peer's data that makes a read of the store unnecessary.
+    ///
+    /// It leaves time for the next query, for its timeout and for a read of the store whose first
+    /// call gets no answer.
     #[must_use]
     pub fn max_peer_data_age(&self) -> Duration {
         let by_revocation = self.revocation_limit * Self::REVOCATION_AGE_PERCENT / 100;
-        self.change_limit.min(by_revocation) * Self::AGE_PERCENT / 100
+        let by_age = self.change_limit.min(by_revocation) * Self::AGE_PERCENT / 100;
+        let reserve = self.query_interval()
+            + Self::QUERY_TIMEOUT
+            + self.second_call_delay()
+            + Self::CALL_TIME;
+        by_age.min(self.change_limit.saturating_sub(reserve))
     }
 
     /// Returns `true` if one host may read the store for all availability zones.
--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod http_connection;
 mod platform_codec;
 mod store_client;
+mod store_reader;
 
 pub use self::{
     caller_listener::{CallerListener, CallerService, ResponseGuard},
@@ -15,4 +16,5 @@
         StoreResponse, WireRequest,
     },
     store_client::StoreClient,
+    store_reader::{StoreReader, TimedAnswer},
 };
--- a/crates/cassiafield-gateway/src/connection/store_client.rs
+++ b/crates/cassiafield-gateway/src/connection/store_client.rs
@@ -62,6 +62,7 @@
     ///
     /// Except for [`StoreCallError::Refused`], the store may have applied the call.
     pub async fn call(&mut self, call: &StoreCall) -> Result<StoreResponse, StoreCallError> {
+        let mut record = CallRecord { calls: &self.calls.clone(), name: call.name(), result: None };
         let idle_time = match &self.connection {
             Some(connection) if connection.is_ready() => self.used_at.map(|at| at.elapsed()),
             _ => None,
@@ -70,16 +71,28 @@
         let response = self.call_with_timeout(call).await;
         self.used_at = Some(Instant::now());
         self.log_delay(call, started_at.elapsed(), idle_time, response.as_ref().err());
-        let result = match &response {
+        record.result = Some(match &response {
             Ok(_) => "done",
             Err(StoreCallError::Refused(_)) => "refused",
             Err(StoreCallError::Unreachable(_)) => "unreachable",
             Err(StoreCallError::Unreadable(_)) => "unreadable",
-        };
-        self.calls.with_label_values(&[call.name(), result]).inc();
+        });
         response
     }
 
+    /// Makes a call and returns the response with the call's duration.
+    ///
+    /// # Errors
+    ///
+    /// As [`StoreClient::call`].
+    pub async fn timed_call(
+        &mut self,
+        call: &StoreCall,
+    ) -> Result<(StoreResponse, Duration), StoreCallError> {
+        let started_at = Instant::now();
+        self.call(call).await.map(|response| (response, started_at.elapsed()))
+    }
+
     fn log_delay(
         &self,
         call: &StoreCall,
@@ -183,3 +196,17 @@
         }
     }
 }
+
+/// Counts a call when it ends, also if its future is dropped.
+struct CallRecord<'a> {
+    calls: &'a IntCounterVec,
+    name: &'static str,
+    result: Option<&'static str>,
+}
+
+impl Drop for CallRecord<'_> {
+    fn drop(&mut self) {
+        let result = self.result.unwrap_or("abandoned");
+        self.calls.with_label_values(&[self.name, result]).inc();
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-gateway/src/process/configuration_sync.rs
@@ -0,0 +1,219 @@
+use {
+    crate::{
+        connection::{StoreCall, StoreItem, StoreReader, StoreResponse},
+        process::{
+            endpoint_sync::{apply_endpoints, read_outcome, EndpointRequests},
+            store_availability::StoreAvailability,
+            GatewayState,
+        },
+    },
+    cassiafield::process::LogEvent,
+    cassiafield_core::{
+        ids::Moment,
+        process::{ReadSchedule, ReaderRole, VersionVerdict},
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Keeps a host's configuration current, and requests the list of endpoints when it is due.
+pub(super) struct ConfigurationSync {
+    state: Rc<GatewayState>,
+    reader: StoreReader,
+    availability: StoreAvailability,
+    schedule: ReadSchedule,
+    endpoint_requests: Rc<EndpointRequests>,
+    /// The last valid item that the store returned.
+    last_item: Option<StoreItem>,
+}
+
+/// The data that a host must read from the store itself.
+#[derive(Clone, Copy, Debug)]
+struct RequiredReads {
+    configuration: bool,
+    endpoints: bool,
+}
+
+impl RequiredReads {
+    const ALL: Self = Self { configuration: true, endpoints: true };
+}
+
+impl ConfigurationSync {
+    /// Shortest pause between two rounds.
+    const MIN_PAUSE: Duration = Duration::from_millis(10);
+
+    pub(super) fn new(
+        state: Rc<GatewayState>,
+        reader: StoreReader,
+        endpoint_requests: Rc<EndpointRequests>,
+    ) -> Self {
+        let schedule = ReadSchedule::new(state.settings.sync_intervals());
+        let availability = StoreAvailability::default();
+        Self { state, reader, availability, schedule, endpoint_requests, last_item: None }
+    }
+
+    /// Synchronises periodically; never returns.
+    pub(super) async fn run(mut self) {
+        loop {
+            let (role, address) = self.role();
+            let is_done = self.synchronise(role, address).await;
+            if !is_done {
+                let peer = self.state.random_peer();
+                if let Some(peer) = peer.and_then(|peer| self.state.exchange.peer_address(&peer)) {
+                    self.query(peer).await;
+                }
+            }
+            self.pause(role, is_done).await;
+        }
+    }
+
+    /// Returns the host's role and the address of the host that it queries.
+    fn role(&self) -> (ReaderRole, Option<SocketAddr>) {
+        let exchange = &self.state.exchange;
+        let leader = self.state.zone_leader();
+        if leader != self.state.settings.host {
+            return (ReaderRole::Member, exchange.peer_address(&leader));
+        }
+        let reader = exchange.fleet_reader(&self.state);
+        match reader.filter(|_| self.state.settings.sync_intervals().allows_fleet_reader()) {
+            Some(reader) => (ReaderRole::Leader, Some(reader)),
+            None => (ReaderRole::Reader, None),
+        }
+    }
+
+    /// Gets all data once; returns `true` unless a read of the store has failed.
+    async fn synchronise(&mut self, role: ReaderRole, address: Option<SocketAddr>) -> bool {
+        // A query would only delay the read of a revision that is known to exist.
+        let is_read = self.state.awaits_revision() && self.may_read(role) && self.read(role).await;
+        let reads = match address {
+            Some(address) => self.query(address).await,
+            None => RequiredReads::ALL,
+        };
+        let mut is_done = true;
+        if reads.endpoints {
+            is_done &= self.endpoint_requests.request(role, self.state.now());
+        }
+        if reads.configuration && !is_read {
+            is_done &= if self.may_read(role) {
+                self.read(role).await
+            } else {
+                !self.schedule.has_failed()
+            };
+        }
+        is_done
+    }
+
+    /// Waits until the next round is due or a peer mentions a newer revision.
+    async fn pause(&mut self, role: ReaderRole, is_done: bool) {
+        loop {
+            let pause = self.time_until_due(role, is_done).max(Self::MIN_PAUSE);
+            tokio::select! {
+                () = sleep(pause) => return,
+                () = self.state.revision_heard.notified() => {
+                    self.schedule.record_notice();
+                    let spread = self.state.settings.sync_intervals().notice_spread();
+                    sleep(spread.mul_f64(fastrand::f64())).await;
+                    return;
+                }
+                () = self.endpoint_requests.finished(), if role == ReaderRole::Reader => {}
+            }
+        }
+    }
+
+    fn time_until_due(&self, role: ReaderRole, is_done: bool) -> Duration {
+        let (now, intervals) = (self.state.now(), self.state.settings.sync_intervals());
+        let is_awaited = self.state.awaits_revision();
+        let due_in = self.schedule.next_read_at(role, is_awaited).since(now);
+        match role {
+            ReaderRole::Reader => {
+                let endpoints_due_in = self.endpoint_requests.time_until_due(role, now);
+                endpoints_due_in.map_or(due_in, |endpoints| endpoints.min(due_in))
+            }
+            ReaderRole::Leader if !is_done => intervals.error_backoff(),
+            ReaderRole::Member if is_awaited && self.schedule.has_failed() => {
+                due_in.min(intervals.query_interval())
+            }
+            ReaderRole::Leader | ReaderRole::Member => intervals.query_interval(),
+        }
+    }
+
+    fn may_read(&self, role: ReaderRole) -> bool {
+        self.state.now() >= self.schedule.next_read_at(role, self.state.awaits_revision())
+    }
+
+    /// Queries the host at `address` and applies its data; returns what must still be read from the
+    /// store.
+    async fn query(&mut self, address: SocketAddr) -> RequiredReads {
+        let mut reads = RequiredReads::ALL;
+        let Some(data) = self.state.exchange.query(&self.state, address).await else {
+            return reads;
+        };
+        let max_age = self.state.settings.sync_intervals().max_peer_data_age();
+        let max_age_micros = u64::try_from(max_age.as_micros()).unwrap_or(u64::MAX);
+        if let Some((revision, age)) = data.reply.configuration {
+            if self.state.has_configuration(data.reply.version, revision) {
+                self.state.confirm_configuration(data.known_at(age));
+                reads.configuration = age > max_age_micros;
+            } else if self.state.record_revision(revision, "reply", address) {
+                self.schedule.record_notice();
+            }
+        }
+        let known_at = |age| data.known_at(age);
+        if let Some((changes, age)) = data.reply.endpoints.clone() {
+            let mut endpoint_list = self.state.endpoint_list.borrow_mut();
+            if age <= max_age_micros && endpoint_list.apply(changes) {
+                let entries = endpoint_list.entries();
+                drop(endpoint_list);
+                apply_endpoints(&self.state, entries, known_at(age));
+                reads.endpoints = false;
+            }
+        }
+        reads
+    }
+
+    /// Reads the configuration from the store and applies it; returns `true` if the store answered.
+    async fn read(&mut self, role: ReaderRole) -> bool {
+        let requested_at = self.state.now();
+        let call = StoreCall::Get { key: self.state.codec.configuration_key().to_owned() };
+        let answer = self.reader.read(&call, self.schedule.second_call_delay()).await;
+        self.schedule.record(read_outcome(&answer), self.state.now());
+        let Some((response, _)) = self.availability.record(answer, "configuration") else {
+            return false;
+        };
+        if let StoreResponse::Item(Some(item)) = response {
+            self.apply(item, role, requested_at);
+        }
+        self.state.record_store_answer(requested_at);
+        true
+    }
+
+    fn apply(&mut self, item: StoreItem, role: ReaderRole, requested_at: Moment) {
+        let is_current = item.revision == self.state.configuration_revision();
+        // The store may use a revision again after a loss.
+        if is_current && self.last_item.as_ref() == Some(&item) {
+            self.state.confirm_configuration(requested_at);
+            return;
+        }
+        match self.state.codec.parse_configuration(&item.value) {
+            Ok(table) => {
+                let source = match role {
+                    ReaderRole::Reader => "the store as reader",
+                    ReaderRole::Leader => "the store as zone leader",
+                    ReaderRole::Member => "the store as zone member",
+                };
+                let revision = item.revision;
+                let verdict = self.state.apply_configuration(table, revision, requested_at, source);
+                if verdict != VersionVerdict::Outdated {
+                    self.last_item = Some(item);
+                }
+            }
+            Err(error) => {
+                let revision = item.revision;
+                let call_time = self.state.now().since(requested_at).as_millis();
+                LogEvent::ListsRejected.log(format_args!(
+                    "revision {revision}, requested {call_time} ms ago: {error:#}"
+                ));
+            }
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -12,13 +12,14 @@
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
             DataAge, EndpointDirectory, EngineLoad, FailureReport, ListedEntries, OrganisationLoad,
-            ZoneMembers,
+            RevisionNotice, VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::StageRoute,
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     std::{
         cell::{Cell, RefCell},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -49,10 +50,14 @@
     pub(super) live_hosts: Cell<usize>,
     pub(super) exchange: StateExchange,
     pub(super) endpoint_list: RefCell<ListedEntries>,
-    configuration_revision: Cell<u64>,
+    configuration_order: Cell<VersionOrder>,
+    revision_notice: Cell<RevisionNotice>,
+    /// Wakes the synchronisation when a peer's message mentions a newer configuration.
+    pub(super) revision_heard: Notify,
     pub(super) probe: HealthProbe,
-    /// Wakes the peer link when an endpoint was found unresponsive.
-    pub(super) failure_found: Notify,
+    /// Wakes the peer link when an endpoint was found unresponsive, or a zone's leader has a newer
+    /// configuration.
+    pub(super) urgent_message: Notify,
     /// Wakes the engine monitor when a peer found an endpoint unresponsive.
     pub(super) poll_requested: Notify,
     clock: BootClock,
@@ -97,9 +102,11 @@
             live_hosts: Cell::new(1),
             exchange: StateExchange::default(),
             endpoint_list: RefCell::default(),
-            configuration_revision: Cell::new(0),
+            configuration_order: Cell::default(),
+            revision_notice: Cell::default(),
+            revision_heard: Notify::new(),
             probe: HealthProbe::default(),
-            failure_found: Notify::new(),
+            urgent_message: Notify::new(),
             poll_requested: Notify::new(),
             clock: BootClock,
             table: RefCell::default(),
@@ -130,39 +137,79 @@
 
     /// Applies a configuration and its revision in the store, requested at `requested_at`.
     ///
-    /// A version that is not newer than the current one is not applied.
-    ///
-    /// `source` says in the log where it comes from.
+    /// A version that is not newer than the current one is not applied. `source` says in the log
+    /// where it comes from.
     pub fn apply_configuration(
         &self,
         table: RouteTable,
         revision: u64,
         requested_at: Moment,
         source: &str,
-    ) {
-        let previous_age = self.configuration_age().unwrap_or_default();
-        let previous_revision = self.configuration_revision.replace(revision);
-        let mut current = self.table.borrow_mut();
-        let current_version = current.as_ref().map_or(0, |current| current.version());
-        let version = table.version();
-        let call_time = self.now().since(requested_at).as_millis();
-        if current.is_none() || current_version < version {
+    ) -> VersionVerdict {
+        let (now, version) = (self.now(), table.version());
+        let previous_age = self.configuration_age().unwrap_or_default().as_millis();
+        let call_time = now.since(requested_at).as_millis();
+        let mut order = self.configuration_order.get();
+        let (previous_version, previous_revision) = (order.version(), order.revision());
+        let verdict = order.record(version, revision, requested_at, now);
+        self.configuration_order.set(order);
+        if verdict == VersionVerdict::Newer {
             LogEvent::ListsTaken.log(format_args!(
                 "configuration version {version}, revision {revision}, from {source}, requested \
-                 {call_time} ms ago; the previous version {current_version}, revision \
-                 {previous_revision}, was current {} ms ago",
-                previous_age.as_millis(),
+                 {call_time} ms ago; the previous version {previous_version}, revision \
+                 {previous_revision}, was current {previous_age} ms ago"
             ));
-            *current = Some(Rc::new(table));
-        } else {
+            *self.table.borrow_mut() = Some(Rc::new(table));
+            if self.is_zone_leader() {
+                self.urgent_message.notify_one();
+            }
+        } else if verdict == VersionVerdict::Outdated || version != previous_version {
             LogEvent::ListsRejected.log(format_args!(
                 "configuration version {version}, revision {revision}, from {source}, requested \
-                 {call_time} ms ago, is not newer than version {current_version}, revision \
+                 {call_time} ms ago, is not newer than version {previous_version}, revision \
                  {previous_revision}"
             ));
         }
-        drop(current);
-        self.confirm_configuration(requested_at);
+        if verdict != VersionVerdict::Outdated {
+            self.confirm_configuration(requested_at);
+        }
+        verdict
+    }
+
+    /// Records that the peer at `address` has a revision of the configuration.
+    ///
+    /// Returns `true` if it is newer than all that this host knows of.
+    pub(super) fn record_revision(&self, revision: u64, what: &str, address: SocketAddr) -> bool {
+        let own = self.configuration_revision();
+        let mut notice = self.revision_notice.get();
+        let is_news = notice.record(revision, own, self.now());
+        self.revision_notice.set(notice);
+        if is_news {
+            LogEvent::RevisionHeard.log(format_args!(
+                "{what} of {address} with revision {revision}; this host has {own}"
+            ));
+        }
+        is_news
+    }
+
+    /// Records that the store answered a read of the configuration that began at `requested_at`.
+    pub(super) fn record_store_answer(&self, requested_at: Moment) {
+        let mut notice = self.revision_notice.get();
+        notice.record_answer(self.configuration_revision(), requested_at);
+        self.revision_notice.set(notice);
+    }
+
+    /// Returns `true` if a peer has a newer configuration that this host should read.
+    pub(super) fn awaits_revision(&self) -> bool {
+        self.revision_notice.get().is_awaited(self.configuration_revision())
+    }
+
+    /// Returns `true` if this host has the configuration of a version and a revision.
+    ///
+    /// Version 0 stands for any: earlier releases do not send it.
+    pub(super) fn has_configuration(&self, version: u64, revision: u64) -> bool {
+        let order = self.configuration_order.get();
+        revision == order.revision() && (version == 0 || version == order.version())
     }
 
     /// Records that the current configuration was confirmed by a request sent at `requested_at`.
@@ -175,7 +222,13 @@
     /// Returns the store's revision of the configuration; 0 without one.
     #[must_use]
     pub fn configuration_revision(&self) -> u64 {
-        self.configuration_revision.get()
+        self.configuration_order.get().revision()
+    }
+
+    /// Returns the version of the configuration; 0 without one.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration_order.get().version()
     }
 
     /// Returns the age of the configuration, if there is one.
@@ -348,7 +401,7 @@
             self.pool.remove(entry.address);
         }
         drop(directory);
-        self.failure_found.notify_one();
+        self.urgent_message.notify_one();
         self.probe.notify_waiters();
     }
 
@@ -384,7 +437,7 @@
     pub fn record_stall(&self, route: &StageRoute, since: Moment) {
         let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
         self.directory.borrow_mut().record_stall(endpoints, since, self.now());
-        self.failure_found.notify_one();
+        self.urgent_message.notify_one();
     }
 
     /// Probes an endpoint and returns `true` if it responds; an unresponsive endpoint is avoided.
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission_queue;
 mod boot_clock;
+mod configuration_sync;
+mod endpoint_sync;
 mod engine_monitor;
 mod gateway_metrics;
 mod gateway_server;
@@ -16,6 +18,7 @@
 mod peer_link;
 mod retry_broker;
 mod state_exchange;
+mod store_availability;
 mod store_sync;
 
 pub use self::{
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -11,7 +11,8 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId, ZoneId},
         process::{
-            EngineUsage, FailureReport, FleetIntervals, LinkUsage, OrganisationUsage, SharedReading,
+            EngineUsage, FailureReport, FleetIntervals, LinkUsage, OrganisationUsage,
+            SharedReading, SyncIntervals,
         },
     },
     std::{
@@ -62,6 +63,9 @@
         /// Whether the host is stopping and gives up the lead of its zone.
         #[serde(default)]
         is_stopping: bool,
+        /// Revision of the configuration that the host has.
+        #[serde(default)]
+        configuration_revision: u64,
     },
     /// The load that all hosts of an availability zone have reserved, sent to the hosts of other
     /// zones.
@@ -76,6 +80,9 @@
         /// What streams of the zone's hosts send between availability zones.
         #[serde(default)]
         links: LinkUsage,
+        /// Revision of the configuration that the zone's leader has.
+        #[serde(default)]
+        configuration_revision: u64,
     },
     /// A query for the peer's data from the store.
     Query(StateQuery),
@@ -100,20 +107,18 @@
 }
 
 impl PeerLink {
-    /// Key prefix of host entries.
-    const HOST_KEY_PREFIX: &'static str = "cassiafield/hosts/";
     /// Interval between two messages to peers.
     const MESSAGE_INTERVAL: Duration = Duration::from_millis(150);
     /// Number of rounds of messages to peers per message to other availability zones.
     const ROUNDS_PER_ZONE_MESSAGE: u32 = 2;
+    /// Key prefix of host entries.
+    const HOST_KEY_PREFIX: &'static str = "cassiafield/hosts/";
     /// Maximum age of readings that are sent.
     ///
     /// With this limit, each reading is sent twice to other availability zones.
     const MAX_READING_AGE: Duration = Duration::from_millis(600);
     /// Time for which a failure of an endpoint is reported; it covers the loss of some messages.
     const FAILURE_REPORT_TIME: Duration = Duration::from_millis(1_000);
-    /// Pause before a message about a failure, in which failures of other endpoints are collected.
-    const FAILURE_REPORT_DELAY: Duration = Duration::from_millis(10);
     /// Maximum size of a message, in bytes; it fits one datagram.
     const MAX_MESSAGE_BYTES: usize = 60 * 1_024;
 
@@ -235,14 +240,28 @@
 
     async fn send_messages(&self, socket: &UdpSocket) {
         let mut rounds: u32 = 0;
+        let (mut sent_revision, mut is_repeat) = (0, false);
         loop {
-            let found = self.state.failure_found.notified();
-            let is_urgent = timeout(Self::MESSAGE_INTERVAL, found).await.is_ok();
+            let interval = if is_repeat {
+                SyncIntervals::REPEATED_MESSAGE_DELAY
+            } else {
+                Self::MESSAGE_INTERVAL
+            };
+            let found = self.state.urgent_message.notified();
+            let is_urgent = timeout(interval, found).await.is_ok();
             if is_urgent {
-                sleep(Self::FAILURE_REPORT_DELAY).await;
+                sleep(SyncIntervals::URGENT_MESSAGE_DELAY).await;
             }
             rounds = rounds.wrapping_add(1);
             let is_zone_leader = self.state.is_zone_leader();
+            let configuration_revision = self.state.configuration_revision();
+            let has_news = is_zone_leader && configuration_revision != sent_revision;
+            sent_revision = configuration_revision;
+            let was_repeat = std::mem::replace(&mut is_repeat, has_news);
+            let is_due = is_urgent
+                || has_news
+                || was_repeat
+                || rounds.is_multiple_of(Self::ROUNDS_PER_ZONE_MESSAGE);
             let now = self.state.now();
             let readings = if is_zone_leader {
                 self.state.load.borrow().own_readings(Self::MAX_READING_AGE, now)
@@ -266,16 +285,23 @@
                 links: self.state.load.borrow_mut().links.own_usage(now),
                 organisations: self.state.organisations.borrow().own_usage().clone(),
                 is_stopping: self.state.is_stopping(),
+                configuration_revision,
             };
             let peers = self.state.exchange.peer_addresses();
             send_to_all(socket, &message, &peers).await;
-            let is_due = is_urgent || rounds.is_multiple_of(Self::ROUNDS_PER_ZONE_MESSAGE);
             if is_zone_leader && is_due {
                 let used = self.state.load.borrow().zone_usage(now);
                 let zone = self.state.settings.zone.clone();
                 let failures = self.failure_reports(Some(&zone));
                 let links = self.state.load.borrow_mut().links.zone_usage(now);
-                let message = PeerMessage::Zone { zone, used, readings, failures, links };
+                let message = PeerMessage::Zone {
+                    zone,
+                    used,
+                    readings,
+                    failures,
+                    links,
+                    configuration_revision,
+                };
                 let other_zone_hosts = self.other_zone_hosts.borrow().clone();
                 send_to_all(socket, &message, &other_zone_hosts).await;
             }
@@ -317,7 +343,7 @@
                             }
                             _ => {}
                         }
-                        self.apply_message(message);
+                        self.apply_message(message, from);
                     }
                     Err(error) => LogEvent::PeerRefused.log(format_args!("from {from}: {error}")),
                 },
@@ -329,10 +355,10 @@
         }
     }
 
-    fn apply_message(&self, message: PeerMessage) {
+    fn apply_message(&self, message: PeerMessage, from: SocketAddr) {
         let now = self.state.now();
         let mut load = self.state.load.borrow_mut();
-        let (readings, failures) = match message {
+        let (readings, failures, revision) = match message {
             PeerMessage::Host {
                 host,
                 used,
@@ -343,6 +369,7 @@
                 links,
                 organisations,
                 is_stopping,
+                configuration_revision,
             } => {
                 self.state.members.borrow_mut().record(&host, is_stopping, now);
                 let mut organisation_load = self.state.organisations.borrow_mut();
@@ -350,12 +377,12 @@
                 load.links.record_peer(host.clone(), links, now);
                 self.state.retries.record_peer(host.clone(), requests, grants, now);
                 load.record_peer_usage(host, used, now);
-                (readings, failures)
+                (readings, failures, configuration_revision)
             }
-            PeerMessage::Zone { zone, used, readings, failures, links } => {
+            PeerMessage::Zone { zone, used, readings, failures, links, configuration_revision } => {
                 load.links.record_zone(zone.clone(), links, now);
                 load.record_zone_usage(zone, used, now);
-                (readings, failures)
+                (readings, failures, configuration_revision)
             }
             PeerMessage::Reply(reply) => {
                 self.state.exchange.complete_query(reply);
@@ -375,6 +402,9 @@
             load.merge_reading(endpoint, reading, now);
         }
         drop(load);
+        if self.state.record_revision(revision, "message", from) {
+            self.state.revision_heard.notify_one();
+        }
         for (endpoint, report) in failures {
             self.state.record_peer_failure(&endpoint, report);
         }
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -2,7 +2,7 @@
     crate::process::{peer_link::PeerMessage, GatewayState},
     cassiafield_core::{
         ids::{HostId, Moment, ServiceId, ZoneId},
-        process::{ListChanges, ZoneLeaders},
+        process::{ListChanges, SyncIntervals, ZoneLeaders},
     },
     std::{
         cell::{Cell, RefCell},
@@ -35,6 +35,9 @@
     pub(super) configuration: Option<(u64, u64)>,
     /// Changes of the list of endpoints and the list's age in microseconds.
     pub(super) endpoints: Option<(ListChanges, u64)>,
+    /// Version of the configuration; 0 if it is not stated.
+    #[serde(default)]
+    pub(super) version: u64,
 }
 
 /// Pending queries and the addresses of peers.
@@ -62,8 +65,6 @@
 }
 
 impl StateExchange {
-    /// Timeout of a query.
-    const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
     /// Timeout of a query for a retry; the caller waits meanwhile.
     const RETRY_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -117,7 +118,9 @@
         self.pending.borrow_mut().insert(nonce, sender);
         let requested_at = state.now();
         let reply = match socket.send_to(&bytes, address).await {
-            Ok(_) => timeout(Self::QUERY_TIMEOUT, receiver).await.ok().and_then(Result::ok),
+            Ok(_) => {
+                timeout(SyncIntervals::QUERY_TIMEOUT, receiver).await.ok().and_then(Result::ok)
+            }
             Err(_) => None,
         };
         self.pending.borrow_mut().remove(&nonce);
@@ -158,7 +161,8 @@
         let configuration =
             state.configuration_age().map(|found| (state.configuration_revision(), age(found)));
         let endpoints = state.endpoints_age().map(|found| (changes, age(found)));
-        StateReply { nonce: query.nonce, configuration, endpoints }
+        let version = state.configuration_version();
+        StateReply { nonce: query.nonce, configuration, endpoints, version }
     }
 
     /// Passes a reply to the query that waits for it; late replies are dropped.
