--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -7,6 +7,7 @@
 mod http_connection;
 mod platform_codec;
 mod store_client;
+mod store_reader;
 mod tracked_stream;
 
 pub use self::{
@@ -20,4 +21,5 @@
         StoreResponse, WireRequest,
     },
     store_client::StoreClient,
+    store_reader::{StoreReader, TimedAnswer},
 };
