fix(platform): handle SIGTERM and SIGHUP from the first moment of the process

What was seen: a SIGHUP, or a SIGTERM, that came while the program read its settings ended the process by the signal. The platform sends SIGHUP at any change of the settings file, so a host could end by itself, and the next start was delayed.

Cause: the handlers were installed by `GatewayServer::run`, after the settings, the log and the state.

Evidence: on the code before, with settings read from a named pipe,

signals_before_the_settings_are_read_are_handled: SIGHUP ended the process

Why it works: `main` installs the handlers right after its arguments are parsed. A SIGTERM that came before the listeners exist ends the process in order without starting them. What remains is the time from the program's start to `main`.

Signals during a stop were harmless before too, since handlers stay installed until the exit; `further_signals_during_a_stop_change_nothing` holds that.

--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -6,10 +6,13 @@
 //! # Quick start
 //!
 //! ```no_run
-//! use cassiafield_gateway::{connection::PlatformCodec, process::{GatewayServer, GatewaySettings}};
+//! use cassiafield_gateway::{
+//!     connection::PlatformCodec,
+//!     process::{GatewayServer, GatewaySettings, ProcessSignals},
+//! };
 //!
 //! fn serve(settings: GatewaySettings, codec: Box<dyn PlatformCodec>) -> anyhow::Result<()> {
-//!     GatewayServer::new(settings, codec).run()
+//!     GatewayServer::new(settings, codec).run(ProcessSignals::install()?)
 //! }
 //! ```
 //!
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -5,7 +5,7 @@
         },
         process::{
             health_probe::HealthProbe, monitoring_server::MonitoringServer, EngineMonitor,
-            GatewaySettings, GatewayState, LayerPlacer, PeerLink, StoreSync,
+            GatewaySettings, GatewayState, LayerPlacer, PeerLink, ProcessSignals, StoreSync,
         },
         request::HostService,
     },
@@ -15,8 +15,6 @@
     http::StatusCode,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        runtime::Builder,
-        signal::unix::{signal, SignalKind},
         task::{spawn_local, JoinHandle, LocalSet},
         time::sleep,
     },
@@ -46,12 +44,14 @@
     /// # Errors
     ///
     /// Returns an error if the host cannot start.
-    pub fn run(self) -> anyhow::Result<()> {
-        let runtime = Builder::new_current_thread().enable_all().build()?;
+    pub fn run(self, signals: ProcessSignals) -> anyhow::Result<()> {
+        let ProcessSignals { runtime, mut terminate, mut reload } = signals;
         LocalSet::new().block_on(&runtime, async {
-            let mut terminate = signal(SignalKind::terminate()).context("cannot catch SIGTERM")?;
-            let mut reload = signal(SignalKind::hangup()).context("cannot catch SIGHUP")?;
-            let host = self.start().await?;
+            let host = tokio::select! {
+                biased;
+                _ = terminate.recv() => return Ok(()),
+                host = self.start() => host?,
+            };
             loop {
                 tokio::select! {
                     _ = terminate.recv() => break,
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod metric_builder;
 mod monitoring_server;
 mod peer_link;
+mod process_signals;
 mod retry_broker;
 mod state_exchange;
 mod store_sync;
@@ -30,5 +31,6 @@
     layer_placer::LayerPlacer,
     log_writer::{dropped_line_count, json_subscriber, start_json_log},
     peer_link::PeerLink,
+    process_signals::ProcessSignals,
     store_sync::StoreSync,
 };
