fix(core): revisions that the store has lost are not read again and again

After a store came back from an older copy, a host that has started since would have read it with each message as soon as two peers mention different lost revisions in turn (13 reads a second and host, on paper): a notice remembered only the last one. Now nothing up to a lost revision is news until the host's own revision changes.

--- a/crates/cassiafield-core/src/process/revision_notice.rs
+++ b/crates/cassiafield-core/src/process/revision_notice.rs
@@ -8,16 +8,21 @@
 pub struct RevisionNotice {
     /// The awaited revision and when a peer first mentioned it.
     awaited: Option<(u64, Moment)>,
-    /// The last revision that the store did not have.
-    missing: u64,
+    /// The last revision that the store did not have, and the host's own revision then.
+    missing: Option<(u64, u64)>,
 }
 
 impl RevisionNotice {
     /// Records that a peer has `revision`, and returns `true` if it is news to a host with revision
     /// `own`.
+    ///
+    /// Up to a revision that the store did not have, nothing is news until the host's own revision
+    /// changes: peers repeat what they have with each message.
     pub fn record(&mut self, revision: u64, own: u64, now: Moment) -> bool {
         let newest = self.awaited.map_or(own, |(awaited, _)| awaited.max(own));
-        let is_news = revision > newest && revision != self.missing;
+        let is_missing =
+            self.missing.is_some_and(|(missing, own_then)| own == own_then && revision <= missing);
+        let is_news = revision > newest && !is_missing;
         if is_news {
             self.awaited = Some((revision, now));
         }
@@ -32,7 +37,7 @@
             self.awaited = None;
         } else if requested_at >= heard_at {
             self.awaited = None;
-            self.missing = revision;
+            self.missing = Some((revision, own));
         }
     }
 
