fix(core): a host that has just started drops an endpoint as soon as the list does

Cause: a missing entry proves nothing for 2.3 s after the list becomes readable again, since entries lapse while the store is away. A start counted as such a moment, though a host that has just started knows only entries that it has seen listed while the store answered.

The new test failed on the code before: an_entry_removed_after_the_first_list_of_a_host_is_gone: panicked at endpoint_directory.rs:37

Why it works: the grace time runs only after a read of the list has failed.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -6,7 +6,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        fmt,
+        fmt, mem,
         net::SocketAddrV4,
         time::Duration,
     },
@@ -83,7 +83,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     known: BTreeMap<EndpointId, KnownEndpoint>,
-    listed_since: Option<Moment>,
+    /// Whether the latest read of the list failed.
+    is_unreadable: bool,
+    /// When the list was first requested with success after the last failure.
+    ///
+    /// `None` if this host has not seen a failure: every entry that it knows was listed while the
+    /// store was available.
+    readable_since: Option<Moment>,
 }
 
 impl EndpointDirectory {
@@ -117,7 +123,9 @@
         list: Vec<EndpointEntry>,
         requested_at: Moment,
     ) -> Vec<DirectoryChange> {
-        let since = *self.listed_since.get_or_insert(requested_at);
+        if mem::take(&mut self.is_unreadable) {
+            self.readable_since = Some(requested_at);
+        }
         let mut changes = Vec::new();
         let listed: BTreeSet<EndpointId> =
             list.iter().map(|entry| entry.endpoint.clone()).collect();
@@ -126,7 +134,9 @@
         for entry in list {
             self.apply_entry(entry, requested_at, &mut changes);
         }
-        let absence_is_conclusive = requested_at.since(since) >= Self::ABSENCE_GRACE;
+        let absence_is_conclusive = self
+            .readable_since
+            .is_none_or(|since| requested_at.since(since) >= Self::ABSENCE_GRACE);
         self.known.retain(|endpoint, known| {
             // An endpoint whose address is now listed for another one is gone, even during the
             // grace time.
@@ -178,7 +188,7 @@
 
     /// Records that the list could not be read.
     pub fn record_list_failure(&mut self) {
-        self.listed_since = None;
+        self.is_unreadable = true;
     }
 
     /// Returns the endpoints of a service that accept new work.
--- a/crates/cassiafield-core/tests/endpoint_directory.rs
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -28,6 +28,15 @@
     assert!(!is_live(&directory, "e1"));
 }
 
+/// Guards against work for an endpoint whose entry was removed shortly after the host had started.
+#[test]
+fn an_entry_removed_after_the_first_list_of_a_host_is_gone() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_list(vec![entry("e1", "fast", "a", None)], at(1_000));
+    directory.apply_list(Vec::new(), at(1_800));
+    assert!(!is_live(&directory, "e1"));
+}
+
 #[test]
 fn an_entry_missing_after_an_outage_is_kept_for_the_grace_time() {
     let mut directory = EndpointDirectory::default();
