fix(core): the rest of a refused body is not the beginning of a head

What callers saw: after a 413, a connection that stays open was closed 4 s later (header timeout and its margin) instead of 16 s later, and at a stop it counted as a request being read, which delays the exit.

Cause: the HTTP library reads once more for the rest of a body that its handler has dropped. That read came after the response, so `ConnectionActivity` took it for the beginning of the next head.

Why it works: a response that ends before its request's body leaves the next read to that body. A request without a body is complete at its head.

--- a/crates/cassiafield-core/src/process/connection_activity.rs
+++ b/crates/cassiafield-core/src/process/connection_activity.rs
@@ -65,6 +65,8 @@
     response_bytes: u64,
     request_count: u64,
     is_input_ended: bool,
+    /// Whether the current request was answered before its body was complete.
+    is_body_open: bool,
     /// Incremented by everything that counts as activity.
     change_count: u64,
     /// The change count at the latest check, and when a check first found it.
@@ -86,6 +88,10 @@
         }
         self.change_count += 1;
         let count = count as u64;
+        // The HTTP library reads once more for the rest of such a body, or closes the connection.
+        if std::mem::take(&mut self.is_body_open) {
+            return;
+        }
         match self.phase {
             ConnectionPhase::BetweenRequests => self.begin_head(count),
             ConnectionPhase::ReadingHead | ConnectionPhase::ReadingBody => {
@@ -104,6 +110,7 @@
             self.begin_head(self.next_bytes);
         }
         self.phase = ConnectionPhase::ReadingBody;
+        self.is_body_open = false;
         self.head_seen_at = None;
     }
 
@@ -117,6 +124,7 @@
     /// Records that the response was produced completely, or dropped.
     pub fn record_response_end(&mut self) {
         self.change_count += 1;
+        self.is_body_open = self.phase == ConnectionPhase::ReadingBody;
         self.phase = ConnectionPhase::Flushing;
     }
 
--- a/crates/cassiafield-core/tests/connection_activity.rs
+++ b/crates/cassiafield-core/tests/connection_activity.rs
@@ -145,3 +145,20 @@
     assert!(activity.is_between_requests());
     assert_eq!((activity.request_bytes(), activity.response_bytes()), (300, 150));
 }
+
+/// Guards against a connection that counts as reading a head because the rest of a refused body was
+/// read.
+#[test]
+fn the_rest_of_a_body_that_was_answered_early_is_no_head() {
+    let mut activity = ConnectionActivity::default();
+    activity.record_read(8_000);
+    activity.record_request();
+    activity.record_response_end();
+    activity.record_write(120);
+    activity.record_flush();
+    activity.record_read(3_000);
+    assert!(activity.is_between_requests());
+    // A head that comes later counts.
+    activity.record_read(40);
+    assert_eq!(activity.phase(), ConnectionPhase::ReadingHead);
+}
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -9,7 +9,11 @@
         process::{ClosePolicy, CloseReason},
     },
     http::{Request, Response},
-    hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    hyper::{
+        body::{Body as _, Incoming},
+        server::conn::http1::Builder,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     socket2::SockRef,
     std::{
@@ -205,8 +209,11 @@
 ) -> CloseReason {
     let handler = {
         let (connection, service) = (Rc::clone(connection), Rc::clone(service));
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
             let guard = connection.begin_request();
+            if request.body().is_end_stream() {
+                connection.record_body_end();
+            }
             let response = Rc::clone(&service).respond(request, Rc::clone(&connection));
             async move { Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard))) }
         })
