fix(gateway): keep the beginning of a head that was read together with the request before

What callers saw: a caller that sends the beginning of its next head in one segment with a request loses the next request at a stop: the connection is closed before the rest of the head arrives.

Cause: one read may hold the end of a request and a part of the next head. `ConnectionActivity` counts all of it as the first request, so the connection was between requests after the response, and the socket had nothing unread: the bytes were in the HTTP library's buffer.

Evidence before the fix:

a_head_that_begins_with_the_previous_request_gets_a_response_during_a_stop status 0, 0 bytes, complete false, error None

Why it works: before a close between requests, the host takes the library's unprocessed bytes. If there are any, the connection goes on with them, and they count as the beginning of a head.

--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -3,6 +3,7 @@
         connection::{tracked_stream::TrackedStream, CallerConnection, ConnectionRegistry},
         request::ResponseBody,
     },
+    bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::Moment,
@@ -218,13 +219,13 @@
             async move { Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard))) }
         })
     };
-    let exchange = Builder::new()
-        .max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TrackedStream::new(Rc::clone(connection))), handler);
-    let mut exchange = pin!(exchange);
+    let mut builder = Builder::new();
+    builder.max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES));
+    let stream = |unread| TokioIo::new(TrackedStream::new(Rc::clone(connection), unread));
+    let mut exchange = builder.serve_connection(stream(Bytes::new()), handler);
     loop {
         tokio::select! {
-            result = exchange.as_mut() => {
+            result = &mut exchange => {
                 return if result.is_ok() { CloseReason::LastResponse } else { CloseReason::Failed };
             }
             () = wait_for_check(registry) => {}
@@ -238,7 +239,14 @@
         match connection.check(&policy, service.now()) {
             Some(CloseReason::HeaderTimeout) => return CloseReason::HeaderTimeout,
             // A request that has just arrived is served first.
-            Some(reason) if !connection.has_unread_input() => return reason,
+            Some(reason) if !connection.has_unread_input() => {
+                // The beginning of a head may have been read together with the request before.
+                let parts = exchange.into_parts();
+                if parts.read_buf.is_empty() {
+                    return reason;
+                }
+                exchange = builder.serve_connection(stream(parts.read_buf), parts.service);
+            }
             Some(_) | None => {}
         }
     }
--- a/crates/cassiafield-gateway/src/connection/tracked_stream.rs
+++ b/crates/cassiafield-gateway/src/connection/tracked_stream.rs
@@ -1,5 +1,6 @@
 use {
     crate::connection::CallerConnection,
+    bytes::{Buf as _, Bytes},
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -13,20 +14,24 @@
 };
 
 /// The socket of a caller's connection, which records what passes through it.
-pub(super) struct TrackedStream(Rc<CallerConnection>);
+pub(super) struct TrackedStream {
+    connection: Rc<CallerConnection>,
+    /// Bytes that were taken from the socket before and are read first.
+    unread: Bytes,
+}
 
 impl TrackedStream {
-    pub(super) const fn new(connection: Rc<CallerConnection>) -> Self {
-        Self(connection)
+    pub(super) const fn new(connection: Rc<CallerConnection>, unread: Bytes) -> Self {
+        Self { connection, unread }
     }
 
     fn poll_socket<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
-        poll(Pin::new(&mut *self.0.socket.borrow_mut()))
+        poll(Pin::new(&mut *self.connection.socket.borrow_mut()))
     }
 
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(count)) = &written {
-            self.0.activity.borrow_mut().record_write(*count);
+            self.connection.activity.borrow_mut().record_write(*count);
         }
         written
     }
@@ -34,14 +39,21 @@
 
 impl AsyncRead for TrackedStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        let read = self.poll_socket(|socket| socket.poll_read(context, buffer));
+        let read = if self.unread.is_empty() {
+            self.poll_socket(|socket| socket.poll_read(context, buffer))
+        } else {
+            let count = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread[..count]);
+            self.unread.advance(count);
+            Poll::Ready(Ok(()))
+        };
         if let Poll::Ready(Ok(())) = &read {
-            self.0.activity.borrow_mut().record_read(buffer.filled().len() - filled);
+            self.connection.activity.borrow_mut().record_read(buffer.filled().len() - filled);
         }
         read
     }
@@ -67,14 +79,14 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.socket.borrow().is_write_vectored()
+        self.connection.socket.borrow().is_write_vectored()
     }
 
     /// The HTTP library calls this only when its own buffer is empty.
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = self.poll_socket(|socket| socket.poll_flush(context));
         if let Poll::Ready(Ok(())) = &flushed {
-            self.0.activity.borrow_mut().record_flush();
+            self.connection.activity.borrow_mut().record_flush();
         }
         flushed
     }
