fix(core): a version that is written again after a loss gets its new revision

After a store came back from an older copy and the operator wrote the same version again, hosts that had it kept the number from before the loss, and hosts that started later had the new one.

Before: a_version_that_is_written_again_after_a_loss_gets_its_new_revision ... FAILED (the revision stays 30, expected 25)

Why it works: an answer to a call that began after the current revision was learned says how the store numbers the version now. Answers to earlier calls and older versions lower nothing, as before.

After: all tests of cassiafield-core pass.

--- a/crates/cassiafield-core/src/process/version_order.rs
+++ b/crates/cassiafield-core/src/process/version_order.rs
@@ -36,7 +36,8 @@
     /// Records a version and its revision from an answer to a call of `requested_at`, and returns
     /// what to do with it.
     ///
-    /// The revision falls only with a newer version, as the store may number it anew after a loss.
+    /// The store may number a version anew after a loss. The revision falls only with an answer to a
+    /// call that began after the current revision was learned, and never with an older version.
     pub fn record(
         &mut self,
         version: u64,
@@ -49,15 +50,15 @@
             *self = Self { version, revision, learned_at: Some(now) };
             return VersionVerdict::Newer;
         }
-        if revision >= self.revision {
-            self.revision = revision;
-            return VersionVerdict::Confirmed;
-        }
         let is_late = self.learned_at.is_some_and(|learned_at| requested_at < learned_at);
-        if version == self.version && !is_late {
-            return VersionVerdict::Confirmed;
+        if revision < self.revision && (is_late || version < self.version) {
+            return VersionVerdict::Outdated;
+        }
+        if revision != self.revision {
+            self.revision = revision;
+            self.learned_at = Some(now);
         }
-        VersionVerdict::Outdated
+        VersionVerdict::Confirmed
     }
 
     /// Returns the version in force; 0 without one.
@@ -66,7 +67,7 @@
         self.version
     }
 
-    /// Returns the highest revision of the version in force; 0 without one.
+    /// Returns the revision of the version in force; 0 without one.
     #[must_use]
     pub const fn revision(&self) -> u64 {
         self.revision
--- a/crates/cassiafield-core/tests/change_delays.rs
+++ b/crates/cassiafield-core/tests/change_delays.rs
@@ -243,3 +243,18 @@
     assert_eq!(order.record(4, 28, at(400), at(410)), VersionVerdict::Newer);
     assert_eq!((order.version(), order.revision()), (4, 28));
 }
+
+/// Guards against hosts that never confirm a version to each other because some have it by the number
+/// that the store gave it before a loss: each of them would read the store at every query.
+#[test]
+fn a_version_that_is_written_again_after_a_loss_gets_its_new_revision() {
+    let at = Moment::from_millis;
+    let mut order = VersionOrder::default();
+    assert_eq!(order.record(3, 30, at(100), at(110)), VersionVerdict::Newer);
+    assert_eq!(order.record(3, 25, at(300), at(310)), VersionVerdict::Confirmed);
+    assert_eq!((order.version(), order.revision()), (3, 25));
+    // An answer to an earlier call lowers nothing.
+    assert_eq!(order.record(3, 28, at(400), at(410)), VersionVerdict::Confirmed);
+    assert_eq!(order.record(3, 25, at(350), at(420)), VersionVerdict::Outdated);
+    assert_eq!((order.version(), order.revision()), (3, 28));
+}
