--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -3,13 +3,18 @@
         connection::{tracked_stream::TrackedStream, CallerConnection, ConnectionRegistry},
         request::ResponseBody,
     },
+    bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::Moment,
         process::{ClosePolicy, CloseReason},
     },
     http::{Request, Response},
-    hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    hyper::{
+        body::{Body as _, Incoming},
+        server::conn::http1::Builder,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     socket2::SockRef,
     std::{
@@ -205,19 +210,22 @@
 ) -> CloseReason {
     let handler = {
         let (connection, service) = (Rc::clone(connection), Rc::clone(service));
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
             let guard = connection.begin_request();
+            if request.body().is_end_stream() {
+                connection.record_body_end();
+            }
             let response = Rc::clone(&service).respond(request, Rc::clone(&connection));
             async move { Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard))) }
         })
     };
-    let exchange = Builder::new()
-        .max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TrackedStream::new(Rc::clone(connection))), handler);
-    let mut exchange = pin!(exchange);
+    let mut builder = Builder::new();
+    builder.max_buf_size(service.max_header_bytes().max(CallerListener::MIN_BUFFER_BYTES));
+    let stream = |unread| TokioIo::new(TrackedStream::new(Rc::clone(connection), unread));
+    let mut exchange = builder.serve_connection(stream(Bytes::new()), handler);
     loop {
         tokio::select! {
-            result = exchange.as_mut() => {
+            result = &mut exchange => {
                 return if result.is_ok() { CloseReason::LastResponse } else { CloseReason::Failed };
             }
             () = wait_for_check(registry) => {}
@@ -231,7 +239,14 @@
         match connection.check(&policy, service.now()) {
             Some(CloseReason::HeaderTimeout) => return CloseReason::HeaderTimeout,
             // A request that has just arrived is served first.
-            Some(reason) if !connection.has_unread_input() => return reason,
+            Some(reason) if !connection.has_unread_input() => {
+                // The beginning of a head may have been read together with the request before.
+                let parts = exchange.into_parts();
+                if parts.read_buf.is_empty() {
+                    return reason;
+                }
+                exchange = builder.serve_connection(stream(parts.read_buf), parts.service);
+            }
             Some(_) | None => {}
         }
     }
