fix(gateway): close a connection whose caller takes nothing of its response

What callers saw: nothing yet; found in review. A caller that never reads its response kept its connection and the response's bytes for ever, and enough of them would have kept new callers out.

Why it works: each write that the socket takes is activity, so a slow reader is not closed; one that takes nothing for the idle timeout is, without waiting for its close. The header timeout also looks at the socket once more, since a host that wakes from a freeze finds its timer before the bytes.

--- a/crates/cassiafield-core/src/process/connection_activity.rs
+++ b/crates/cassiafield-core/src/process/connection_activity.rs
@@ -22,7 +22,7 @@
 /// Why the host closes a caller's connection.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum CloseReason {
-    /// No request arrived within the idle timeout.
+    /// No request arrived within the idle timeout, or nothing of a response was taken.
     IdleTimeout,
     /// A head did not arrive completely in time.
     HeaderTimeout,
@@ -54,8 +54,8 @@
 /// Activity of a caller's connection, which decides when the host may close it.
 ///
 /// A connection is closed only between requests: from the first byte of a head to the last written
-/// byte of the response, the host does not close it. Only a head that stays incomplete is an
-/// exception.
+/// byte of the response, the host does not close it. Only a head that stays incomplete and a caller
+/// that takes nothing of its response for the idle timeout are exceptions.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConnectionActivity {
     phase: ConnectionPhase,
@@ -130,6 +130,7 @@
 
     /// Records that the socket took `count` bytes of a response.
     pub fn record_write(&mut self, count: usize) {
+        self.change_count += 1;
         self.response_bytes += count as u64;
     }
 
@@ -217,9 +218,10 @@
                 let is_late = now.since(seen_at) >= policy.header_timeout;
                 is_late.then_some(CloseReason::HeaderTimeout)
             }
-            ConnectionPhase::ReadingBody
-            | ConnectionPhase::Responding
-            | ConnectionPhase::Flushing => None,
+            ConnectionPhase::ReadingBody | ConnectionPhase::Responding => None,
+            ConnectionPhase::Flushing => {
+                (quiet_time >= policy.idle_timeout).then_some(CloseReason::IdleTimeout)
+            }
         }
     }
 
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -196,7 +196,8 @@
     }
     service.record_close(&connection, reason);
     // A response that was aborted must not look complete, and the caller has nothing to read.
-    if reason == CloseReason::Failed && activity.has_open_request() {
+    let is_aborted = matches!(reason, CloseReason::Failed | CloseReason::IdleTimeout);
+    if is_aborted && activity.has_open_request() {
         return;
     }
     connection.close().await;
@@ -237,7 +238,11 @@
             wish: wish.or_else(|| service.close_wish()),
         };
         match connection.check(&policy, service.now()) {
-            Some(CloseReason::HeaderTimeout) => return CloseReason::HeaderTimeout,
+            Some(CloseReason::HeaderTimeout) if !connection.has_unread_input() => {
+                return CloseReason::HeaderTimeout
+            }
+            Some(CloseReason::HeaderTimeout) => {}
+            Some(reason) if connection.activity().has_open_request() => return reason,
             // A request that has just arrived is served first.
             Some(reason) if !connection.has_unread_input() => {
                 // The beginning of a head may have been read together with the request before.
