--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -74,9 +74,9 @@
     const BACKLOG: i32 = 1_024;
     /// Interval at which a connection is checked for idleness.
     const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-    /// Time added to the advertised idle timeout.
+    /// Time added to the advertised idle timeout and to the header timeout.
     ///
-    /// A request that is sent just before the advertised timeout is then still accepted.
+    /// A request that is sent just before its timeout is then still accepted.
     const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
     /// Interval at which a connection is checked once the process is about to exit.
     const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
