feat(ctl): explain shows slow store calls and revisions that peers told of

A refusal for a missing or stale configuration cited the store's outages only, not the calls that failed or were slow (1205) nor the revisions that a peer told of (1206). Both belong to what the host did not know. The test's log now holds one of each, and one of another host that must not be cited; it compares the whole list of numbers.

Tests: the four of explaining pass. Not run on the code before.

--- a/crates/cassiafield-daemons/tests/processes/explaining.rs
+++ b/crates/cassiafield-daemons/tests/processes/explaining.rs
@@ -21,6 +21,9 @@
 const MERGED: &str = r#"1.20 front-b {"timestamp":"2026-12-04T01:00:05.000Z","level":"INFO","number":1406,"name":"RequestRefused","request":"r2","cause":"store-unavailable","verdict":"not-run","detail":"path /x","configuration":3,"configuration_age_ms":4406,"endpoints":12,"endpoints_age_ms":4400}
 1.10 front-b {"timestamp":"2026-12-04T01:00:01.000Z","level":"WARN","number":1203,"name":"StoreUnreachable","detail":"configuration: no answer in time"}
 1.15 front-c {"timestamp":"2026-12-04T01:00:01.000Z","level":"WARN","number":1203,"name":"StoreUnreachable","detail":"configuration: no answer in time"}
+1.16 front-b {"timestamp":"2026-12-04T01:00:01.400Z","level":"INFO","number":1205,"name":"StoreCallDelayed","detail":"lists: no answer after 900 ms"}
+1.17 front-b {"timestamp":"2026-12-04T01:00:01.600Z","level":"INFO","number":1206,"name":"RevisionHeard","detail":"revision 8 of front-a"}
+1.18 front-c {"timestamp":"2026-12-04T01:00:01.700Z","level":"INFO","number":1206,"name":"RevisionHeard","detail":"revision 8 of front-a"}
 another program's line
 1.30 front-b {"timestamp":"2026-12-04T01:00:06.000Z","level":"IN
 "#;
@@ -66,7 +69,7 @@
           2026-12-04T01:00:02.800Z front-a 1402 StreamGivenUp: last event 17
         before it on the same host:
           2026-12-04T01:00:02.000Z front-a 1301 EndpointFailed: endpoint i-2: no answer in time
-        skipped merged.log:5: no log line: EOF while parsing a string at line 1 column 51
+        skipped merged.log:8: no log line: EOF while parsing a string at line 1 column 51
     "#]]
     .assert_eq(&text);
 }
@@ -84,7 +87,9 @@
                     12 endpoints, 4400 ms old)";
     assert_eq!(trace["summary"], expected);
     let context = trace["context"].as_array().unwrap();
-    assert_eq!((context.len(), &context[0]["host"]), (1, &Value::from("front-b")));
+    let numbers: Vec<_> = context.iter().map(|line| line["number"].as_u64().unwrap()).collect();
+    assert_eq!(numbers, [1203, 1205, 1206]);
+    assert!(context.iter().all(|line| line["host"] == "front-b"), "{context:?}");
     assert_eq!(found["broken_lines"].as_array().unwrap().len(), 1);
 }
 
--- a/crates/cassiafield/src/process/request_trace.rs
+++ b/crates/cassiafield/src/process/request_trace.rs
@@ -183,6 +183,8 @@
         LogEvent::ListsRejected,
         LogEvent::StoreUnreachable,
         LogEvent::StoreBack,
+        LogEvent::StoreCallDelayed,
+        LogEvent::RevisionHeard,
     ];
     let endpoint_events = [
         LogEvent::EndpointFailed,
