fix(daemons): handle SIGTERM and SIGINT from the first moment of an entry host

What was seen: a signal that came while the program read its settings ended the process by the signal instead of in order.

Cause: the handlers were installed after the settings were read.

Evidence: on the code before, with settings read from a named pipe,

stopping::signals_before_the_settings_are_read_are_handled SIGTERM: signal: 15 (SIGTERM), settings: Ok(())

in 2 of 2 runs.

Why it works: `main` installs the handlers right after it has parsed its arguments. What remains is the time from the program's start to the parsed arguments. SIGHUP still ends the process, since this host does not handle it at all.

--- a/crates/cassiafield-daemons/src/bin/cassiafield-entry.rs
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-entry.rs
@@ -1,7 +1,6 @@
 //! Runs an entry host.
 
 use {
-    anyhow::Context as _,
     cassiafield::{
         connection::{EtcdStore, HttpEngineClient, HttpHostListClient, HttpServiceClient},
         process::{start_log, EntryDependencies, EntryServer, EntrySettings},
@@ -37,15 +36,28 @@
         return ExitCode::SUCCESS;
     }
     let Some(file) = matches.opt_str("settings") else { return bad_usage("--settings is missing") };
+    if matches.opt_present("check") {
+        return match read_settings(&file) {
+            Ok(_) => {
+                println!("{file}: in order");
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        };
+    }
+    // A signal that arrives before its handler is installed ends the process at once.
+    let signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cassiafield-entry: cannot install the signal handlers: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let settings = match read_settings(&file) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    if matches.opt_present("check") {
-        println!("{file}: in order");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
+    match run(settings, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("cassiafield-entry: {error:#}");
@@ -69,10 +81,11 @@
     })
 }
 
-fn run(settings: EntrySettings) -> anyhow::Result<()> {
+fn run(settings: EntrySettings, mut signals: Signals) -> anyhow::Result<()> {
     start_log(settings.log_format, settings.log_level);
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT]).context("cannot install the signal handlers")?;
+    if signals.pending().next().is_some() {
+        return Ok(());
+    }
     let dependencies = EntryDependencies {
         store: Arc::new(EtcdStore::new(settings.store_url.clone())),
         host_list: Arc::new(HttpHostListClient::new(settings.hosts_url.clone())),
--- a/crates/cassiafield-daemons/tests/processes/main.rs
+++ b/crates/cassiafield-daemons/tests/processes/main.rs
@@ -9,3 +9,4 @@
 mod outage;
 mod recovery;
 mod report;
+mod stopping;
