fix(process): refuse requests with 503 from the end of the drain until the exit

What callers saw: requests on open and new connections that got no response while a stopping host wrote its last records: settled claims, its ordinal, the usage record. With a store that does not answer this takes seconds, in which the connections stay open and accept requests.

Cause: `EntryServer::close` closed the callers' listener as soon as no request was in flight, and did the rest afterwards. The HTTP library went on accepting and reading, but nothing took its requests. A head that arrived in pieces was lost in the same way.

Evidence: on the code before, with a silent store, the statuses of a request on a kept connection, of a head in two pieces and of one on a new connection:

stopping::requests_after_the_drain_are_refused_until_the_exit [0, 0, 0]

Why it works: `HttpListener::drain` waits as before, then lets the listener answer 503 "not-ready" with Retry-After and Cassiafield-Verdict not-run, until the listeners are closed as the last step. A request that begins between the last check and the switch is waited for. The refusal of an overloaded listener now states the verdict in the header too, not only in its document.

Not covered: a head that is not complete at the exit, and connections in the queue at that moment. The HTTP library shows the host neither its connections nor parts of heads.

--- a/crates/cassiafield/src/connection/http_listener.rs
+++ b/crates/cassiafield/src/connection/http_listener.rs
@@ -48,6 +48,7 @@
     handler: Arc<dyn RequestHandler>,
     limits: ListenerLimits,
     in_flight: AtomicUsize,
+    refusing: AtomicBool,
     closing: AtomicBool,
     servers: Mutex<Vec<Arc<Server>>>,
 }
@@ -88,6 +89,7 @@
             handler,
             limits,
             in_flight: AtomicUsize::new(0),
+            refusing: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             servers: Mutex::new(Vec::new()),
         });
@@ -111,15 +113,32 @@
         self.shared.in_flight.load(Ordering::SeqCst)
     }
 
-    /// Waits up to `timeout` until no request is in flight, then stops accepting.
+    /// Waits up to `timeout` until no request is in flight, then refuses new requests with status
+    /// 503 until the listener is closed.
     ///
     /// Returns the number of requests that are still in flight.
     #[must_use]
-    pub fn close(self, timeout: Duration) -> usize {
+    pub fn drain(&self, timeout: Duration) -> usize {
         let deadline = Instant::now() + timeout;
+        self.await_requests(deadline);
+        self.shared.refusing.store(true, Ordering::SeqCst);
+        // A request may have begun between the last check and the store.
+        self.await_requests(deadline);
+        self.in_flight_requests()
+    }
+
+    fn await_requests(&self, deadline: Instant) {
         while self.in_flight_requests() > 0 && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(10));
         }
+    }
+
+    /// Waits up to `timeout` until no request is in flight, then stops accepting.
+    ///
+    /// Returns the number of requests that are still in flight.
+    #[must_use]
+    pub fn close(self, timeout: Duration) -> usize {
+        self.await_requests(Instant::now() + timeout);
         self.shared.closing.store(true, Ordering::SeqCst);
         for server in lock(&self.shared.servers).iter() {
             server.unblock();
@@ -213,6 +232,9 @@
         .stack_size(HttpListener::REQUEST_STACK_BYTES)
         .spawn(move || {
             let _in_flight = InFlightGuard(&state.in_flight);
+            if state.refusing.load(Ordering::SeqCst) {
+                return refuse_stopping(request);
+            }
             state.handler.handle(request);
         });
     if let Err(error) = thread {
@@ -231,11 +253,26 @@
 }
 
 fn refuse_overloaded(request: Request) {
-    let mut response = Response::from_string(
+    refuse(
+        request,
         r#"{"title":"overloaded","status":503,"cause":"overloaded","verdict":"not-run"}"#,
-    )
-    .with_status_code(503);
-    let headers = [("Content-Type", "application/problem+json"), ("Retry-After", "1")];
+    );
+}
+
+fn refuse_stopping(request: Request) {
+    refuse(
+        request,
+        r#"{"title":"not-ready","status":503,"cause":"not-ready","verdict":"not-run"}"#,
+    );
+}
+
+fn refuse(request: Request, document: &str) {
+    let mut response = Response::from_string(document).with_status_code(503);
+    let headers = [
+        ("Content-Type", "application/problem+json"),
+        ("Cassiafield-Verdict", "not-run"),
+        ("Retry-After", "1"),
+    ];
     for (name, value) in headers {
         if let Ok(header) = Header::from_bytes(name, value) {
             response.add_header(header);
--- a/crates/cassiafield/src/process/entry_server.rs
+++ b/crates/cassiafield/src/process/entry_server.rs
@@ -49,6 +49,8 @@
     const WATCHERS_PER_ZONE: usize = 2;
     /// Attempts to write the last usage checkpoint when the host stops.
     const FINAL_CHECKPOINT_ATTEMPTS: u32 = 5;
+    /// Maximum wait for responses that are being written when a listener is closed.
+    const RESPONSE_GRACE: Duration = Duration::from_millis(200);
 
     /// Starts a host with listeners bound to the addresses in its settings.
     ///
@@ -118,7 +120,7 @@
         self.host.begin_shutdown();
         thread::sleep(self.host.settings.stop_notice);
         let aborted =
-            self.callers.close(self.host.settings.request_timeout + Duration::from_secs(5));
+            self.callers.drain(self.host.settings.request_timeout + Duration::from_secs(5));
         self.host.settle_claims();
         self.shutdown.store(true, Ordering::SeqCst);
         if let Ok(manager) = self.ordinal.join() {
@@ -132,7 +134,8 @@
                 break;
             }
         }
-        let _ = self.peers.close(Duration::from_millis(200));
+        let _ = self.peers.close(Self::RESPONSE_GRACE);
+        let _ = self.callers.close(Self::RESPONSE_GRACE);
         LogEvent::HostStopped.log(format_args!("{aborted} requests aborted"));
     }
 }
