fix: a silent endpoint without a substitute no longer ends a stream of an entry host

Callers saw: 502 "endpoint-failed", or a stream that ended with an error event, although their endpoint went on with the answer after a pause.

Cause: 350 ms without a message from the engine, or 1 s without a token, ended the attempt at once. The runner cancelled it and only then looked for another route. With none it took the same one again, so that four attempts without a token, 1.5 s, used up the stream; a stream without a token ended at once if the retry budget refused.

Now a silent route is left only if an attempt is left, the budget grants the retry where one is needed, and there is a route without the silent endpoint, or all stages answer probes, so that only the connection is lost. Otherwise the stream stays and asks again at each further timeout until its deadline. A granted retry that was not used is kept for the stream, so that it is taken from the budget once. Limits on attempts and the budget are unchanged. A line whose rest is late is read on instead of its end being taken for a line of its own.

The count of an engine's accepted streams moves to the tests' shared module.

Not changed: an engine that does not answer the request to open a stream at all, and one that reports a later stage as failed, are still given up after four attempts. A stream that stays notices that its caller has left only at the next token.

--- a/crates/cassiafield-core/src/request/stream_recovery.rs
+++ b/crates/cassiafield-core/src/request/stream_recovery.rs
@@ -72,6 +72,12 @@
         self.failures
     }
 
+    /// Returns `true` if one more failure would leave an attempt.
+    #[must_use]
+    pub const fn has_attempts_left(&self) -> bool {
+        self.failures + 1 < MAX_CONSECUTIVE_FAILURES
+    }
+
     /// Resets the failure count after an attempt that delivered tokens.
     ///
     /// The number of attempts stays bounded, because each such attempt brings the stream closer to
--- a/crates/cassiafield-core/tests/stream_recovery.rs
+++ b/crates/cassiafield-core/tests/stream_recovery.rs
@@ -30,6 +30,19 @@
     assert_eq!(resumed.count(), 3);
 }
 
+/// Guards against leaving a silent route with the last attempt used up.
+#[test]
+fn attempts_are_left_exactly_while_a_failure_is_followed_by_another_one() {
+    let mut recovery = StreamRecovery::new(DEADLINE);
+    for _ in 0..10 {
+        let has_attempts_left = recovery.has_attempts_left();
+        let is_resumed = fail(&mut recovery, true) != RecoveryStep::GiveUp;
+        assert_eq!(has_attempts_left, is_resumed);
+    }
+    recovery.record_progress();
+    assert!(recovery.has_attempts_left());
+}
+
 #[test]
 fn a_stream_is_given_up_without_retry_budget_or_after_the_deadline() {
     let mut recovery = StreamRecovery::new(DEADLINE);
--- a/crates/cassiafield-daemons/tests/processes/fleet/child_process.rs
+++ b/crates/cassiafield-daemons/tests/processes/fleet/child_process.rs
@@ -110,6 +110,13 @@
     read(request.set("Idempotency-Key", key).send_string(key))
 }
 
+/// Returns the number of streams that an engine has accepted.
+pub(crate) fn opened_streams(address: &str) -> u64 {
+    let load: Value =
+        ureq::get(&format!("http://{address}/v1/load")).call().unwrap().into_json().unwrap();
+    load["opened"].as_u64().unwrap()
+}
+
 fn agent() -> ureq::Agent {
     ureq::AgentBuilder::new().timeout(Duration::from_secs(60)).max_idle_connections(0).build()
 }
--- a/crates/cassiafield-daemons/tests/processes/fleet/mod.rs
+++ b/crates/cassiafield-daemons/tests/processes/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 mod child_process;
 
-pub(crate) use child_process::{complete, file, ChildProcess};
+pub(crate) use child_process::{complete, file, opened_streams, ChildProcess};
 use {
     cassiafield::{connection::EtcdStore, request::hash_bearer_key, version::ListEditor},
     cassiafield_core::version::{ListChange, ListEdit, PlanDraft, PlanLimits, ZoneShare},
--- a/crates/cassiafield-daemons/tests/processes/leaving.rs
+++ b/crates/cassiafield-daemons/tests/processes/leaving.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::fleet::{
-        complete, expected_completion, file, wait_until, ProcessFleet, ProcessFleetSpec,
+        complete, expected_completion, file, opened_streams, wait_until, ProcessFleet,
+        ProcessFleetSpec,
     },
-    serde_json::Value,
     std::{
         sync::{
             atomic::{AtomicBool, AtomicU32, Ordering},
@@ -21,12 +21,6 @@
 /// Age of the list of hosts that a lagging host reads.
 const LIST_LAG: Duration = Duration::from_secs(5);
 
-fn opened_streams(address: &str) -> u64 {
-    let load: Value =
-        ureq::get(&format!("http://{address}/v1/load")).call().unwrap().into_json().unwrap();
-    load["opened"].as_u64().unwrap()
-}
-
 #[test]
 fn a_leaving_endpoint_gets_no_new_work_though_the_list_lags() {
     let fleet = ProcessFleet::start(ProcessFleetSpec {
--- a/crates/cassiafield-daemons/tests/processes/recovery.rs
+++ b/crates/cassiafield-daemons/tests/processes/recovery.rs
@@ -1,7 +1,9 @@
 //! Recovery of streams when a stage is killed or frozen.
 
 use {
-    crate::fleet::{expected_completion, ProcessFleet, ProcessFleetSpec},
+    crate::fleet::{
+        expected_completion, opened_streams, wait_until, ProcessFleet, ProcessFleetSpec,
+    },
     std::{thread, time::Duration},
 };
 
@@ -62,3 +64,19 @@
         fleet.engines[2].signal("CONT");
     });
 }
+
+/// Guards against streams that end because their only route is silent for a while.
+#[test]
+fn a_silent_stage_without_a_substitute_ends_no_stream() {
+    let spec = ProcessFleetSpec { replicas: 1, ..ProcessFleetSpec::default() };
+    let mut fleet = ProcessFleet::start(spec);
+    let before = opened_streams(fleet.engines[0].address());
+    assert_streams_survive(&mut fleet, |fleet| {
+        wait_until("every stream has begun", || {
+            opened_streams(fleet.engines[0].address()) >= before + u64::from(STREAMS)
+        });
+        fleet.engines[0].signal("STOP");
+        thread::sleep(Duration::from_secs(4));
+        fleet.engines[0].signal("CONT");
+    });
+}
--- a/crates/cassiafield/src/connection/engine_client.rs
+++ b/crates/cassiafield/src/connection/engine_client.rs
@@ -67,7 +67,7 @@
     Refused(String),
 }
 
-/// Why a stream ended before the answer was complete.
+/// Why there is no further message although the answer is not complete.
 #[derive(Clone, Debug)]
 pub enum EngineStreamError {
     /// No message, not even a heartbeat, arrived within the read timeout.
@@ -92,9 +92,11 @@
 pub trait EngineStream: Send {
     /// Waits for the next message.
     ///
+    /// After [`EngineStreamError::TimedOut`] the stream is still open.
+    ///
     /// # Errors
     ///
-    /// Returns why the stream ended.
+    /// Returns why there is no message.
     fn next_event(&mut self) -> Result<EngineEvent, EngineStreamError>;
 }
 
@@ -208,8 +210,12 @@
 
 impl EngineStream for JsonLineStream {
     fn next_event(&mut self) -> Result<EngineEvent, EngineStreamError> {
-        self.line.clear();
-        let mut bounded = self.reader.by_ref().take(Self::MAX_LINE_BYTES);
+        // The start of a line whose rest is late is kept.
+        if self.line.ends_with('\n') {
+            self.line.clear();
+        }
+        let left = Self::MAX_LINE_BYTES.saturating_sub(self.line.len() as u64);
+        let mut bounded = self.reader.by_ref().take(left);
         match bounded.read_line(&mut self.line) {
             Ok(0) => Err(EngineStreamError::Closed),
             Ok(_) if !self.line.ends_with('\n') => Err(EngineStreamError::InvalidMessage),
--- a/crates/cassiafield/src/process/admission_controller.rs
+++ b/crates/cassiafield/src/process/admission_controller.rs
@@ -341,17 +341,37 @@
     ) -> Result<StageRoute, RoutingError> {
         let now = self.clock.now();
         let mut table = lock(&self.table);
-        let request = RouteRequest {
+        let request = self.other_route_request(old, prefix_hash, excluded);
+        let route = RoutePlanner.plan(&table, &request, now)?;
+        dispatch_route(&mut table, &route, now);
+        finish_route(&mut table, Some(old));
+        Ok(route)
+    }
+
+    /// Plans a route in place of `old` without reserving it.
+    pub(super) fn plan_other_route(
+        &self,
+        old: &StageRoute,
+        prefix_hash: u64,
+        excluded: &[EndpointId],
+    ) -> Result<StageRoute, RoutingError> {
+        let request = self.other_route_request(old, prefix_hash, excluded);
+        RoutePlanner.plan(&lock(&self.table), &request, self.clock.now())
+    }
+
+    fn other_route_request<'a>(
+        &'a self,
+        old: &'a StageRoute,
+        prefix_hash: u64,
+        excluded: &'a [EndpointId],
+    ) -> RouteRequest<'a> {
+        RouteRequest {
             model: old.model(),
             excluded,
             zone: &self.zone,
             prefix_hash,
             capacity: RouteCapacity::Any,
-        };
-        let route = RoutePlanner.plan(&table, &request, now)?;
-        dispatch_route(&mut table, &route, now);
-        finish_route(&mut table, Some(old));
-        Ok(route)
+        }
     }
 
     /// Releases a route and records the time for which it was in use.
--- a/crates/cassiafield/src/process/route_guard.rs
+++ b/crates/cassiafield/src/process/route_guard.rs
@@ -29,6 +29,12 @@
         self.route.as_ref().expect("the route is present until the guard is dropped")
     }
 
+    /// Returns `true` if there is a route that avoids `excluded`, even if no slots are free.
+    #[must_use]
+    pub fn has_route_without(&self, excluded: &[EndpointId]) -> bool {
+        self.admission.plan_other_route(self.route(), self.prefix_hash, excluded).is_ok()
+    }
+
     /// Replaces the route with one that avoids `excluded`, even if no slots are free.
     ///
     /// # Errors
--- a/crates/cassiafield/src/request/stream_runner.rs
+++ b/crates/cassiafield/src/request/stream_runner.rs
@@ -87,6 +87,7 @@
     assembly: AnswerAssembly,
     recovery: StreamRecovery,
     request_sent: bool,
+    retry_granted: bool,
     busy_responses: u32,
 }
 
@@ -119,6 +120,7 @@
             assembly: AnswerAssembly::new(job.stream),
             recovery: StreamRecovery::new(job.deadline),
             request_sent: false,
+            retry_granted: false,
             busy_responses: 0,
         };
         let outcome = run.run(guard);
@@ -245,7 +247,8 @@
             self.recovery.record_progress();
         }
         let has_tokens = self.delivered() > 0;
-        let permitted = has_tokens || lock(&self.runner.retry_budget).try_acquire();
+        let permitted = has_tokens || self.try_acquire_retry();
+        self.retry_granted = false;
         let now = self.runner.clock.now();
         match self.recovery.record_failure(now, source, permitted, fastrand::f64()) {
             RecoveryStep::GiveUp => Some(self.give_up(RefusalCause::EndpointFailed)),
@@ -266,6 +269,30 @@
         }
     }
 
+    /// Takes a retry from the budget, unless the stream still holds one that it has not used.
+    fn try_acquire_retry(&mut self) -> bool {
+        self.retry_granted = self.retry_granted || lock(&self.runner.retry_budget).try_acquire();
+        self.retry_granted
+    }
+
+    /// Returns `true` if the stream can leave a silent route: an attempt and a retry are left, and
+    /// another route avoids the endpoint that is silent or only the connection is lost.
+    fn may_leave(
+        &mut self,
+        guard: &RouteGuard,
+        source: &FailureSource,
+        is_connection_lost: bool,
+        has_progressed: bool,
+    ) -> bool {
+        let mut excluded = self.recovery.failed_endpoints().to_vec();
+        if let FailureSource::Endpoint(endpoint) | FailureSource::Suspect(endpoint) = source {
+            excluded.push(endpoint.clone());
+        }
+        (has_progressed || self.recovery.has_attempts_left())
+            && (is_connection_lost || guard.has_route_without(&excluded))
+            && (self.delivered() > 0 || self.try_acquire_retry())
+    }
+
     /// Takes a route that avoids the failed endpoints and the suspect one; if there is none, avoids
     /// only the failed ones, then only the last failed one, then none.
     ///
@@ -311,7 +338,7 @@
         match self.runner.engines.open(&request) {
             Ok(mut stream) => {
                 self.request_sent = true;
-                self.read_events(stream.as_mut(), route.stages())
+                self.read_events(stream.as_mut(), guard)
             }
             Err(OpenError::Unreachable(_)) => {
                 AttemptOutcome::Failed(attribute_to_first_stage(route.stages()))
@@ -328,20 +355,25 @@
     }
 
     /// Processes engine messages until the attempt ends.
-    fn read_events(
-        &mut self,
-        stream: &mut dyn EngineStream,
-        stages: &[RouteStage],
-    ) -> AttemptOutcome {
+    fn read_events(&mut self, stream: &mut dyn EngineStream, guard: &RouteGuard) -> AttemptOutcome {
+        let stages = guard.route().stages();
+        let mut is_silent = false;
+        let delivered_before = self.delivered();
         let mut last_progress = self.runner.clock.now();
         let mut token_timeout = StreamRunner::FIRST_TOKEN_TIMEOUT;
         let mut meter = LatencyMeter::default();
         loop {
             let event = stream.next_event();
+            let mut has_timed_out = false;
             let now = self.runner.clock.now();
             match event {
                 Ok(EngineEvent::Frame(frame)) => match self.handle_frame(frame) {
                     FrameStep::Delivered => {
+                        if is_silent {
+                            is_silent = false;
+                            self.runner.record_success(stages);
+                            LogEvent::StreamReturned.log(self.job.stream);
+                        }
                         last_progress = now;
                         token_timeout = StreamRunner::TOKEN_TIMEOUT;
                         if let Some(measured) = meter.token(now) {
@@ -363,13 +395,29 @@
                 Err(EngineStreamError::InvalidMessage) => {
                     return AttemptOutcome::Failed(attribute_to_first_stage(stages))
                 }
-                Err(EngineStreamError::TimedOut | EngineStreamError::Closed) => {
+                Err(EngineStreamError::TimedOut) => has_timed_out = true,
+                Err(EngineStreamError::Closed) => {
                     return AttemptOutcome::Failed(self.runner.locate_failed_stage(stages));
                 }
             }
-            if now.since(last_progress) > token_timeout || now >= self.job.deadline {
-                return AttemptOutcome::Failed(self.runner.locate_failed_stage(stages));
+            let is_late = now >= self.job.deadline;
+            if !is_late && !has_timed_out && now.since(last_progress) <= token_timeout {
+                continue;
+            }
+            let source = self.runner.locate_failed_stage(stages);
+            // All stages answer probes, so the engine's heartbeats do not reach this host.
+            let is_connection_lost = has_timed_out && !matches!(source, FailureSource::Endpoint(_));
+            let has_progressed = self.delivered() > delivered_before;
+            if is_late || self.may_leave(guard, &source, is_connection_lost, has_progressed) {
+                return AttemptOutcome::Failed(source);
+            }
+            // An endpoint that is silent may still deliver, so its stream ends only for another
+            // route or at the deadline.
+            if !is_silent {
+                is_silent = true;
+                self.runner.record_failure(&source);
             }
+            last_progress = now;
         }
     }
 
