fix(core): reads after a notice are spread by the store's rate

On paper, all hosts read within 5 % of the base interval after a notice: 195 hosts in 100 ms, 1,950 reads a second of the store's 2,000. Calls beyond the rate are refused, and the change is late.

Cause: the spread did not know the number of hosts nor the store's rate.

Before (the new interface with the old spread): reads_after_a_notice_take_at_most_half_of_the_rate_of_the_store ... FAILED 195 hosts, 100ms: 195 reads, half is 100

Now the spread is at least 3 * hosts / reads_per_s (a third of the rate on average), at most what the change limit leaves to each hop, and never less than before; without `reads_per_s` it is as before. The test replaces each random delay by its mean: single draws can exceed half in a window. a_change_arrives_within_its_limit_despite_a_failed_call_on_each_hop now also runs with fleets and rates; its bound is the same.

A host keeps querying during the longer delay, since the list of endpoints comes by queries; further notices postpone neither the read nor the next query, and a reader's periodic read is not delayed. These four rules of the gateway have no test of their own.

--- a/crates/cassiafield-core/src/process/sync_intervals.rs
+++ b/crates/cassiafield-core/src/process/sync_intervals.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{num::NonZeroU32, time::Duration};
 
 /// The intervals at which hosts read the platform's store and query each other.
 ///
@@ -16,6 +16,8 @@
 pub struct SyncIntervals {
     change_limit: Duration,
     revocation_limit: Duration,
+    /// Reads per second that the store accepts from all hosts, if known.
+    store_reads: Option<NonZeroU32>,
 }
 
 impl SyncIntervals {
@@ -36,16 +38,20 @@
     const OUTAGE_PERCENT: u32 = 80;
     /// Delay of the second call of a read, in percent of the base.
     const SECOND_CALL_PERCENT: u32 = 10;
-    /// Longest random delay of a read after a notice, in percent of the base.
-    ///
-    /// All hosts of the fleet read then.
+    /// Minimum of the longest random delay of a read after a notice, in percent of the base.
     const NOTICE_SPREAD_PERCENT: u32 = 5;
+    /// Divisor of the store's rate that gives the mean rate of the reads after a notice.
+    ///
+    /// The delays are random, and the reads should stay under half of the rate.
+    const NOTICE_RATE_DIVISOR: u32 = 3;
     /// Maximum age of a peer's data, in percent of the limit.
     ///
     /// A host whose data gets as old until its next query still counts as ready.
     const AGE_PERCENT: u32 = 65;
     /// Time that the calls on the way from the store to a host may take together.
     const TRANSIT_TIME: Duration = Duration::from_millis(200);
+    /// Time of one answered call on the way of a change, a quarter of the transit time.
+    const ANSWER_TIME: Duration = Duration::from_millis(50);
     /// Time that a host's own call to the store may take.
     const CALL_TIME: Duration = Duration::from_millis(100);
     /// Shortest interval.
@@ -62,7 +68,13 @@
     /// which no request with a revoked key may run.
     #[must_use]
     pub const fn new(change_limit: Duration, revocation_limit: Duration) -> Self {
-        Self { change_limit, revocation_limit }
+        Self { change_limit, revocation_limit, store_reads: None }
+    }
+
+    /// Sets the reads per second that the store accepts from all hosts.
+    #[must_use]
+    pub const fn with_store_reads(self, store_reads: Option<NonZeroU32>) -> Self {
+        Self { store_reads, ..self }
     }
 
     fn base(&self) -> Duration {
@@ -105,16 +117,35 @@
     }
 
     /// Returns the longest random delay of a read after a notice of a newer revision.
+    ///
+    /// All `hosts` read then. Their reads take at most a part of the store's rate, as far as the
+    /// change still arrives within its limit.
     #[must_use]
-    pub fn notice_spread(&self) -> Duration {
-        self.base() * Self::NOTICE_SPREAD_PERCENT / 100
+    pub fn notice_spread(&self, hosts: usize) -> Duration {
+        let min_spread = self.base() * Self::NOTICE_SPREAD_PERCENT / 100;
+        let Some(rate) = self.store_reads else { return min_spread };
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let rate_spread =
+            Duration::from_secs(1).saturating_mul(hosts) * Self::NOTICE_RATE_DIVISOR / rate.get();
+        rate_spread.min(self.max_notice_spread()).max(min_spread)
+    }
+
+    /// Returns the part of the change limit that is left for the spread of each hop, if the store
+    /// refuses each host's first read and one message of each hop is lost.
+    fn max_notice_spread(&self) -> Duration {
+        let hops = if self.allows_fleet_reader() { 2 } else { 1 };
+        let failed_read = self.error_backoff() + Self::ANSWER_TIME * 2;
+        // The change just missed the read before, whose answer is on its way.
+        let reader_time = Self::ANSWER_TIME + self.read_interval() + failed_read;
+        let hop_time = Self::URGENT_MESSAGE_DELAY + Self::REPEATED_MESSAGE_DELAY + failed_read;
+        self.change_limit.saturating_sub(reader_time + hop_time * hops) / hops
     }
 
     /// Returns the time within which a host starts to read a change that a zone's leader has, if one
     /// message between them is lost.
     #[must_use]
-    pub fn notice_delay(&self) -> Duration {
-        Self::URGENT_MESSAGE_DELAY + Self::REPEATED_MESSAGE_DELAY + self.notice_spread()
+    pub fn notice_delay(&self, hosts: usize) -> Duration {
+        Self::URGENT_MESSAGE_DELAY + Self::REPEATED_MESSAGE_DELAY + self.notice_spread(hosts)
     }
 
     /// Returns the maximum age of a peer's data that makes a read of the store unnecessary.
--- a/crates/cassiafield-core/tests/change_delays.rs
+++ b/crates/cassiafield-core/tests/change_delays.rs
@@ -9,7 +9,7 @@
             VersionVerdict,
         },
     },
-    std::time::Duration,
+    std::{num::NonZeroU32, time::Duration},
 };
 
 /// Time of a call that is answered: a quarter of what the calls on the way may take together.
@@ -51,6 +51,16 @@
     })
 }
 
+/// Numbers of hosts and the store's rate of reads per second, if it has one: fleets of the design sizes,
+/// and one for which the rate is far too low.
+const FLEETS: [(usize, Option<NonZeroU32>); 5] = [
+    (195, None),
+    (9, NonZeroU32::new(400)),
+    (195, NonZeroU32::new(2_000)),
+    (380, NonZeroU32::new(2_000)),
+    (10_000, NonZeroU32::new(1)),
+];
+
 /// Returns the time from `needed_at` until the host has the newer configuration.
 fn read_time(
     schedule: &mut ReadSchedule,
@@ -91,11 +101,16 @@
 
 /// Returns the time from one host's having the change to the next host's having it, if one message
 /// between them is lost.
-fn hop_time(intervals: SyncIntervals, role: ReaderRole, fault: CallFault) -> Duration {
+fn hop_time(
+    intervals: SyncIntervals,
+    hosts: usize,
+    role: ReaderRole,
+    fault: CallFault,
+) -> Duration {
     let mut schedule = ReadSchedule::new(intervals);
     let heard_at = Moment::from_millis(20_000);
     schedule.record(ReadOutcome::Answered(CALL_TIME), Moment::from_millis(15_000));
-    let notice_delay = intervals.notice_delay();
+    let notice_delay = intervals.notice_delay(hosts);
     notice_delay + read_time(&mut schedule, role, true, fault, heard_at)
 }
 
@@ -104,7 +119,11 @@
 #[test]
 fn a_change_arrives_within_its_limit_despite_a_failed_call_on_each_hop() {
     let mut late = Vec::new();
-    for (change_limit, intervals) in all_limits() {
+    let fleets = || FLEETS.into_iter();
+    for ((change_limit, intervals), (hosts, rate)) in
+        all_limits().flat_map(|limits| fleets().map(move |fleet| (limits, fleet)))
+    {
+        let intervals = intervals.with_store_reads(rate);
         let has_fleet_reader = intervals.allows_fleet_reader();
         let leader_faults = if has_fleet_reader { &FAULTS[..] } else { &FAULTS[..1] };
         for first in FAULTS {
@@ -112,11 +131,11 @@
                 for third in FAULTS {
                     let mut time = reader_time(intervals, first);
                     if has_fleet_reader {
-                        time += hop_time(intervals, ReaderRole::Leader, second);
+                        time += hop_time(intervals, hosts, ReaderRole::Leader, second);
                     }
-                    time += hop_time(intervals, ReaderRole::Member, third);
+                    time += hop_time(intervals, hosts, ReaderRole::Member, third);
                     if time > change_limit {
-                        late.push((time, change_limit, first, second, third));
+                        late.push((time, change_limit, hosts, first, second, third));
                     }
                 }
             }
@@ -126,6 +145,30 @@
     assert!(late.is_empty(), "{} cases are late, the worst: {worst:?}", late.len());
 }
 
+/// Guards against a fleet whose reads after a notice use up the store's rate, so that it refuses calls.
+#[test]
+fn reads_after_a_notice_take_at_most_half_of_the_rate_of_the_store() {
+    const WINDOW: Duration = Duration::from_millis(100);
+    for (change_ms, revocation_ms) in [(2_000, 5_000), (4_000, 5_000)] {
+        let change_limit = Duration::from_millis(change_ms);
+        let limits = SyncIntervals::new(change_limit, Duration::from_millis(revocation_ms));
+        for (hosts, rate) in [(9_u32, 400_u32), (195, 2_000), (380, 2_000)] {
+            let intervals = limits.with_store_reads(NonZeroU32::new(rate));
+            let fleet = usize::try_from(hosts).expect("small");
+            let spread = intervals.notice_spread(fleet);
+            // Each random delay is replaced by its mean among the ordered delays.
+            let delay = |host| spread.mul_f64(f64::from(host) / f64::from(hosts + 1));
+            let delays: Vec<_> = (1..=hosts).map(delay).collect();
+            let reads_from = |start: Duration| {
+                delays.iter().filter(|delay| (start..start + WINDOW).contains(*delay)).count()
+            };
+            let busiest = delays.iter().map(|start| reads_from(*start)).max().expect("hosts");
+            let half = usize::try_from(rate / 10 / 2).expect("small");
+            assert!(busiest < half, "{hosts} hosts, {spread:?}: {busiest} reads, half is {half}");
+        }
+    }
+}
+
 /// Guards against accepted ages that add up: a host takes the oldest data that it may take from its
 /// leader, whose calls fail, and its next query is lost.
 #[test]
--- a/crates/cassiafield-gateway/src/process/configuration_sync.rs
+++ b/crates/cassiafield-gateway/src/process/configuration_sync.rs
@@ -22,6 +22,8 @@
     reader: StoreReader,
     availability: StoreAvailability,
     schedule: ReadSchedule,
+    /// When to read the revision of a notice; `None` from the beginning of a read to the next notice.
+    notice_read_at: Option<Moment>,
     endpoint_requests: Rc<EndpointRequests>,
     /// The last valid item that the store returned.
     last_item: Option<StoreItem>,
@@ -49,7 +51,15 @@
     ) -> Self {
         let schedule = ReadSchedule::new(state.settings.sync_intervals());
         let availability = StoreAvailability::default();
-        Self { state, reader, availability, schedule, endpoint_requests, last_item: None }
+        Self {
+            state,
+            reader,
+            availability,
+            schedule,
+            notice_read_at: None,
+            endpoint_requests,
+            last_item: None,
+        }
     }
 
     /// Synchronises periodically; never returns.
@@ -105,15 +115,25 @@
 
     /// Waits until the next round is due or a peer mentions a newer revision.
     async fn pause(&mut self, role: ReaderRole, is_done: bool) {
+        let started_at = self.state.now();
+        let mut end = started_at + self.time_until_due(role, is_done);
         loop {
-            let pause = self.time_until_due(role, is_done).max(Self::MIN_PAUSE);
+            let now = self.state.now();
+            let due_at = now + self.time_until_due(role, is_done);
+            // A notice does not postpone the next query.
+            end = if role == ReaderRole::Reader { due_at } else { end.min(due_at) };
+            let pause = end.max(started_at + Self::MIN_PAUSE).since(now);
             tokio::select! {
                 () = sleep(pause) => return,
                 () = self.state.revision_heard.notified() => {
                     self.schedule.record_notice();
-                    let spread = self.state.settings.sync_intervals().notice_spread();
-                    sleep(spread.mul_f64(fastrand::f64())).await;
-                    return;
+                    let intervals = self.state.settings.sync_intervals();
+                    let spread = intervals.notice_spread(self.state.live_hosts.get());
+                    // Further notices do not postpone the read.
+                    if self.state.awaits_revision() && self.notice_read_at.is_none() {
+                        let delay = spread.mul_f64(fastrand::f64());
+                        self.notice_read_at = Some(self.state.now() + delay);
+                    }
                 }
                 () = self.endpoint_requests.finished(), if role == ReaderRole::Reader => {}
             }
@@ -123,8 +143,8 @@
     fn time_until_due(&self, role: ReaderRole, is_done: bool) -> Duration {
         let (now, intervals) = (self.state.now(), self.state.settings.sync_intervals());
         let is_awaited = self.state.awaits_revision();
-        let due_in = self.schedule.next_read_at(role, is_awaited).since(now);
-        match role {
+        let due_in = self.next_read_at(role).since(now);
+        let pause = match role {
             ReaderRole::Reader => {
                 let endpoints_due_in = self.endpoint_requests.time_until_due(role, now);
                 endpoints_due_in.map_or(due_in, |endpoints| endpoints.min(due_in))
@@ -134,11 +154,32 @@
                 due_in.min(intervals.query_interval())
             }
             ReaderRole::Leader | ReaderRole::Member => intervals.query_interval(),
+        };
+        if is_awaited && self.notice_read_at.is_some() {
+            pause.min(due_in)
+        } else {
+            pause
+        }
+    }
+
+    /// Returns the time from which the configuration may be read.
+    fn next_read_at(&self, role: ReaderRole) -> Moment {
+        let is_awaited = self.state.awaits_revision();
+        let next_read_at = self.schedule.next_read_at(role, is_awaited);
+        let Some(notice_read_at) = self.notice_read_at.filter(|_| is_awaited) else {
+            return next_read_at;
+        };
+        let delayed_read_at = next_read_at.max(notice_read_at);
+        if role == ReaderRole::Reader {
+            // Others rely on its periodic reads.
+            delayed_read_at.min(self.schedule.next_read_at(role, false))
+        } else {
+            delayed_read_at
         }
     }
 
     fn may_read(&self, role: ReaderRole) -> bool {
-        self.state.now() >= self.schedule.next_read_at(role, self.state.awaits_revision())
+        self.state.now() >= self.next_read_at(role)
     }
 
     /// Queries the host at `address` and applies its data; returns what must still be read from the
@@ -174,6 +215,7 @@
     /// Reads the configuration from the store and applies it; returns `true` if the store answered.
     async fn read(&mut self, role: ReaderRole) -> bool {
         let requested_at = self.state.now();
+        self.notice_read_at = None;
         let call = StoreCall::Get { key: self.state.codec.configuration_key().to_owned() };
         let answer = self.reader.read(&call, self.schedule.second_call_delay()).await;
         self.schedule.record(read_outcome(&answer), self.state.now());
--- a/crates/cassiafield-gateway/src/process/gateway_settings.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_settings.rs
@@ -3,7 +3,7 @@
         ids::{HostId, ZoneId},
         process::SyncIntervals,
     },
-    std::{net::SocketAddrV4, time::Duration},
+    std::{net::SocketAddrV4, num::NonZeroU32, time::Duration},
 };
 
 /// Identity, addresses and limits of a host, fixed at startup.
@@ -23,6 +23,8 @@
     pub metrics_address: SocketAddrV4,
     /// Address of the platform's store.
     pub store_address: SocketAddrV4,
+    /// Reads per second that the store accepts from all hosts, if known.
+    pub store_reads: Option<NonZeroU32>,
     /// Time within which a change of the configuration or of an endpoint must be in force.
     pub change_limit: Duration,
     /// Time after which a revoked key must not be accepted any more.
@@ -46,5 +48,6 @@
     #[must_use]
     pub const fn sync_intervals(&self) -> SyncIntervals {
         SyncIntervals::new(self.change_limit, self.revocation_limit)
+            .with_store_reads(self.store_reads)
     }
 }
