refactor(core): the outcome of a read of the store has a name of its own

Two types were named ReadOutcome; the other one is that of the stream relay. rename: ReadOutcome StoreReadOutcome (cassiafield_core::process)

--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -65,7 +65,7 @@
     organisation_load::{OrganisationLoad, OrganisationUsage},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
-    read_schedule::{ReadOutcome, ReadSchedule, ReaderRole},
+    read_schedule::{ReadSchedule, ReaderRole, StoreReadOutcome},
     retry_budget::RetryBudget,
     retry_pool::{GrantRecord, RetryPool, ZoneTraffic},
     retry_quota::{RetryLimits, RetryQuota},
--- a/crates/cassiafield-core/src/process/read_schedule.rs
+++ b/crates/cassiafield-core/src/process/read_schedule.rs
@@ -16,7 +16,7 @@
 
 /// How a read of the store ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadOutcome {
+pub enum StoreReadOutcome {
     /// The store answered; the call with the answer took this long.
     Answered(Duration),
     /// The store refused the read or sent an unreadable answer.
@@ -32,14 +32,14 @@
 /// use {
 ///     cassiafield_core::{
 ///         ids::Moment,
-///         process::{ReadOutcome, ReadSchedule, ReaderRole, SyncIntervals},
+///         process::{StoreReadOutcome, ReadSchedule, ReaderRole, SyncIntervals},
 ///     },
 ///     std::time::Duration,
 /// };
 ///
 /// let intervals = SyncIntervals::new(Duration::from_secs(2), Duration::from_secs(5));
 /// let mut schedule = ReadSchedule::new(intervals);
-/// schedule.record(ReadOutcome::Refused, Moment::from_millis(1_000));
+/// schedule.record(StoreReadOutcome::Refused, Moment::from_millis(1_000));
 /// let next_read_at = schedule.next_read_at(ReaderRole::Member, false);
 /// assert_eq!(next_read_at, Moment::from_millis(2_600));
 /// let next_read_at = schedule.next_read_at(ReaderRole::Member, true);
@@ -63,15 +63,15 @@
     }
 
     /// Records the end of a read.
-    pub fn record(&mut self, outcome: ReadOutcome, now: Moment) {
+    pub fn record(&mut self, outcome: StoreReadOutcome, now: Moment) {
         self.ended_at = Some(now);
         match outcome {
-            ReadOutcome::Answered(call_time) => {
+            StoreReadOutcome::Answered(call_time) => {
                 self.failures = 0;
                 self.is_slow = call_time > self.intervals.second_call_delay();
             }
-            ReadOutcome::Refused => self.failures = self.failures.saturating_add(1),
-            ReadOutcome::Unanswered => {
+            StoreReadOutcome::Refused => self.failures = self.failures.saturating_add(1),
+            StoreReadOutcome::Unanswered => {
                 self.failures = self.failures.saturating_add(1);
                 self.is_slow = true;
             }
--- a/crates/cassiafield-core/tests/change_delays.rs
+++ b/crates/cassiafield-core/tests/change_delays.rs
@@ -5,8 +5,8 @@
     cassiafield_core::{
         ids::Moment,
         process::{
-            ReadOutcome, ReadSchedule, ReaderRole, RevisionNotice, SyncIntervals, VersionOrder,
-            VersionVerdict,
+            ReadSchedule, ReaderRole, RevisionNotice, StoreReadOutcome, SyncIntervals,
+            VersionOrder, VersionVerdict,
         },
     },
     std::{num::NonZeroU32, time::Duration},
@@ -70,7 +70,7 @@
     needed_at: Moment,
 ) -> Duration {
     if fault == CallFault::EarlierUnanswered {
-        schedule.record(ReadOutcome::Unanswered, needed_at);
+        schedule.record(StoreReadOutcome::Unanswered, needed_at);
         if is_awaited {
             schedule.record_notice();
         }
@@ -81,9 +81,11 @@
         (CallFault::None | CallFault::EarlierUnanswered, _) => (None, started_at + CALL_TIME),
         (CallFault::Silent, Some(delay)) => (None, started_at + delay + CALL_TIME),
         (CallFault::Broken, Some(_)) => (None, started_at + CALL_TIME + CALL_TIME),
-        (CallFault::Silent, None) => (Some(ReadOutcome::Unanswered), started_at + CALL_TIMEOUT),
-        (CallFault::Broken, None) => (Some(ReadOutcome::Unanswered), started_at + CALL_TIME),
-        (CallFault::Refused, _) => (Some(ReadOutcome::Refused), started_at + CALL_TIME),
+        (CallFault::Silent, None) => {
+            (Some(StoreReadOutcome::Unanswered), started_at + CALL_TIMEOUT)
+        }
+        (CallFault::Broken, None) => (Some(StoreReadOutcome::Unanswered), started_at + CALL_TIME),
+        (CallFault::Refused, _) => (Some(StoreReadOutcome::Refused), started_at + CALL_TIME),
     };
     let Some(failure) = outcome else { return ended_at.since(needed_at) };
     schedule.record(failure, ended_at);
@@ -95,7 +97,7 @@
 fn reader_time(intervals: SyncIntervals, fault: CallFault) -> Duration {
     let mut schedule = ReadSchedule::new(intervals);
     let missed_at = Moment::from_millis(10_000);
-    schedule.record(ReadOutcome::Answered(CALL_TIME), missed_at + CALL_TIME);
+    schedule.record(StoreReadOutcome::Answered(CALL_TIME), missed_at + CALL_TIME);
     read_time(&mut schedule, ReaderRole::Reader, false, fault, missed_at)
 }
 
@@ -109,7 +111,7 @@
 ) -> Duration {
     let mut schedule = ReadSchedule::new(intervals);
     let heard_at = Moment::from_millis(20_000);
-    schedule.record(ReadOutcome::Answered(CALL_TIME), Moment::from_millis(15_000));
+    schedule.record(StoreReadOutcome::Answered(CALL_TIME), Moment::from_millis(15_000));
     let notice_delay = intervals.notice_delay(hosts);
     notice_delay + read_time(&mut schedule, role, true, fault, heard_at)
 }
@@ -177,7 +179,7 @@
     for (change_limit, intervals) in all_limits() {
         for fault in [CallFault::None, CallFault::Silent, CallFault::Broken] {
             let mut schedule = ReadSchedule::new(intervals);
-            schedule.record(ReadOutcome::Answered(CALL_TIME), Moment::from_millis(10_000));
+            schedule.record(StoreReadOutcome::Answered(CALL_TIME), Moment::from_millis(10_000));
             let needed_at = Moment::from_millis(20_000);
             let time = intervals.max_peer_data_age()
                 + intervals.query_interval()
@@ -209,10 +211,10 @@
     let mut schedule = ReadSchedule::new(intervals);
     assert!(schedule.second_call_delay().is_some());
     let now = Moment::from_millis(1_000);
-    for outcome in [ReadOutcome::Answered(CALL_TIMEOUT), ReadOutcome::Unanswered] {
+    for outcome in [StoreReadOutcome::Answered(CALL_TIMEOUT), StoreReadOutcome::Unanswered] {
         schedule.record(outcome, now);
         assert_eq!(schedule.second_call_delay(), None, "{outcome:?}");
-        schedule.record(ReadOutcome::Answered(CALL_TIME), now);
+        schedule.record(StoreReadOutcome::Answered(CALL_TIME), now);
         assert!(schedule.second_call_delay().is_some());
     }
 }
@@ -225,7 +227,7 @@
     let mut now = Moment::from_millis(1_000);
     let mut reads = 0;
     while now < Moment::from_millis(21_000) {
-        schedule.record(ReadOutcome::Refused, now);
+        schedule.record(StoreReadOutcome::Refused, now);
         now = schedule.next_read_at(ReaderRole::Member, true);
         reads += 1;
     }
--- a/crates/cassiafield-gateway/src/process/endpoint_sync.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_sync.rs
@@ -6,7 +6,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::Moment,
-        process::{EndpointEntry, ListedEntry, ReadOutcome, ReadSchedule, ReaderRole},
+        process::{EndpointEntry, ListedEntry, ReadSchedule, ReaderRole, StoreReadOutcome},
     },
     std::{
         cell::{Cell, RefCell},
@@ -141,10 +141,12 @@
 }
 
 /// Returns how a read ended, for its schedule.
-pub(super) fn read_outcome<T>(answer: &Result<(T, Duration), StoreCallError>) -> ReadOutcome {
+pub(super) fn read_outcome<T>(answer: &Result<(T, Duration), StoreCallError>) -> StoreReadOutcome {
     match answer {
-        Ok((_, call_time)) => ReadOutcome::Answered(*call_time),
-        Err(StoreCallError::Unreachable(_)) => ReadOutcome::Unanswered,
-        Err(StoreCallError::Refused(_) | StoreCallError::Unreadable(_)) => ReadOutcome::Refused,
+        Ok((_, call_time)) => StoreReadOutcome::Answered(*call_time),
+        Err(StoreCallError::Unreachable(_)) => StoreReadOutcome::Unanswered,
+        Err(StoreCallError::Refused(_) | StoreCallError::Unreadable(_)) => {
+            StoreReadOutcome::Refused
+        }
     }
 }
