refactor(gateway): a stalled path, as elsewhere in the code

Comments, locals and one event's description called a path without events silent in new code and stalled in the rest.

--- a/crates/cassiafield-core/src/process/connection_activity.rs
+++ b/crates/cassiafield-core/src/process/connection_activity.rs
@@ -32,7 +32,7 @@
     NotReady,
     /// The process is about to exit.
     Exiting,
-    /// The time that the platform allows for a stop is over.
+    /// The platform's stop limit was reached.
     StopLimit,
     /// The last response was announced as the last one on the connection.
     LastResponse,
--- a/crates/cassiafield-core/src/request/stream_timeouts.rs
+++ b/crates/cassiafield-core/src/request/stream_timeouts.rs
@@ -42,7 +42,7 @@
     const RESUME_INTERVAL: Duration = Duration::from_millis(150);
     /// Interval between two attempts to resume a stream beyond the callers' usual patience.
     ///
-    /// Many streams may wait at silent paths, and each attempt may query the zone's leader.
+    /// Many streams may wait on stalled paths, and each attempt may query the zone's leader.
     const LATE_RESUME_INTERVAL: Duration = Duration::from_secs(1);
     /// Time without an event after which endpoints are probed, in percent of the gap objective.
     ///
--- a/crates/cassiafield-gateway/src/connection/caller_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_connection.rs
@@ -31,7 +31,7 @@
     is_closing: Cell<bool>,
 }
 
-/// What the log says about the request that a connection carries.
+/// Labels of a connection's current request in the log.
 #[derive(Clone, Debug)]
 pub struct RequestLabel {
     /// The caller's id of the request.
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -208,7 +208,7 @@
 
     /// Returns `true` if this host has the configuration of a version and a revision.
     ///
-    /// Version 0 stands for any: earlier releases do not send it.
+    /// Version 0 matches any version: earlier releases do not send it.
     pub(super) fn has_configuration(&self, version: u64, revision: u64) -> bool {
         let order = self.configuration_order.get();
         revision == order.revision() && (version == 0 || version == order.version())
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -50,7 +50,7 @@
     pub(super) sends: u32,
     /// First endpoints of the paths that the request was sent over.
     pub(super) sent_to: Vec<EndpointId>,
-    /// Reservation of a silent path that the next one may replace.
+    /// Reservation of a stalled path that the next one may replace.
     pub(super) replaced: RefCell<Option<ReservedLoad>>,
     /// Why the last failed planning found no path.
     pub(super) bottleneck: Cell<Option<PathError>>,
@@ -344,7 +344,7 @@
         };
         let head = Response::from_parts(parts, ());
         let remaining_time = self.context.remaining_time();
-        let may_leave = self.may_leave_silent_path();
+        let may_leave = self.may_leave_stalled_path();
         match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
@@ -370,10 +370,10 @@
         }
     }
 
-    /// Returns `true` if the request may be sent again after an endpoint was silent.
+    /// Returns `true` if the request may be sent again after an endpoint did not respond.
     ///
-    /// The silent endpoint may have run it, and may still respond.
-    pub(super) const fn may_leave_silent_path(&self) -> bool {
+    /// The unresponsive endpoint may have run it, and may still respond.
+    pub(super) const fn may_leave_stalled_path(&self) -> bool {
         self.context.rule.kind.is_retryable()
     }
 
@@ -388,7 +388,7 @@
         let (route, timeouts) = (&path.route, self.timeouts());
         let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
         let probe_delay = timeouts.head_probe_delay(expected);
-        let may_leave = self.may_leave_silent_path();
+        let may_leave = self.may_leave_stalled_path();
         let head_timeout = if may_leave { timeouts.head_timeout() } else { Duration::MAX };
         let response_timeout = head_timeout.min(self.context.remaining_time());
         let state = Rc::clone(&self.context.state);
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -38,7 +38,7 @@
     pub(super) body: Incoming,
     pub(super) splitter: EventSplitter,
     pub(super) route: StageRoute,
-    /// `None` while another path is sought that may replace this one.
+    /// `None` while a replacement for this path is planned.
     pub(super) reservation: Option<ReservedLoad>,
     pub(super) timeouts: StreamTimeouts,
     /// Typical time between two events on the path: first as planned, then as measured.
@@ -71,7 +71,7 @@
 
 impl StreamError {
     /// Returns `true` if the path may still deliver.
-    const fn is_silence(&self) -> bool {
+    const fn is_stall(&self) -> bool {
         matches!(self, StreamError::Stalled(_))
     }
 
@@ -115,7 +115,7 @@
 
 impl StreamAttempt {
     /// Waits until the next complete events arrive; with `may_leave`, only until the path is found
-    /// to be silent.
+    /// to have stalled.
     ///
     /// New streams avoid a path that stalls in either case.
     pub(super) async fn next_events(
@@ -164,7 +164,7 @@
         outcome
     }
 
-    /// Waits until the next complete events arrive, however long the path is silent.
+    /// Waits until the next complete events arrive, however long the path stalls.
     async fn late_events(&mut self, remaining_time: Duration) -> ReadOutcome {
         let reading = read_events(&mut self.body, &mut self.splitter);
         let outcome = timeout(remaining_time, reading).await;
@@ -330,7 +330,7 @@
 
     /// Goes on after the path failed, and returns the next events.
     ///
-    /// A silent path stays open until another one has delivered; whichever delivers first goes on.
+    /// A stalled path stays open until another one has delivered; whichever delivers first goes on.
     ///
     /// # Errors
     ///
@@ -340,13 +340,13 @@
         mut error: StreamError,
     ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
         let failed_at = self.call.context.state.now();
-        let mut silent_path = None;
+        let mut stalled_path = None;
         if let Some(mut attempt) = self.attempt.take() {
             let waited = self.time_without_events();
             self.call.record_stream_error(&attempt, &error, waited);
-            if error.is_silence() {
+            if error.is_stall() {
                 self.call.replaced.replace(attempt.reservation.take());
-                silent_path = Some(attempt);
+                stalled_path = Some(attempt);
             }
         }
         if matches!(error, StreamError::DeadlineExceeded) {
@@ -361,11 +361,11 @@
                 let wait = QueueWait::Resume(queue_wait);
                 let mut resuming = pin!(resume_elsewhere(&mut self.call, last_event, wait));
                 loop {
-                    match race(&mut silent_path, remaining_time, resuming.as_mut()).await {
+                    match race(&mut stalled_path, remaining_time, resuming.as_mut()).await {
                         RaceStep::Done(resumed) => break Ok(resumed),
                         RaceStep::Delivered(outcome) => break Err(outcome),
                         RaceStep::Broken(found) => {
-                            broken_path = silent_path.take().zip(Some(found));
+                            broken_path = stalled_path.take().zip(Some(found));
                         }
                     }
                 }
@@ -378,19 +378,19 @@
             let reason = match resumed {
                 Ok(Ok((attempt, events))) => {
                     // Closing its connection cancels the work on the path that is left.
-                    drop((silent_path, self.call.replaced.take()));
+                    drop((stalled_path, self.call.replaced.take()));
                     return Ok(self.record_resumption(attempt, events));
                 }
                 Ok(Err(reason)) => reason,
-                Err(outcome) => return self.stay(silent_path, outcome, error),
+                Err(outcome) => return self.stay(stalled_path, outcome, error),
             };
-            // The deadline says less than what refused the stream until then.
+            // The earlier refusal explains more than the deadline.
             let refusal = last_refusal.filter(|_| reason == GiveUpReason::DeadlineExceeded);
             let refusal = *last_refusal.insert(refusal.unwrap_or(reason));
             let timeouts = self.call.timeouts();
             let is_abandoned =
                 reason.is_final() || !timeouts.is_worth_resuming(self.time_without_events());
-            if silent_path.is_none() && is_abandoned {
+            if stalled_path.is_none() && is_abandoned {
                 return Err((error, refusal));
             }
             let pause = async {
@@ -401,11 +401,11 @@
                 sleep(timeouts.resume_interval(waited)).await;
             };
             let remaining_time = self.call.context.remaining_time();
-            match race(&mut silent_path, remaining_time, pause).await {
+            match race(&mut stalled_path, remaining_time, pause).await {
                 RaceStep::Done(()) => {}
-                RaceStep::Delivered(outcome) => return self.stay(silent_path, outcome, error),
+                RaceStep::Delivered(outcome) => return self.stay(stalled_path, outcome, error),
                 RaceStep::Broken(found) => {
-                    if let Some(path) = silent_path.take() {
+                    if let Some(path) = stalled_path.take() {
                         error = self.record_broken(&path, found);
                     }
                 }
@@ -426,14 +426,14 @@
         ReadOutcome::Events(events)
     }
 
-    /// Keeps the stream on its silent path, which has delivered `outcome`.
+    /// Keeps the stream on its stalled path, which has returned `outcome`.
     fn stay(
         &mut self,
-        silent_path: Option<StreamAttempt>,
+        stalled_path: Option<StreamAttempt>,
         outcome: ReadOutcome,
         error: StreamError,
     ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
-        let Some(mut attempt) = silent_path else { return Ok(outcome) };
+        let Some(mut attempt) = stalled_path else { return Ok(outcome) };
         if let ReadOutcome::Failed(_) = outcome {
             return Err((error, GiveUpReason::DeadlineExceeded));
         }
@@ -450,7 +450,7 @@
         Ok(outcome)
     }
 
-    /// Records that a silent path has broken, and returns the error.
+    /// Records that a stalled path has broken, and returns the error.
     fn record_broken(&mut self, path: &StreamAttempt, error: StreamError) -> StreamError {
         let waited = self.time_without_events();
         self.call.record_stream_error(path, &error, waited);
@@ -482,24 +482,24 @@
     }
 }
 
-/// Result of waiting for a silent path and something else at the same time.
+/// Result of waiting for a stalled path and something else at the same time.
 enum RaceStep<T> {
     /// The other future completed first.
     Done(T),
-    /// The silent path delivered, or the deadline has passed.
+    /// The stalled path delivered, or the deadline has passed.
     Delivered(ReadOutcome),
-    /// The silent path has broken, and the other future was not yet complete.
+    /// The stalled path has broken, and the other future was not yet complete.
     Broken(StreamError),
 }
 
-/// Waits until a silent path delivers or `other` completes.
+/// Waits until a stalled path delivers or `other` completes.
 async fn race<T>(
-    silent_path: &mut Option<StreamAttempt>,
+    stalled_path: &mut Option<StreamAttempt>,
     remaining_time: Duration,
     other: impl Future<Output = T>,
 ) -> RaceStep<T> {
     let late_events = async {
-        match silent_path {
+        match stalled_path {
             Some(attempt) => attempt.late_events(remaining_time).await,
             None => pending().await,
         }
@@ -526,7 +526,7 @@
         if let Some(reason) = call.resume_refusal() {
             return Err(reason);
         }
-        // A retry without a path would be taken from the budget in vain.
+        // A retry without a path would waste the budget.
         if let Err(error) = call.plan_with_wait(wait).await {
             return Err(give_up_reason(&error));
         }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -91,7 +91,7 @@
     1406 RequestRefused Info "A request was refused or has failed.";
     1407 StreamStarted Info "The first events of a stream arrived.";
     1408 RequestAnswered Info "A request was answered completely.";
-    1409 StreamReturned Info "A silent path of a stream delivered again before another one, and the stream stays on it.";
+    1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
