fix(gateway): wait longer for a caller that may still be reading a large response

Cause: the socket had taken the whole response, so it counted as delivered; the kernel still held most of it for a caller that was busy sending its next request. The host closed its socket 2 s after it had ended its side, and the caller's next bytes made the kernel reset the connection and discard the rest.

Why it works: on a connection that carried a response over 2 KB the host discards input until the caller has closed, for the idle timeout of the configuration or until the stop limit. Small responses fit the caller's receive buffer and keep 2 s, so that idle callers do not delay the exit.

--- a/crates/cassiafield-core/src/process/connection_activity.rs
+++ b/crates/cassiafield-core/src/process/connection_activity.rs
@@ -63,6 +63,7 @@
     next_bytes: u64,
     request_bytes: u64,
     response_bytes: u64,
+    largest_response_bytes: u64,
     request_count: u64,
     is_input_ended: bool,
     /// Whether the current request was answered before its body was complete.
@@ -79,6 +80,10 @@
     /// Time that an exiting host gives a new connection for its first request, which may be on its
     /// way.
     pub const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+    /// Time that a caller gets to close its side of a connection that carried small responses.
+    pub const MIN_LINGER_TIME: Duration = Duration::from_secs(2);
+    /// Size up to which a response fits the receive buffer of any caller.
+    const SMALL_RESPONSE_BYTES: u64 = 2 * 1_024;
 
     /// Records that `count` bytes were read; 0 at the end of the input.
     pub fn record_read(&mut self, count: usize) {
@@ -132,6 +137,7 @@
     pub fn record_write(&mut self, count: usize) {
         self.change_count += 1;
         self.response_bytes += count as u64;
+        self.largest_response_bytes = self.largest_response_bytes.max(self.response_bytes);
     }
 
     /// Records that no bytes wait to be written.
@@ -190,6 +196,19 @@
         self.response_bytes
     }
 
+    /// Returns how long the host should wait for the caller to close its side, after the host has
+    /// closed its own.
+    ///
+    /// The socket may have taken all of a large response that the caller has not read yet.
+    #[must_use]
+    pub fn linger_time(&self, idle_timeout: Duration) -> Duration {
+        if self.largest_response_bytes > Self::SMALL_RESPONSE_BYTES {
+            idle_timeout.max(Self::MIN_LINGER_TIME)
+        } else {
+            Self::MIN_LINGER_TIME
+        }
+    }
+
     /// Returns why the connection should be closed now, if it should.
     ///
     /// The host calls this at intervals; it counts a connection as quiet from the first check that
--- a/crates/cassiafield-core/tests/connection_activity.rs
+++ b/crates/cassiafield-core/tests/connection_activity.rs
@@ -184,3 +184,21 @@
         assert_eq!(slow_reader.check(&POLICY, Moment::from_millis(second * 1_000)), None);
     }
 }
+
+/// Guards against a reset of a connection whose caller still reads a large response.
+#[test]
+fn a_connection_that_carried_a_large_response_stays_longer_for_its_caller() {
+    let mut activity = used_connection();
+    let short = ConnectionActivity::MIN_LINGER_TIME;
+    assert_eq!(activity.linger_time(POLICY.idle_timeout), short);
+    activity.record_read(300);
+    activity.record_request();
+    activity.record_body_end();
+    activity.record_read(20);
+    activity.record_write(100_000);
+    activity.record_response_end();
+    activity.record_flush();
+    assert_eq!(activity.phase(), ConnectionPhase::ReadingHead);
+    assert_eq!(activity.linger_time(POLICY.idle_timeout), POLICY.idle_timeout);
+    assert_eq!(activity.linger_time(Duration::from_millis(100)), short);
+}
--- a/crates/cassiafield-gateway/src/connection/caller_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_connection.rs
@@ -46,8 +46,6 @@
 pub struct ResponseGuard(Rc<CallerConnection>);
 
 impl CallerConnection {
-    /// Maximum time that a caller gets to close its side after the host has closed its own.
-    const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
     /// Size of the buffer for bytes that are discarded.
     const DISCARD_BUFFER_BYTES: usize = 4 * 1_024;
 
@@ -97,8 +95,9 @@
     ///
     /// A socket that is closed while it holds unread bytes, or that receives bytes after its close,
     /// resets the connection, and the reset discards what is on its way to the caller. So the host
-    /// ends its own side first, and then discards input until the caller has ended the other.
-    pub(super) async fn close(&self) {
+    /// ends its own side first, and then discards input until the caller has ended the other, for
+    /// `linger_timeout` at most.
+    pub(super) async fn close(&self, linger_timeout: Duration) {
         self.is_closing.set(true);
         // It fails only if the connection is broken, and then there is nothing to wait for.
         if SockRef::from(&*self.socket.borrow()).shutdown(Shutdown::Write).is_err() {
@@ -114,7 +113,7 @@
             }
         });
         // A caller that keeps its side open has had enough time to read the response.
-        drop(timeout(Self::LINGER_TIMEOUT, discarded).await);
+        drop(timeout(linger_timeout, discarded).await);
     }
 
     /// Returns why the connection should be closed now, if it should.
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -200,7 +200,7 @@
     if is_aborted && activity.has_open_request() {
         return;
     }
-    connection.close().await;
+    connection.close(activity.linger_time(service.idle_timeout())).await;
 }
 
 /// Serves requests until the connection ends or should be closed; returns the reason.
