feat(gateway): log the pauses that endpoints ask for and count sends within them

Callers and endpoints see no change: no send is held back yet. Event 1310 names the endpoint, the time asked and the time kept; cassiafield_endpoint_pauses_total and cassiafield_sends_in_pause_total count, the latter by kind of sender (call, stream, probe, poll, order).

RetryAfter is the checked value: seconds with a fraction; negative and unreadable values count as 1 s, at most 600 s are kept. EndpointPauses belongs to an endpoint's incarnation and outlives its entry.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -1,8 +1,10 @@
 use {
     crate::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
-        process::{EndpointEntry, EndpointIncarnation, FailureCause, FailureReport},
-        request::LayerSpan,
+        process::{
+            EndpointEntry, EndpointIncarnation, EndpointPauses, FailureCause, FailureReport,
+        },
+        request::{LayerSpan, RetryAfter},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -83,6 +85,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     known: BTreeMap<EndpointId, KnownEndpoint>,
+    pauses: EndpointPauses,
     /// Whether the latest read of the list failed.
     is_unreadable: bool,
     /// When the list was first requested with success after the last failure.
@@ -246,6 +249,24 @@
         self.known.get(endpoint).is_some_and(|known| known.is_unresponsive(now))
     }
 
+    /// Records that an endpoint asked this host for a pause, and returns when it ends; `None` if the
+    /// endpoint is unknown.
+    pub fn record_pause(
+        &mut self,
+        endpoint: &EndpointId,
+        asked: RetryAfter,
+        now: Moment,
+    ) -> Option<Moment> {
+        let incarnation = self.entry(endpoint)?.incarnation;
+        Some(self.pauses.record(endpoint, incarnation, asked, now))
+    }
+
+    /// Returns when the pause that an endpoint asked this host for ends; `None` if there is none.
+    #[must_use]
+    pub fn pause_end(&self, endpoint: &EndpointId, now: Moment) -> Option<Moment> {
+        self.pauses.ends_at(endpoint, self.entry(endpoint)?.incarnation, now)
+    }
+
     /// Chooses the endpoint of a service with the lowest expected latency.
     ///
     /// After a failure, an endpoint is first tried again with requests that may be repeated; a
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_directory;
 mod endpoint_entry;
 mod endpoint_health;
+mod endpoint_pauses;
 mod endpoint_record;
 mod endpoint_table;
 mod engine_load;
@@ -48,6 +49,7 @@
     endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
     endpoint_entry::{EndpointEntry, EndpointIncarnation},
     endpoint_health::EndpointHealth,
+    endpoint_pauses::EndpointPauses,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
     engine_load::{EngineLoad, EngineReading, EngineUsage, LoadReservation, SharedReading},
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod layer_span;
 mod refusal_cause;
 mod request_verdict;
+mod retry_after;
 mod stage_route;
 mod stream_recovery;
 mod stream_timeouts;
@@ -20,6 +21,7 @@
     layer_span::{LayerSpan, SpanError},
     refusal_cause::RefusalCause,
     request_verdict::RequestVerdict,
+    retry_after::{RetryAfter, RetryAfterError},
     stage_route::{RouteDraft, RouteError, RouteStage, StageRoute},
     stream_recovery::{FailureSource, RecoveryStep, StreamRecovery},
     stream_timeouts::StreamTimeouts,
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -3,7 +3,7 @@
         connection::HttpConnection,
         process::{
             health_probe::{fetch_report, HealthProbe},
-            GatewayState,
+            GatewayState, SenderKind,
         },
     },
     cassiafield_core::ids::EndpointId,
@@ -83,7 +83,8 @@
     mut connection: Option<HttpConnection>,
 ) -> (EndpointId, Option<HttpConnection>) {
     state.metrics.count_probe();
-    let request = fetch_report(&state, address, &mut connection);
+    state.record_endpoint_send(&endpoint, SenderKind::Poll);
+    let request = fetch_report(&state, &endpoint, address, &mut connection);
     let now = state.now();
     if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
         state.load.borrow_mut().record_reading(endpoint.clone(), report.reading, now);
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    crate::process::metric_builder::MetricBuilder,
+    crate::process::{metric_builder::MetricBuilder, SenderKind},
     cassiafield_core::{
         ids::OrganisationId,
         process::CloseReason,
@@ -51,6 +51,8 @@
     closed_connections: IntCounterVec,
     requests_cut: IntCounterVec,
     probes: IntCounter,
+    endpoint_pauses: IntCounter,
+    sends_in_pause: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -165,6 +167,13 @@
             ),
             probes: builder
                 .counter("cassiafield_probes_total", "Endpoints asked whether they live"),
+            endpoint_pauses: builder
+                .counter("cassiafield_endpoint_pauses_total", "Pauses that endpoints asked for"),
+            sends_in_pause: builder.counters(
+                "cassiafield_sends_in_pause_total",
+                "Sends to endpoints within a pause that they had asked for",
+                &["sender"],
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -268,6 +277,16 @@
         self.probes.inc();
     }
 
+    /// Counts a pause that an endpoint asked for.
+    pub fn count_endpoint_pause(&self) {
+        self.endpoint_pauses.inc();
+    }
+
+    /// Counts a send to an endpoint within a pause that it had asked for.
+    pub fn count_send_in_pause(&self, sender: SenderKind) {
+        self.sends_in_pause.with_label_values(&[sender.name()]).inc();
+    }
+
     /// Sets the gauges to `values` and returns all metrics in the text format.
     ///
     /// # Errors
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -5,6 +5,7 @@
             dropped_line_count, health_probe::HealthProbe, in_flight_request::DispatchedRequest,
             retry_broker::RetryBroker, state_exchange::StateExchange, AdmissionQueue, BootClock,
             GatewayMetrics, GatewaySettings, GaugeValues, InFlightRequest, ReservedLoad,
+            SenderKind,
         },
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
@@ -14,9 +15,10 @@
             DataAge, EndpointDirectory, EngineLoad, FailureReport, ListedEntries, OrganisationLoad,
             RevisionNotice, VersionOrder, VersionVerdict, ZoneMembers,
         },
-        request::StageRoute,
+        request::{RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
+    http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -408,6 +410,42 @@
         }
     }
 
+    /// Records the pause that a response head asks for, if any.
+    ///
+    /// Of several values the longest counts.
+    pub fn record_pause(&self, endpoint: &EndpointId, status: StatusCode, headers: &HeaderMap) {
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let read = |value: &HeaderValue| {
+            let text = value.to_str().unwrap_or_default();
+            text.parse::<RetryAfter>().unwrap_or_else(|error| {
+                LogEvent::EndpointPaused.log(format_args!(
+                    "endpoint {endpoint}: {error}: {value:?}; {} kept instead",
+                    RetryAfter::UNREADABLE
+                ));
+                RetryAfter::UNREADABLE
+            })
+        };
+        let Some(asked) = headers.get_all(header::RETRY_AFTER).iter().map(read).max() else {
+            return;
+        };
+        let now = self.now();
+        let ends_at = self.directory.borrow_mut().record_pause(endpoint, asked, now);
+        self.metrics.count_endpoint_pause();
+        LogEvent::EndpointPaused.log(format_args!(
+            "endpoint {endpoint} asked for {asked}; paused for {} ms",
+            ends_at.unwrap_or(now).since(now).as_millis()
+        ));
+    }
+
+    /// Records that something is being sent to an endpoint.
+    pub fn record_endpoint_send(&self, endpoint: &EndpointId, sender: SenderKind) {
+        if self.directory.borrow().pause_end(endpoint, self.now()).is_some() {
+            self.metrics.count_send_in_pause(sender);
+        }
+    }
+
     /// Records that a model endpoint did not respond to this host, and notifies peers.
     pub fn record_unresponsive(&self, endpoint: &EndpointId) {
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response"));
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::{EndpointReport, HttpConnection},
-        process::GatewayState,
+        process::{GatewayState, SenderKind},
     },
     bytes::Bytes,
     cassiafield_core::{
@@ -133,9 +133,11 @@
         // probing it too; a failed probe wakes them.
         set_outcome(ProbeOutcome::Running);
         state.metrics.count_probe();
+        state.record_endpoint_send(endpoint, SenderKind::Probe);
         let mut connection = None;
         let result =
-            timeout(Self::PROBE_TIMEOUT, fetch_report(state, address, &mut connection)).await;
+            timeout(Self::PROBE_TIMEOUT, fetch_report(state, endpoint, address, &mut connection))
+                .await;
         let is_responsive = matches!(result, Ok(Ok(_)));
         if is_responsive {
             set_outcome(ProbeOutcome::Responsive);
@@ -180,6 +182,7 @@
 /// Returns why there is no report; the connection is dropped then.
 pub(super) async fn fetch_report(
     state: &GatewayState,
+    endpoint: &EndpointId,
     address: SocketAddrV4,
     connection: &mut Option<HttpConnection>,
 ) -> anyhow::Result<EndpointReport> {
@@ -194,6 +197,7 @@
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
     let response = open.send(request, HealthProbe::PROBE_TIMEOUT).await?;
+    state.record_pause(endpoint, response.status(), response.headers());
     let body = response.into_body().collect().await?.to_bytes();
     let report = state.codec.parse_report(&body)?;
     *connection = Some(open);
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -4,7 +4,7 @@
             ConnectionError, EndpointReport, HttpConnection, StoreCall, StoreClient, StoreResponse,
             WireRequest,
         },
-        process::GatewayState,
+        process::{GatewayState, SenderKind},
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
@@ -295,10 +295,12 @@
         span: LayerSpan,
     ) -> Result<StatusCode, ConnectionError> {
         let mut connection = HttpConnection::connect(entry.address, Self::ORDER_TIMEOUT).await?;
+        self.state.record_endpoint_send(&entry.endpoint, SenderKind::Order);
         let orders = self.current_orders(&mut connection, entry).await?;
         let wire = self.state.codec.placement_order(span, orders);
         let request = self.endpoint_request(entry, wire)?;
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
+        self.state.record_pause(&entry.endpoint, response.status(), response.headers());
         Ok(response.status())
     }
 
@@ -313,6 +315,7 @@
         }
         let request = self.endpoint_request(entry, self.state.codec.report_request())?;
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
+        self.state.record_pause(&entry.endpoint, response.status(), response.headers());
         let body =
             response.into_body().collect().await.map_err(ConnectionError::Broken)?.to_bytes();
         let report: Option<EndpointReport> = match self.state.codec.parse_report(&body) {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         connection::{ConnectionError, PooledConnection},
+        process::SenderKind,
         request::{
             call_context::CallContext, caller_request::strip_hop_headers,
             refusal_response::refusal_response, ResponseBody,
@@ -155,6 +156,7 @@
         };
         *sends += 1;
         self.context.record_send();
+        self.context.state.record_endpoint_send(&entry.endpoint, SenderKind::Call);
         let response = match connection.http.send(request, self.context.remaining_time()).await {
             Ok(response) => response,
             Err(ConnectionError::Unsent) => {
@@ -190,6 +192,7 @@
         mut connection: PooledConnection,
         response: Response<Incoming>,
     ) -> EndpointOutcome {
+        self.context.state.record_pause(&entry.endpoint, response.status(), response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
             return self.record_failure(entry, &ConnectionError::TimedOut);
         }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::{ConnectionError, PooledConnection},
-        process::ReservedLoad,
+        process::{ReservedLoad, SenderKind},
         request::{
             call_context::CallContext,
             caller_request::strip_hop_headers,
@@ -288,6 +288,7 @@
             .ok_or(AttemptError::NoPath(RefusalCause::BadRequest))?;
         self.sends += 1;
         self.context.record_send();
+        self.context.state.record_endpoint_send(&first.endpoint, SenderKind::Stream);
         self.record_transfers(&path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
@@ -319,11 +320,13 @@
             }
             Err(error) => return Err(self.record_connection_failure(&first.endpoint, &error)),
         };
+        let status = response.status();
+        self.context.state.record_pause(&first.endpoint, status, response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
             return Err(self.record_connection_failure(&first.endpoint, &ConnectionError::TimedOut));
         }
         let is_reusable = connection.apply_response_head(response.headers());
-        if response.status() != StatusCode::OK {
+        if status != StatusCode::OK {
             return Err(self.handle_error_response(&path.route, response).await);
         }
         let (parts, body) = response.into_parts();
@@ -486,6 +489,10 @@
         let Some(endpoint) = failed.or(stages.first()).map(|stage| stage.endpoint.clone()) else {
             return AttemptError::MayHaveRun;
         };
+        // The endpoint that answered may pass on the wish of one further down the path.
+        if failed.is_some_and(|stage| Some(stage) != stages.first()) {
+            self.context.state.record_pause(&endpoint, response.status(), response.headers());
+        }
         let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
         let not_run = is_misdirected || response.headers().contains_key(&names.not_run);
         let verdict = if not_run { RequestVerdict::NotRun } else { RequestVerdict::Ran };
