fix(gateway): keep the pause that an endpoint asks for

After a refusal an endpoint was left out for this request, marked full until its next reading, or avoided with a back-off that any success cleared; the next request, a probe, the leader's poll or an order went there at once. Class: a wish of a peer that was known for the length of one request only.

Now the directory holds the pauses, by incarnation and apart from the entries, which lapse and return. Who plans leaves such endpoints out (PathPlanner, choose, the placer), and begin_send is asked right before the first byte by every sender: calls, streams over a path with such an endpoint anywhere, probes, polls and orders. A request that waited for its connection meanwhile goes elsewhere. If only pauses are in the way, the request is refused at once with the time when they end, unless that is within the time that it may wait. An order that was not sent no longer counts as pending.

The counter of sends within a pause has become cassiafield_sends_held_back_total, since begin_send holds them back.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -251,20 +251,40 @@
 
     /// Records that an endpoint asked this host for a pause, and returns when it ends; `None` if the
     /// endpoint is unknown.
+    ///
+    /// `spread`, from 0 to 1, delays the end a little; it should differ between hosts.
     pub fn record_pause(
         &mut self,
         endpoint: &EndpointId,
         asked: RetryAfter,
+        spread: f64,
         now: Moment,
     ) -> Option<Moment> {
         let incarnation = self.entry(endpoint)?.incarnation;
-        Some(self.pauses.record(endpoint, incarnation, asked, now))
+        Some(self.pauses.record(endpoint, incarnation, asked, spread, now))
+    }
+
+    /// Records that a request is being sent to an endpoint, which counts after a pause.
+    pub fn record_send(&mut self, endpoint: &EndpointId, now: Moment) {
+        if let Some(known) = self.known.get(endpoint) {
+            self.pauses.record_send(endpoint, known.entry.incarnation, now);
+        }
+    }
+
+    /// Returns until when this host must not send to an endpoint, since it asked for a pause; `None`
+    /// if it may.
+    #[must_use]
+    pub fn blocked_until(&self, endpoint: &EndpointId, now: Moment) -> Option<Moment> {
+        self.pauses.blocked_until(endpoint, self.entry(endpoint)?.incarnation, now)
     }
 
-    /// Returns when the pause that an endpoint asked this host for ends; `None` if there is none.
+    /// Returns when the first of a service's endpoints may be sent to again; `None` if one of them
+    /// may now, or there is none.
     #[must_use]
-    pub fn pause_end(&self, endpoint: &EndpointId, now: Moment) -> Option<Moment> {
-        self.pauses.ends_at(endpoint, self.entry(endpoint)?.incarnation, now)
+    pub fn service_blocked_until(&self, service: &ServiceId, now: Moment) -> Option<Moment> {
+        let ends = self.live_entries(service).map(|entry| self.blocked_until(&entry.endpoint, now));
+        // `None` is the least value: an endpoint that may be sent to.
+        ends.min().flatten()
     }
 
     /// Chooses the endpoint of a service with the lowest expected latency.
@@ -278,6 +298,7 @@
             &entry.service == choice.service
                 && !entry.is_leaving
                 && !choice.excluded.contains(&entry.endpoint)
+                && self.blocked_until(&entry.endpoint, now).is_none()
         });
         let cost = |known: &KnownEndpoint| {
             let slots = f64::from(known.entry.slots.max(1));
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -57,6 +57,11 @@
     },
     /// Events over the best path would come so slowly that callers disconnect.
     TooSlow,
+    /// There is a path only over endpoints that have asked this host for a pause.
+    Paused {
+        /// When the pauses on that path have ended.
+        until: Moment,
+    },
 }
 
 impl fmt::Display for PathError {
@@ -64,6 +69,9 @@
         match self {
             PathError::NoCover => f.write_str("the endpoints in use do not hold all layers"),
             PathError::TooSlow => f.write_str("the best path is too slow"),
+            PathError::Paused { until } => {
+                write!(f, "endpoints of every path have asked for a pause, until {until}")
+            }
             PathError::NoMemory { layer } => write!(f, "no path has room beyond layer {layer}"),
         }
     }
@@ -87,6 +95,17 @@
     pub now: Moment,
 }
 
+/// Which endpoints a search may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CandidateFilter {
+    /// Those that are neither suspect nor have asked for a pause.
+    Healthy,
+    /// Suspect ones too.
+    Usable,
+    /// Also those that have asked for a pause: nothing may be sent over such a path yet.
+    Live,
+}
+
 struct Candidate<'a> {
     entry: &'a EndpointEntry,
     /// Index of its availability zone in the [`LinkTable`].
@@ -204,15 +223,32 @@
     /// Returns a [`PathError`] if no path covers all layers with enough capacity.
     pub fn plan(&self, request: &PathRequest<'a>) -> Result<PlannedPath, PathError> {
         let links = LinkTable::new(self, request);
-        let healthy = self.candidates(request, &links, false);
+        let healthy = self.candidates(request, &links, CandidateFilter::Healthy);
         match self.search(request, &links, &healthy) {
             Err(PathError::NoCover) => {
-                self.search(request, &links, &self.candidates(request, &links, true))
+                let usable = self.candidates(request, &links, CandidateFilter::Usable);
+                let found = self.search(request, &links, &usable);
+                found.map_err(|error| self.pause_error(request, &links).unwrap_or(error))
             }
             found => found,
         }
     }
 
+    /// Returns when there is a path again, if pauses are why there is none.
+    fn pause_error(&self, request: &PathRequest<'a>, links: &LinkTable<'_>) -> Option<PathError> {
+        let live = self.directory.live_entries(request.service);
+        let mut ends =
+            live.filter_map(|entry| self.directory.blocked_until(&entry.endpoint, self.now));
+        ends.next()?;
+        // The caller returns with a new request, which has been nowhere yet.
+        let request = PathRequest { excluded: &[], allowed_firsts: None, ..request.clone() };
+        let all = self.candidates(&request, links, CandidateFilter::Live);
+        let (path, _) = self.cheapest(&request, links, &all, None);
+        let stages = path.as_ref()?.route.stages().iter();
+        let end = |stage: &RouteStage| self.directory.blocked_until(&stage.endpoint, self.now);
+        stages.filter_map(end).max().map(|until| PathError::Paused { until })
+    }
+
     /// Returns `true` if the known memory usage of an endpoint is high enough to explain that it
     /// refuses streams.
     #[must_use]
@@ -264,12 +300,20 @@
         &self,
         request: &PathRequest<'_>,
         links: &LinkTable<'_>,
-        include_suspects: bool,
+        filter: CandidateFilter,
     ) -> Vec<Candidate<'a>> {
         let live = self.directory.live_entries(request.service);
         let allowed = live.filter(|entry| {
-            !request.excluded.contains(&entry.endpoint)
-                && (include_suspects || !self.directory.is_suspect(&entry.endpoint, self.now))
+            let endpoint = &entry.endpoint;
+            let is_paused = self.directory.blocked_until(endpoint, self.now).is_some();
+            !request.excluded.contains(endpoint)
+                && match filter {
+                    CandidateFilter::Live => true,
+                    CandidateFilter::Usable => !is_paused,
+                    CandidateFilter::Healthy => {
+                        !is_paused && !self.directory.is_suspect(endpoint, self.now)
+                    }
+                }
         });
         allowed.filter_map(|entry| self.candidate(request, links, entry)).collect()
     }
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -82,8 +82,10 @@
     address: SocketAddrV4,
     mut connection: Option<HttpConnection>,
 ) -> (EndpointId, Option<HttpConnection>) {
+    if !state.begin_send(&endpoint, SenderKind::Poll) {
+        return (endpoint, connection);
+    }
     state.metrics.count_probe();
-    state.record_endpoint_send(&endpoint, SenderKind::Poll);
     let request = fetch_report(&state, &endpoint, address, &mut connection);
     let now = state.now();
     if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -52,7 +52,7 @@
     requests_cut: IntCounterVec,
     probes: IntCounter,
     endpoint_pauses: IntCounter,
-    sends_in_pause: IntCounterVec,
+    sends_held_back: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -169,9 +169,9 @@
                 .counter("cassiafield_probes_total", "Endpoints asked whether they live"),
             endpoint_pauses: builder
                 .counter("cassiafield_endpoint_pauses_total", "Pauses that endpoints asked for"),
-            sends_in_pause: builder.counters(
-                "cassiafield_sends_in_pause_total",
-                "Sends to endpoints within a pause that they had asked for",
+            sends_held_back: builder.counters(
+                "cassiafield_sends_held_back_total",
+                "Sends to endpoints held back, since the endpoint had asked for a pause",
                 &["sender"],
             ),
             registry: builder.into_registry(),
@@ -282,9 +282,9 @@
         self.endpoint_pauses.inc();
     }
 
-    /// Counts a send to an endpoint within a pause that it had asked for.
-    pub fn count_send_in_pause(&self, sender: SenderKind) {
-        self.sends_in_pause.with_label_values(&[sender.name()]).inc();
+    /// Counts a send to an endpoint that was held back, since the endpoint had asked for a pause.
+    pub fn count_send_held_back(&self, sender: SenderKind) {
+        self.sends_held_back.with_label_values(&[sender.name()]).inc();
     }
 
     /// Sets the gauges to `values` and returns all metrics in the text format.
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -431,7 +431,8 @@
             return;
         };
         let now = self.now();
-        let ends_at = self.directory.borrow_mut().record_pause(endpoint, asked, now);
+        let spread = fastrand::f64();
+        let ends_at = self.directory.borrow_mut().record_pause(endpoint, asked, spread, now);
         self.metrics.count_endpoint_pause();
         LogEvent::EndpointPaused.log(format_args!(
             "endpoint {endpoint} asked for {asked}; paused for {} ms",
@@ -439,11 +440,26 @@
         ));
     }
 
-    /// Records that something is being sent to an endpoint.
-    pub fn record_endpoint_send(&self, endpoint: &EndpointId, sender: SenderKind) {
-        if self.directory.borrow().pause_end(endpoint, self.now()).is_some() {
-            self.metrics.count_send_in_pause(sender);
+    /// Returns `true` if something may be sent to an endpoint now: it has not asked for a pause.
+    ///
+    /// Every send to an endpoint asks this right before its first byte: waiting for a connection
+    /// takes time in which the endpoint may have asked.
+    pub fn begin_send(&self, endpoint: &EndpointId, sender: SenderKind) -> bool {
+        let now = self.now();
+        let mut directory = self.directory.borrow_mut();
+        let may_send = directory.blocked_until(endpoint, now).is_none();
+        if !may_send {
+            self.metrics.count_send_held_back(sender);
+        } else if sender.is_request() {
+            directory.record_send(endpoint, now);
         }
+        may_send
+    }
+
+    /// Returns `true` if an endpoint has asked this host to send it nothing now.
+    #[must_use]
+    pub fn is_paused(&self, endpoint: &EndpointId) -> bool {
+        self.directory.borrow().blocked_until(endpoint, self.now()).is_some()
     }
 
     /// Records that a model endpoint did not respond to this host, and notifies peers.
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -96,7 +96,9 @@
     pub(super) fn start_probes(state: &Rc<GatewayState>, route: &StageRoute, since: Moment) {
         for stage in route.stages() {
             let Ok(address) = stage.address.parse::<SocketAddrV4>() else { continue };
-            if !state.probe.is_needed(&stage.endpoint, since, state.now()) {
+            if state.is_paused(&stage.endpoint)
+                || !state.probe.is_needed(&stage.endpoint, since, state.now())
+            {
                 continue;
             }
             let state = Rc::clone(state);
@@ -124,6 +126,10 @@
         endpoint: &EndpointId,
         address: SocketAddrV4,
     ) -> bool {
+        // An endpoint that asked for a pause does respond; it has only been asked too often.
+        if !state.begin_send(endpoint, SenderKind::Probe) {
+            return true;
+        }
         let started_at = state.now();
         let set_outcome = |outcome| {
             let result = ProbeResult { started_at, outcome };
@@ -133,7 +139,6 @@
         // probing it too; a failed probe wakes them.
         set_outcome(ProbeOutcome::Running);
         state.metrics.count_probe();
-        state.record_endpoint_send(endpoint, SenderKind::Probe);
         let mut connection = None;
         let result =
             timeout(Self::PROBE_TIMEOUT, fetch_report(state, endpoint, address, &mut connection))
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -13,7 +13,7 @@
         process::{
             EndpointEntry, EndpointIncarnation, LayerAssignment, LayerPlacement, PlacementCandidate,
         },
-        request::LayerSpan,
+        request::{LayerSpan, RequestVerdict},
         version::ServiceRule,
     },
     http::{header, Request, StatusCode},
@@ -248,6 +248,7 @@
                 is_loading: ordered.is_some() || was_rejected,
                 is_busy: self.state.load.borrow().total_usage(&entry.endpoint, now).streams > 0,
                 is_deferred: was_rejected
+                    || directory.blocked_until(&entry.endpoint, now).is_some()
                     || may_wait && entries.iter().any(|old| may_be_replaced_by(old, entry)),
             });
         }
@@ -273,10 +274,10 @@
                 self.rejected_at.insert(key.0, issued_at);
                 format!("status {status}")
             }
-            Ok(Err(ConnectionError::Connect(error))) => {
+            Ok(Err(error)) if error.verdict() == RequestVerdict::NotRun => {
                 self.orders.remove(&key);
                 self.rejected_at.insert(key.0, issued_at);
-                format!("cannot connect: {error}")
+                error.to_string()
             }
             // The order may have been accepted; it counts as pending until it expires.
             Ok(Err(error)) => error.to_string(),
@@ -295,8 +296,8 @@
         span: LayerSpan,
     ) -> Result<StatusCode, ConnectionError> {
         let mut connection = HttpConnection::connect(entry.address, Self::ORDER_TIMEOUT).await?;
-        self.state.record_endpoint_send(&entry.endpoint, SenderKind::Order);
         let orders = self.current_orders(&mut connection, entry).await?;
+        self.begin_send(entry)?;
         let wire = self.state.codec.placement_order(span, orders);
         let request = self.endpoint_request(entry, wire)?;
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
@@ -304,6 +305,12 @@
         Ok(response.status())
     }
 
+    /// Returns an error if the endpoint has asked for a pause.
+    fn begin_send(&self, entry: &EndpointEntry) -> Result<(), ConnectionError> {
+        let may_send = self.state.begin_send(&entry.endpoint, SenderKind::Order);
+        may_send.then_some(()).ok_or(ConnectionError::Unsent)
+    }
+
     /// Fetches the number of orders that an endpoint has accepted.
     async fn current_orders(
         &self,
@@ -313,6 +320,7 @@
         if entry.orders == 0 {
             return Ok(0);
         }
+        self.begin_send(entry)?;
         let request = self.endpoint_request(entry, self.state.codec.report_request())?;
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
         self.state.record_pause(&entry.endpoint, response.status(), response.headers());
--- a/crates/cassiafield-gateway/src/process/sender_kind.rs
+++ b/crates/cassiafield-gateway/src/process/sender_kind.rs
@@ -14,6 +14,12 @@
 }
 
 impl SenderKind {
+    /// Returns `true` for requests of callers.
+    #[must_use]
+    pub const fn is_request(self) -> bool {
+        matches!(self, SenderKind::Call | SenderKind::Stream)
+    }
+
     /// Returns the label in metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -108,18 +108,28 @@
 
     /// Refuses a request that got no response from any endpoint.
     fn refuse(&self, verdict: RequestVerdict, tried: usize) -> Response<ResponseBody> {
+        let now = self.context.state.now();
+        let service = &self.context.service.service;
+        let blocked_until =
+            self.context.state.directory.borrow().service_blocked_until(service, now);
         let cause = match verdict {
-            RequestVerdict::NotRun if tried == 0 => RefusalCause::NoEndpoint,
+            RequestVerdict::NotRun if tried == 0 && blocked_until.is_none() => {
+                RefusalCause::NoEndpoint
+            }
             RequestVerdict::NotRun => RefusalCause::Overloaded,
             RequestVerdict::MayHaveRun | RequestVerdict::Ran => RefusalCause::EndpointFailed,
         };
         self.context.state.metrics.count_refusal(cause);
-        self.context
-            .decision(LogEvent::RequestRefused)
-            .cause(cause)
-            .verdict(verdict)
-            .log(format_args!("route {}, {tried} endpoints tried", self.context.rule.name));
-        let retry_after = Self::RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
+        self.context.decision(LogEvent::RequestRefused).cause(cause).verdict(verdict).log(
+            format_args!(
+                "route {}, {tried} endpoints tried, all pause for {} ms",
+                self.context.rule.name,
+                blocked_until.unwrap_or(now).since(now).as_millis(),
+            ),
+        );
+        // Callers that were refused at the same time return apart.
+        let spread = Self::RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
+        let retry_after = blocked_until.unwrap_or(now).since(now) + spread;
         refusal_response(cause, (verdict == RequestVerdict::NotRun).then_some(retry_after))
     }
 
@@ -154,9 +164,14 @@
         let Some(request) = self.context.endpoint_request(&entry.endpoint) else {
             return EndpointOutcome::NotRun;
         };
+        let state = &self.context.state;
+        if !state.begin_send(&entry.endpoint, SenderKind::Call) {
+            let max_idle = state.max_idle_connections(&self.context.service);
+            connection.return_to(&state.pool, max_idle, state.now());
+            return EndpointOutcome::NotRun;
+        }
         *sends += 1;
         self.context.record_send();
-        self.context.state.record_endpoint_send(&entry.endpoint, SenderKind::Call);
         let response = match connection.http.send(request, self.context.remaining_time()).await {
             Ok(response) => response,
             Err(ConnectionError::Unsent) => {
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -84,6 +84,8 @@
     /// Minimum retry delay advised to callers while layers have no endpoint; jitter raises it up to
     /// threefold.
     const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+    /// Time over which callers return that were refused during the same pause.
+    const PAUSE_SPREAD: Duration = Duration::from_millis(500);
     /// Part of the remaining time that callers wait at most before they return, in percent.
     const MAX_RETRY_DELAY_PERCENT: u32 = 30;
     /// Maximum number of response chunks buffered for a slow caller.
@@ -234,6 +236,11 @@
 
     /// Returns when the caller should return.
     fn retry_delay(&self, cause: RefusalCause) -> Duration {
+        if let Some(PathError::Paused { until }) = self.bottleneck.get() {
+            // Callers that were refused at the same time return apart.
+            let spread = Self::PAUSE_SPREAD.mul_f64(fastrand::f64());
+            return until.since(self.context.state.now()) + spread;
+        }
         if cause == RefusalCause::NoEndpoint {
             return Self::UNAVAILABLE_RETRY_DELAY.mul_f64(1.0 + 2.0 * fastrand::f64());
         }
@@ -286,9 +293,14 @@
         let request = self
             .stream_request(&path, last_event)
             .ok_or(AttemptError::NoPath(RefusalCause::BadRequest))?;
+        if !self.begin_send(&path.route) {
+            let max_idle = self.context.state.max_idle_connections(&self.context.service);
+            let now = self.context.state.now();
+            connection.return_to(&self.context.state.pool, max_idle, now);
+            return Err(AttemptError::NotRun);
+        }
         self.sends += 1;
         self.context.record_send();
-        self.context.state.record_endpoint_send(&first.endpoint, SenderKind::Stream);
         self.record_transfers(&path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
@@ -380,6 +392,15 @@
         self.context.rule.kind.is_retryable()
     }
 
+    /// Returns `true` if the request may be sent over a path now: no endpoint on it has asked for a
+    /// pause.
+    fn begin_send(&self, route: &StageRoute) -> bool {
+        let state = &self.context.state;
+        let Some((first, rest)) = route.stages().split_first() else { return false };
+        !rest.iter().any(|stage| state.is_paused(&stage.endpoint))
+            && state.begin_send(&first.endpoint, SenderKind::Stream)
+    }
+
     /// Sends a request and waits for the response head; if the request may be sent again, only
     /// while the path's endpoints respond to probes.
     async fn await_response_head(
@@ -508,6 +529,10 @@
             ));
         if not_run {
             self.context.state.record_endpoint_refusal(&endpoint, is_misdirected);
+            if self.context.state.is_paused(&endpoint) {
+                // Its pause keeps all requests away, and its probes too.
+                return AttemptError::NotRun;
+            }
             if is_misdirected || !self.context.state.is_responsive(&endpoint).await {
                 self.excluded.push(endpoint);
             } else if self.is_nearly_full(&endpoint) {
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -3,7 +3,7 @@
 use {
     crate::request::stream_call::{AttemptError, StreamCall},
     cassiafield_core::{
-        ids::EndpointId,
+        ids::{EndpointId, Moment},
         process::{
             EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
         },
@@ -61,6 +61,9 @@
             if !can_wait || left.is_zero() {
                 return planned;
             }
+            if is_first && self.pause_end().is_some_and(|until| until.since(now) > left) {
+                return planned;
+            }
             let queue = &self.context.state.admission_queue;
             if is_first && !has_waited && !queue.has_capacity(left, now) {
                 return planned;
@@ -70,6 +73,14 @@
         }
     }
 
+    /// Returns when the pauses end that left the last planning without a path, if any did.
+    fn pause_end(&self) -> Option<Moment> {
+        match self.bottleneck.get() {
+            Some(PathError::Paused { until }) => Some(until),
+            _ => None,
+        }
+    }
+
     /// Plans a path.
     ///
     /// It may use the memory of the path that it replaces.
@@ -117,7 +128,9 @@
             self.bottleneck.set(Some(error));
             AttemptError::NoPath(match error {
                 PathError::NoCover => RefusalCause::NoEndpoint,
-                PathError::NoMemory { .. } | PathError::TooSlow => RefusalCause::Overloaded,
+                PathError::NoMemory { .. } | PathError::TooSlow | PathError::Paused { .. } => {
+                    RefusalCause::Overloaded
+                }
             })
         })?;
         if self.sends == 0 && self.is_too_slow(engine, &path) {
