feat(gateway): log what was in flight when an endpoint ended, with the parts of its prompts

Callers see no change: nothing is held back yet, but for a connection that is opened to an endpoint whose connection broke before an answer was under way, to find out whether it has ended.

Event 1311 names the endpoint, how many requests of this host had no answer under way there, and the parts of their prompts with the ends known under each. cassiafield_endpoint_ends_total and cassiafield_sends_after_end_total count. PromptPrefix reads the shared parts (never the last); CrashLedger keeps the evidence: a break counts only once the endpoint is found to have ended, a run of an endpoint counts once, and an answer that gets under way (400 ms after its first event, or complete) clears the parts of its request. Its verdicts are not used yet.

--- a/crates/cassiafield-core/src/ids/mod.rs
+++ b/crates/cassiafield-core/src/ids/mod.rs
@@ -2,6 +2,7 @@
 
 mod list_revision;
 mod moment;
+mod prompt_part;
 mod stream_id;
 #[macro_use]
 mod text_id;
@@ -13,6 +14,7 @@
     names::{
         AcceleratorKind, EndpointId, HostId, ModelId, OrganisationId, PlanId, ServiceId, ZoneId,
     },
+    prompt_part::{PromptPart, PromptPartError},
     stream_id::StreamId,
     text_id::IdError,
 };
--- /dev/null
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -0,0 +1,446 @@
+use {
+    crate::{
+        ids::{EndpointId, Moment, PromptPart},
+        process::{
+            survival_table::SurvivalTable, CrashReport, EndpointLife, PartEndReport, PartReport,
+        },
+        request::PromptPrefix,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
+
+/// A part of prompts that is kept from endpoints, and why.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BlockedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Number of endpoints that ended under requests with it, as far as known.
+    pub ends: usize,
+    /// Time since it was blocked.
+    pub age: Duration,
+    /// Time since a request with it last came.
+    pub idle: Duration,
+}
+
+/// The end of an endpoint with the requests that may have caused it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EndSummary {
+    /// Number of requests that had been sent to the endpoint and had no answer under way.
+    pub suspects: usize,
+    /// Their shared parts, each with the number of ends that speak against it.
+    pub parts: Vec<(PromptPart, usize)>,
+}
+
+/// Finds the parts of prompts that crash endpoints, and keeps them from endpoints.
+///
+/// Evidence against a part is the end of an endpoint to which a request with the part had been sent
+/// and at which it had no answer under way. Evidence for it is a request whose answer got under way.
+/// Each run of an endpoint counts once, whichever host reports it.
+///
+/// A part is blocked if several ends, some time apart and under different requests, have no other
+/// explanation. A part whose requests were answered lately needs more: it is shared by sound
+/// requests, which are in flight when others crash an endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    parts: BTreeMap<PromptPart, PartRecord>,
+    survivals: SurvivalTable,
+    /// Broken connections of requests without an answer under way, whose endpoint may have ended.
+    breaks: VecDeque<BrokenRequest>,
+    /// Endpoints that ended lately.
+    ended: VecDeque<(EndpointId, Moment)>,
+}
+
+#[derive(Clone, Debug)]
+struct BrokenRequest {
+    lives: Vec<EndpointLife>,
+    prefix: PromptPrefix,
+    at: Moment,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PartRecord {
+    ends: BTreeMap<EndpointLife, PartEnd>,
+    survived_at: Option<Moment>,
+    /// Evidence up to then does not count.
+    cleared_at: Option<Moment>,
+    blocked_at: Option<Moment>,
+    /// When a request with the blocked part last came.
+    requested_at: Option<Moment>,
+    changed_at: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PartEnd {
+    at: Moment,
+    own: u64,
+    position: u8,
+}
+
+/// How much speaks against a part; the greatest is blocked first.
+///
+/// Of parts with equal evidence the later one in the prompt is the more specific.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct EvidenceWeight {
+    ends: usize,
+    requests: usize,
+    position: u8,
+}
+
+impl CrashLedger {
+    /// Number of ends that block a part without any known answer to its requests.
+    const MIN_ENDS: usize = 3;
+    /// Number of different requests under which these ends came.
+    const MIN_REQUESTS: usize = 2;
+    /// The same for a part whose requests were answered within [`Self::SURVIVAL_TIME`].
+    const MIN_ENDS_AFTER_SURVIVAL: usize = 6;
+    const MIN_REQUESTS_AFTER_SURVIVAL: usize = 3;
+    /// Time for which an answer speaks for the parts of its request.
+    const SURVIVAL_TIME: Duration = Duration::from_secs(60);
+    /// Ends closer together count as one: they may have one cause, such as a rack without power.
+    const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
+    /// Time between a broken connection and the finding that its endpoint has ended.
+    const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
+    /// Time for which an end counts, and after which a blocked part is forgotten that no request
+    /// has.
+    const RETENTION: Duration = Duration::from_secs(600);
+    /// Time for which changes are reported.
+    const REPORT_TIME: Duration = Duration::from_secs(2);
+    /// Upper bounds of the table, of the ends of a part and of a report.
+    const MAX_PARTS: usize = 256;
+    const MAX_ENDS: usize = 16;
+    const MAX_REPORTED: usize = 64;
+    const MAX_REPORTED_ENDS: usize = 8;
+    const MAX_BREAKS: usize = 512;
+    /// Difference below which two times from peers are the same one, delayed on its way.
+    const MESSAGE_DELAY: Duration = Duration::from_millis(400);
+
+    /// Records that a request's connection broke before its answer was under way.
+    ///
+    /// `lives` are the endpoints that may have ended. It is evidence only if one of them has.
+    pub fn record_break(&mut self, lives: Vec<EndpointLife>, prefix: PromptPrefix, now: Moment) {
+        self.expire(now);
+        if prefix.shared().is_empty() {
+            return;
+        }
+        let broken = BrokenRequest { lives, prefix, at: now };
+        let ended: Vec<EndpointLife> = broken
+            .lives
+            .iter()
+            .filter(|life| self.ended.iter().any(|(endpoint, _)| endpoint == &life.endpoint))
+            .cloned()
+            .collect();
+        for life in ended {
+            self.add_end(&life, &broken.prefix, now);
+        }
+        if self.breaks.len() >= Self::MAX_BREAKS {
+            self.breaks.pop_front();
+        }
+        self.breaks.push_back(broken);
+    }
+
+    /// Records that an endpoint has ended; returns what was in flight there.
+    pub fn record_end(&mut self, endpoint: &EndpointId, now: Moment) -> EndSummary {
+        self.expire(now);
+        if !self.ended.iter().any(|(known, _)| known == endpoint) {
+            self.ended.push_back((endpoint.clone(), now));
+        }
+        let mut summary = EndSummary::default();
+        let breaks = std::mem::take(&mut self.breaks);
+        let mut parts = BTreeSet::new();
+        for broken in &breaks {
+            for life in broken.lives.iter().filter(|life| &life.endpoint == endpoint) {
+                summary.suspects += 1;
+                self.add_end(life, &broken.prefix, broken.at);
+                parts.extend(broken.prefix.shared().iter().cloned());
+            }
+        }
+        // Each of them speaks against its parts once only.
+        self.breaks = breaks;
+        self.breaks.retain(|broken| broken.lives.iter().all(|life| &life.endpoint != endpoint));
+        let count = |part: &PromptPart| self.parts.get(part).map_or(0, |found| found.ends.len());
+        summary.parts = parts.into_iter().map(|part| (part.clone(), count(&part))).collect();
+        summary
+    }
+
+    /// Records that a request's answer got under way, which clears its parts.
+    ///
+    /// Returns the parts that were blocked until now.
+    pub fn record_survival(&mut self, prefix: &PromptPrefix, now: Moment) -> Vec<PromptPart> {
+        let mut released = Vec::new();
+        for part in prefix.shared() {
+            self.survivals.record(part, now);
+            if let Some(record) = self.parts.get_mut(part) {
+                record.survived_at = Some(now);
+                if record.clear(now) {
+                    released.push(part.clone());
+                }
+            }
+        }
+        released
+    }
+
+    /// Sets the evidence against a part aside, as an operator asks; returns `true` if it was blocked.
+    pub fn lift(&mut self, part: &PromptPart, now: Moment) -> bool {
+        self.parts.get_mut(part).is_some_and(|record| record.clear(now))
+    }
+
+    /// Returns the first blocked part of a request; the block lasts while such requests come.
+    pub fn check(&mut self, prefix: &PromptPrefix, now: Moment) -> Option<BlockedPart> {
+        let parts = &mut self.parts;
+        let part = prefix
+            .shared()
+            .iter()
+            .find(|part| parts.get(*part).is_some_and(|record| record.is_blocked(now)))?;
+        let record = parts.get_mut(part)?;
+        let blocked = record.describe(part, now);
+        record.requested_at = Some(now);
+        blocked
+    }
+
+    /// Returns `true` if an endpoint ended under a request with one of the parts, and none of its
+    /// requests has been answered since.
+    #[must_use]
+    pub fn is_suspect(&self, prefix: &PromptPrefix) -> bool {
+        prefix.shared().iter().any(|part| {
+            let record = self.parts.get(part);
+            record.is_some_and(|record| !record.ends.is_empty() && record.survived_at.is_none())
+        })
+    }
+
+    /// Returns the blocked parts.
+    #[must_use]
+    pub fn blocked(&self, now: Moment) -> Vec<BlockedPart> {
+        self.parts.iter().filter_map(|(part, record)| record.describe(part, now)).collect()
+    }
+
+    /// Blocks the parts that enough speaks against, and returns those that were not before.
+    ///
+    /// An end under a blocked part speaks against no other one.
+    pub fn judge(&mut self, now: Moment) -> Vec<BlockedPart> {
+        self.expire(now);
+        let mut found = Vec::new();
+        loop {
+            let blocked = self.parts.values().filter(|record| record.is_blocked(now));
+            let explained: BTreeSet<EndpointLife> =
+                blocked.flat_map(|record| record.ends.keys().cloned()).collect();
+            let candidates = self.parts.iter().filter(|(_, record)| !record.is_blocked(now));
+            let weighed = candidates
+                .filter_map(|(part, record)| Some((record.weigh(&explained, now)?, part.clone())));
+            let Some((_, part)) = weighed.max() else { return found };
+            if let Some(record) = self.parts.get_mut(&part) {
+                record.blocked_at = Some(now);
+                record.requested_at = Some(now);
+                record.changed_at = now;
+                found.extend(record.describe(&part, now));
+            }
+        }
+    }
+
+    /// Returns what peers should know.
+    #[must_use]
+    pub fn report(&self, now: Moment) -> CrashReport {
+        let is_news = |record: &PartRecord| {
+            record.is_blocked(now)
+                || !record.ends.is_empty()
+                || now.since(record.changed_at) < Self::REPORT_TIME
+        };
+        let mut records: Vec<_> = self.parts.iter().filter(|(_, record)| is_news(record)).collect();
+        records.sort_by_key(|(_, record)| {
+            let rank = (record.is_blocked(now), record.ends.len(), record.changed_at);
+            std::cmp::Reverse(rank)
+        });
+        records.truncate(Self::MAX_REPORTED);
+        let age = |at: Moment| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let parts = records.into_iter().map(|(part, record)| {
+            let ends = record.ends.iter().take(Self::MAX_REPORTED_ENDS);
+            let ends = ends.map(|(life, end)| PartEndReport {
+                life: life.clone(),
+                age_ms: age(end.at),
+                own: end.own,
+                position: end.position,
+            });
+            PartReport {
+                part: part.clone(),
+                ends: ends.collect(),
+                survived_ms: record.survived_at.map(age),
+                cleared_ms: record.cleared_at.map(age),
+                blocked_ms: record.blocked_at.map(age),
+                requested_ms: record.requested_at.map(age),
+            }
+        });
+        CrashReport { parts: parts.collect() }
+    }
+
+    /// Adds what a peer knows; returns the parts that it blocks and this host did not.
+    pub fn merge(&mut self, report: CrashReport, now: Moment) -> Vec<BlockedPart> {
+        self.expire(now);
+        let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
+        let mut adopted = Vec::new();
+        for found in report.parts.into_iter().take(Self::MAX_PARTS) {
+            let was_known = self.parts.contains_key(&found.part);
+            let is_past = found.ends.is_empty() && found.blocked_ms.is_none();
+            if !was_known && (is_past || !self.make_room()) {
+                continue;
+            }
+            let survived_at = self.survivals.last(&found.part);
+            let record = self.parts.entry(found.part.clone()).or_default();
+            if !was_known {
+                *record = PartRecord::new(survived_at, now);
+            }
+            record.survived_at = later(record.survived_at, found.survived_ms.map(at));
+            let cleared_at = later(record.cleared_at, found.cleared_ms.map(at));
+            if let Some(cleared_at) = cleared_at.filter(|_| cleared_at != record.cleared_at) {
+                record.clear(cleared_at);
+            }
+            for end in found.ends {
+                let found = PartEnd { at: at(end.age_ms), own: end.own, position: end.position };
+                record.add_end(end.life, found, now);
+            }
+            let blocked_at = found.blocked_ms.map(at);
+            let is_current = |at: Moment| record.cleared_at.is_none_or(|cleared| cleared < at);
+            if let Some(blocked_at) = blocked_at.filter(|at| is_current(*at)) {
+                if record.blocked_at.is_none() {
+                    record.blocked_at = Some(blocked_at);
+                    record.changed_at = now;
+                    record.requested_at = Some(found.requested_ms.map_or(now, at));
+                    adopted.extend(record.describe(&found.part, now));
+                }
+            }
+            record.requested_at = later(record.requested_at, found.requested_ms.map(at));
+        }
+        adopted
+    }
+
+    fn add_end(&mut self, life: &EndpointLife, prefix: &PromptPrefix, now: Moment) {
+        for (index, part) in prefix.shared().iter().enumerate() {
+            if !self.parts.contains_key(part) && !self.make_room() {
+                return;
+            }
+            let survived_at = self.survivals.last(part);
+            let record =
+                self.parts.entry(part.clone()).or_insert_with(|| PartRecord::new(survived_at, now));
+            let position = u8::try_from(index).unwrap_or(u8::MAX);
+            let end = PartEnd { at: now, own: prefix.own(), position };
+            record.add_end(life.clone(), end, now);
+        }
+    }
+
+    /// Makes room for one more part; returns `false` if every known one is blocked.
+    fn make_room(&mut self) -> bool {
+        if self.parts.len() < Self::MAX_PARTS {
+            return true;
+        }
+        let unblocked = self.parts.iter().filter(|(_, record)| record.blocked_at.is_none());
+        let least = unblocked.min_by_key(|(_, record)| (record.ends.len(), record.changed_at));
+        let least = least.map(|(part, _)| part.clone());
+        least.is_some_and(|part| self.parts.remove(&part).is_some())
+    }
+
+    fn expire(&mut self, now: Moment) {
+        let is_recent = |at: Moment| now.since(at) < Self::CONFIRMATION_TIME;
+        self.breaks.retain(|broken| is_recent(broken.at));
+        self.ended.retain(|(_, at)| is_recent(*at));
+        self.parts.retain(|_, record| {
+            record.ends.retain(|_, end| now.since(end.at) < Self::RETENTION);
+            if record.requested_at.is_some_and(|at| now.since(at) >= Self::RETENTION) {
+                record.blocked_at = None;
+                record.requested_at = None;
+            }
+            record.blocked_at.is_some()
+                || !record.ends.is_empty()
+                || now.since(record.changed_at) < Self::SURVIVAL_TIME
+        });
+    }
+}
+
+impl PartRecord {
+    fn new(survived_at: Option<Moment>, now: Moment) -> Self {
+        Self { survived_at, cleared_at: survived_at, changed_at: now, ..Self::default() }
+    }
+
+    fn is_blocked(&self, now: Moment) -> bool {
+        let is_requested =
+            self.requested_at.is_some_and(|at| now.since(at) < CrashLedger::RETENTION);
+        self.blocked_at.is_some() && is_requested
+    }
+
+    fn describe(&self, part: &PromptPart, now: Moment) -> Option<BlockedPart> {
+        let blocked_at = self.blocked_at.filter(|_| self.is_blocked(now))?;
+        Some(BlockedPart {
+            part: part.clone(),
+            ends: self.ends.len(),
+            age: now.since(blocked_at),
+            idle: now.since(self.requested_at?),
+        })
+    }
+
+    fn add_end(&mut self, life: EndpointLife, end: PartEnd, now: Moment) {
+        if self.cleared_at.is_some_and(|cleared| end.at <= cleared) {
+            // Whoever reports it has not heard of the answer.
+            self.changed_at = now;
+            return;
+        }
+        if let Some(known) = self.ends.get_mut(&life) {
+            known.own = known.own.min(end.own);
+            known.position = known.position.max(end.position);
+        } else if self.ends.len() < CrashLedger::MAX_ENDS {
+            self.ends.insert(life, end);
+            self.changed_at = now;
+        }
+    }
+
+    /// Sets the evidence up to `at` aside; returns `true` if the part was blocked.
+    fn clear(&mut self, at: Moment) -> bool {
+        if self.ends.values().any(|end| end.at <= at) || self.blocked_at.is_some() {
+            self.changed_at = self.changed_at.max(at);
+        }
+        self.ends.retain(|_, end| end.at > at);
+        self.cleared_at = self.cleared_at.max(Some(at));
+        let is_outdated = self.blocked_at.is_some_and(|blocked| blocked <= at);
+        if is_outdated {
+            self.blocked_at = None;
+            self.requested_at = None;
+        }
+        is_outdated
+    }
+
+    /// Returns the weight of the ends without another explanation, if it suffices.
+    fn weigh(&self, explained: &BTreeSet<EndpointLife>, now: Moment) -> Option<EvidenceWeight> {
+        let unexplained = self.ends.iter().filter(|(life, _)| !explained.contains(*life));
+        let mut ends: Vec<PartEnd> = unexplained.map(|(_, end)| *end).collect();
+        ends.sort_by_key(|end| end.at);
+        let mut last: Option<Moment> = None;
+        let is_apart = |end: &&PartEnd| {
+            let is_apart =
+                last.is_none_or(|last| end.at.since(last) >= CrashLedger::COMMON_CAUSE_TIME);
+            if is_apart {
+                last = Some(end.at);
+            }
+            is_apart
+        };
+        let count = ends.iter().filter(is_apart).count();
+        let requests: BTreeSet<u64> = ends.iter().map(|end| end.own).collect();
+        let position = ends.iter().map(|end| end.position).max()?;
+        let has_survived =
+            self.survived_at.is_some_and(|at| now.since(at) < CrashLedger::SURVIVAL_TIME);
+        let (min_ends, min_requests) = if has_survived {
+            (CrashLedger::MIN_ENDS_AFTER_SURVIVAL, CrashLedger::MIN_REQUESTS_AFTER_SURVIVAL)
+        } else {
+            (CrashLedger::MIN_ENDS, CrashLedger::MIN_REQUESTS)
+        };
+        let weight = EvidenceWeight { ends: count, requests: requests.len(), position };
+        (count >= min_ends && requests.len() >= min_requests).then_some(weight)
+    }
+}
+
+/// Returns the later of two times, unless they are so close that the other is the same one after its
+/// way over a peer.
+fn later(known: Option<Moment>, other: Option<Moment>) -> Option<Moment> {
+    match (known, other) {
+        (Some(known), Some(other)) if other <= known + CrashLedger::MESSAGE_DELAY => Some(known),
+        (known, other) => known.max(other),
+    }
+}
--- /dev/null
+++ b/crates/cassiafield-core/src/process/crash_report.rs
@@ -0,0 +1,51 @@
+use crate::{ids::PromptPart, process::EndpointLife};
+
+/// What a host knows of the parts of prompts under which endpoints ended, for peers.
+///
+/// Times are ages, since the clocks of hosts differ.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct CrashReport {
+    /// The parts.
+    pub parts: Vec<PartReport>,
+}
+
+/// The evidence on one part of prompts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PromptPart,
+    /// The ends of endpoints at which requests with the part had just been sent.
+    pub ends: Vec<PartEndReport>,
+    /// Time since a request with the part last got an answer under way, in milliseconds.
+    pub survived_ms: Option<u32>,
+    /// Time since the evidence before was set aside, in milliseconds.
+    pub cleared_ms: Option<u32>,
+    /// Time since the part was blocked, in milliseconds.
+    pub blocked_ms: Option<u32>,
+    /// Time since a request with the blocked part last came, in milliseconds.
+    pub requested_ms: Option<u32>,
+}
+
+/// The end of an endpoint, as evidence on a part.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct PartEndReport {
+    /// The run of the endpoint that ended.
+    pub life: EndpointLife,
+    /// Time since its end, in milliseconds.
+    pub age_ms: u32,
+    /// Tells requests apart by the last part of their prompts.
+    pub own: u64,
+    /// Position of the part in the prompt.
+    pub position: u8,
+}
+
+impl CrashReport {
+    /// Returns `true` if there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+}
--- a/crates/cassiafield-core/src/process/endpoint_entry.rs
+++ b/crates/cassiafield-core/src/process/endpoint_entry.rs
@@ -12,6 +12,16 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct EndpointIncarnation(pub u64);
 
+/// One run of an endpoint, from its start to its end.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EndpointLife {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its run.
+    pub incarnation: EndpointIncarnation,
+}
+
 /// The entry of an endpoint in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -3,6 +3,8 @@
 mod allowance_ledger;
 mod allowance_share;
 mod connection_activity;
+mod crash_ledger;
+mod crash_report;
 mod data_age;
 mod demand_meter;
 mod endpoint_directory;
@@ -34,6 +36,7 @@
 mod revision_notice;
 mod route_planner;
 mod slot_allocator;
+mod survival_table;
 mod sync_intervals;
 mod usage_record;
 mod version_order;
@@ -45,9 +48,11 @@
     allowance_ledger::{AllowanceLedger, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
     connection_activity::{ClosePolicy, CloseReason, ConnectionActivity, ConnectionPhase},
+    crash_ledger::{BlockedPart, CrashLedger, EndSummary},
+    crash_report::{CrashReport, PartEndReport, PartReport},
     data_age::DataAge,
     endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
-    endpoint_entry::{EndpointEntry, EndpointIncarnation},
+    endpoint_entry::{EndpointEntry, EndpointIncarnation, EndpointLife},
     endpoint_health::EndpointHealth,
     endpoint_pauses::EndpointPauses,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod event_splitter;
 mod give_up_reason;
 mod layer_span;
+mod prompt_prefix;
 mod refusal_cause;
 mod request_verdict;
 mod retry_after;
@@ -19,6 +20,7 @@
     event_splitter::{EventError, EventSplitter, StreamEvent},
     give_up_reason::GiveUpReason,
     layer_span::{LayerSpan, SpanError},
+    prompt_prefix::PromptPrefix,
     refusal_cause::RefusalCause,
     request_verdict::RequestVerdict,
     retry_after::{RetryAfter, RetryAfterError},
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -161,6 +161,8 @@
     pub model: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens.
     pub token_counts: HeaderName,
+    /// The parts of the prompt, in order.
+    pub prompt_parts: HeaderName,
     /// The caller's estimate of the number of output tokens.
     pub length_hint: HeaderName,
     /// Set by an endpoint that did not run the request.
--- a/crates/cassiafield-gateway/src/process/endpoint_sync.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_sync.rs
@@ -6,7 +6,9 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::Moment,
-        process::{EndpointEntry, ListedEntry, ReadSchedule, ReaderRole, StoreReadOutcome},
+        process::{
+            DirectoryChange, EndpointEntry, ListedEntry, ReadSchedule, ReaderRole, StoreReadOutcome,
+        },
     },
     std::{
         cell::{Cell, RefCell},
@@ -134,6 +136,9 @@
 ) {
     let changes = state.directory.borrow_mut().apply_list(entries, requested_at);
     for change in changes {
+        if let DirectoryChange::Gone(endpoint) = &change {
+            state.record_endpoint_end(endpoint);
+        }
         LogEvent::EndpointChanged.log(change);
     }
     state.confirm_endpoints(requested_at);
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -53,6 +53,8 @@
     probes: IntCounter,
     endpoint_pauses: IntCounter,
     sends_held_back: IntCounterVec,
+    ends_under_requests: IntCounter,
+    sends_after_end: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -174,6 +176,14 @@
                 "Sends to endpoints held back, since the endpoint had asked for a pause",
                 &["sender"],
             ),
+            ends_under_requests: builder.counter(
+                "cassiafield_endpoint_ends_total",
+                "Endpoints that ended while requests without an answer were in flight there",
+            ),
+            sends_after_end: builder.counter(
+                "cassiafield_sends_after_end_total",
+                "Requests sent again after an endpoint had ended under them",
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -287,6 +297,16 @@
         self.sends_held_back.with_label_values(&[sender.name()]).inc();
     }
 
+    /// Counts an endpoint that ended while requests without an answer were in flight there.
+    pub fn count_endpoint_end(&self) {
+        self.ends_under_requests.inc();
+    }
+
+    /// Counts a request that is sent again after an endpoint ended under it.
+    pub fn count_send_after_end(&self) {
+        self.sends_after_end.inc();
+    }
+
     /// Sets the gauges to `values` and returns all metrics in the text format.
     ///
     /// # Errors
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, ConnectionPool, PlatformCodec},
+        connection::{ConnectionError, ConnectionPool, HttpConnection, PlatformCodec},
         process::{
             dropped_line_count, health_probe::HealthProbe, in_flight_request::DispatchedRequest,
             retry_broker::RetryBroker, state_exchange::StateExchange, AdmissionQueue, BootClock,
@@ -12,10 +12,11 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
-            DataAge, EndpointDirectory, EngineLoad, FailureReport, ListedEntries, OrganisationLoad,
-            RevisionNotice, VersionOrder, VersionVerdict, ZoneMembers,
+            CrashLedger, DataAge, EndpointDirectory, EndpointLife, EngineLoad, FailureReport,
+            ListedEntries, OrganisationLoad, RevisionNotice, VersionOrder, VersionVerdict,
+            ZoneMembers,
         },
-        request::{RetryAfter, StageRoute},
+        request::{PromptPrefix, RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
@@ -42,6 +43,8 @@
     pub load: RefCell<EngineLoad>,
     /// The other hosts of the availability zone.
     pub(super) members: RefCell<ZoneMembers>,
+    /// What speaks for and against the parts of prompts.
+    pub(super) crashes: RefCell<CrashLedger>,
     /// Memory in use by organisation.
     pub organisations: RefCell<OrganisationLoad>,
     /// Counters and histograms.
@@ -98,6 +101,7 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             members: RefCell::default(),
+            crashes: RefCell::default(),
             organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
@@ -471,6 +475,7 @@
             self.pool.remove(entry.address);
         }
         drop(directory);
+        self.record_endpoint_end(endpoint);
         self.urgent_message.notify_one();
         self.probe.notify_waiters();
     }
@@ -487,12 +492,77 @@
         let is_own_zone = directory.entry(endpoint).is_some_and(|e| e.zone == self.settings.zone);
         drop(directory);
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response to a peer"));
+        self.record_endpoint_end(endpoint);
         self.probe.notify_waiters();
         if is_own_zone && self.is_zone_leader() {
             self.poll_requested.notify_one();
         }
     }
 
+    /// Records that an endpoint is found to have ended, and logs what was in flight there.
+    pub(super) fn record_endpoint_end(&self, endpoint: &EndpointId) {
+        let summary = self.crashes.borrow_mut().record_end(endpoint, self.now());
+        if summary.suspects == 0 {
+            return;
+        }
+        self.metrics.count_endpoint_end();
+        let parts: Vec<String> =
+            summary.parts.iter().map(|(part, ends)| format!("{part} ({ends})")).collect();
+        LogEvent::EndpointEnded.log(format_args!(
+            "endpoint {endpoint}; {} requests of this host had no answer under way; parts of their \
+             prompts, with the ends known under each: {}",
+            summary.suspects,
+            parts.join(", "),
+        ));
+    }
+
+    /// Records that a request's connection broke before its answer was under way, and finds out
+    /// whether the endpoint has ended; returns `true` if it has.
+    ///
+    /// `route` is empty for a plain service. Any endpoint of a route may have ended.
+    pub async fn record_request_break(
+        &self,
+        endpoint: &EndpointId,
+        route: Option<&StageRoute>,
+        prefix: &PromptPrefix,
+    ) -> bool {
+        let stages = route.map_or(&[][..], StageRoute::stages);
+        let mut endpoints: Vec<EndpointId> =
+            stages.iter().map(|stage| stage.endpoint.clone()).collect();
+        if endpoints.is_empty() {
+            endpoints.push(endpoint.clone());
+        }
+        let directory = self.directory.borrow();
+        let life = |endpoint: EndpointId| {
+            let incarnation = directory.entry(&endpoint)?.incarnation;
+            Some(EndpointLife { endpoint, incarnation })
+        };
+        let lives = endpoints.into_iter().filter_map(life).collect();
+        let address = directory.entry(endpoint).map(|entry| entry.address);
+        let is_known_to_have_ended = directory.is_unresponsive(endpoint, self.now());
+        drop(directory);
+        self.crashes.borrow_mut().record_break(lives, prefix.clone(), self.now());
+        let Some(address) = address else { return true };
+        if is_known_to_have_ended {
+            self.record_endpoint_end(endpoint);
+            return true;
+        }
+        // A process that has ended accepts no connection; this asks it nothing.
+        match HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await {
+            Ok(_) => false,
+            Err(error) => {
+                self.record_endpoint_failure(endpoint, &error);
+                self.record_endpoint_end(endpoint);
+                true
+            }
+        }
+    }
+
+    /// Records that a request's answer got under way.
+    pub fn record_survival(&self, prefix: &PromptPrefix) {
+        self.crashes.borrow_mut().record_survival(prefix, self.now());
+    }
+
     /// Records that all endpoints of a route have just made progress.
     pub fn record_progress(&self, route: &StageRoute) {
         let now = self.now();
--- a/crates/cassiafield-gateway/src/request/caller_request.rs
+++ b/crates/cassiafield-gateway/src/request/caller_request.rs
@@ -1,7 +1,10 @@
 use {
     crate::connection::HeaderNames,
     bytes::Bytes,
-    cassiafield_core::ids::{Moment, OrganisationId},
+    cassiafield_core::{
+        ids::{Moment, OrganisationId},
+        request::PromptPrefix,
+    },
     compact_str::CompactString,
     http::{header, HeaderMap, HeaderName, HeaderValue, Method},
     std::time::Duration,
@@ -78,6 +81,13 @@
         Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
     }
 
+    /// Returns the parts of the prompt; none if they are not stated.
+    #[must_use]
+    pub fn prompt_prefix(&self, names: &HeaderNames) -> PromptPrefix {
+        let value = self.headers.get(&names.prompt_parts).and_then(|value| value.to_str().ok());
+        value.and_then(|text| text.parse().ok()).unwrap_or_default()
+    }
+
     /// Returns the value of a numeric header.
     #[must_use]
     pub fn header_u64(&self, name: &HeaderName) -> Option<u64> {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -11,7 +11,7 @@
     cassiafield_core::{
         ids::EndpointId,
         process::{EndpointEntry, ServiceChoice},
-        request::{RefusalCause, RequestVerdict},
+        request::{PromptPrefix, RefusalCause, RequestVerdict},
     },
     http::{header, HeaderValue, Response, StatusCode},
     http_body_util::{BodyExt as _, Limited},
@@ -23,6 +23,8 @@
 /// A request to a plain service, whose response is buffered completely.
 pub(super) struct PlainCall {
     context: CallContext,
+    /// The parts of the prompt that other requests may share.
+    prefix: PromptPrefix,
 }
 
 /// Outcome of one attempt at an endpoint.
@@ -49,8 +51,9 @@
     /// Minimum retry delay advised to callers; jitter raises it up to twofold.
     const RETRY_AFTER: Duration = Duration::from_millis(60);
 
-    pub(super) const fn new(context: CallContext) -> Self {
-        Self { context }
+    pub(super) fn new(context: CallContext) -> Self {
+        let prefix = context.request.prompt_prefix(context.state.codec.header_names());
+        Self { context, prefix }
     }
 
     pub(super) async fn run(self) -> Response<ResponseBody> {
@@ -178,7 +181,12 @@
                 *sends -= 1;
                 return EndpointOutcome::NotRun;
             }
-            Err(error) => return self.record_failure(entry, &error),
+            Err(error) => {
+                if matches!(error, ConnectionError::Broken(_)) {
+                    self.record_break(entry).await;
+                }
+                return self.record_failure(entry, &error);
+            }
         };
         let outcome = self.read_response(entry, connection, response).await;
         if let EndpointOutcome::Response(_) = &outcome {
@@ -201,6 +209,11 @@
         }
     }
 
+    /// Records that the request's connection broke, and finds out whether the endpoint has ended.
+    async fn record_break(&self, entry: &EndpointEntry) {
+        self.context.state.record_request_break(&entry.endpoint, None, &self.prefix).await;
+    }
+
     async fn read_response(
         &self,
         entry: &EndpointEntry,
@@ -216,7 +229,11 @@
         let reading = Limited::new(body, Self::MAX_RESPONSE_BYTES).collect();
         let body = match timeout(self.context.remaining_time(), reading).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) | Err(_) => return self.record_failure(entry, &ConnectionError::TimedOut),
+            Ok(Err(_)) => {
+                self.record_break(entry).await;
+                return self.record_failure(entry, &ConnectionError::TimedOut);
+            }
+            Err(_) => return self.record_failure(entry, &ConnectionError::TimedOut),
         };
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
@@ -228,6 +245,7 @@
             self.context.state.record_endpoint_refusal(&entry.endpoint, is_misdirected);
             return EndpointOutcome::NotRun;
         }
+        self.context.state.record_survival(&self.prefix);
         strip_hop_headers(&mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -17,7 +17,8 @@
         ids::{EndpointId, ModelId},
         process::{PathError, PlannedPath},
         request::{
-            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
+            EventSplitter, GiveUpReason, PromptPrefix, RefusalCause, RequestVerdict, StageRoute,
+            StreamTimeouts,
         },
         version::{RequestKind, ServiceRule},
     },
@@ -55,6 +56,10 @@
     /// Why the last failed planning found no path.
     pub(super) bottleneck: Cell<Option<PathError>>,
     pub(super) model: ModelId,
+    /// The parts of the prompt that other requests may share.
+    pub(super) prefix: PromptPrefix,
+    /// Number of endpoints that ended under this request before its answer was under way.
+    pub(super) ends: u32,
     pub(super) prompt_tokens: u32,
     /// Expected number of output tokens.
     pub(super) output_tokens: u32,
@@ -107,6 +112,7 @@
             .get(&names.model)
             .and_then(|value| value.to_str().ok())
             .and_then(|name| name.parse().ok());
+        let prefix = request.prompt_prefix(names);
         // Paths are planned per service; the model name only labels the route.
         let model = model.unwrap_or_else(|| fallback_model(service));
         Self {
@@ -118,6 +124,8 @@
             replaced: RefCell::default(),
             bottleneck: Cell::new(None),
             model,
+            prefix,
+            ends: 0,
             prompt_tokens,
             output_tokens,
         }
@@ -301,6 +309,9 @@
         }
         self.sends += 1;
         self.context.record_send();
+        if self.ends > 0 {
+            self.context.state.metrics.count_send_after_end();
+        }
         self.record_transfers(&path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
@@ -330,7 +341,10 @@
                 }
                 return Err(AttemptError::MayHaveRun);
             }
-            Err(error) => return Err(self.record_connection_failure(&first.endpoint, &error)),
+            Err(error) => {
+                self.record_break(&first.endpoint, &path.route).await;
+                return Err(self.record_connection_failure(&first.endpoint, &error));
+            }
         };
         let status = response.status();
         self.context.state.record_pause(&first.endpoint, status, response.headers());
@@ -356,6 +370,8 @@
             reservation: Some(reservation),
             timeouts: self.timeouts(),
             typical_gap: self.expected_gap(&path),
+            began_at: None,
+            is_under_way: false,
         };
         let head = Response::from_parts(parts, ());
         let remaining_time = self.context.remaining_time();
@@ -380,6 +396,9 @@
             ReadOutcome::Failed(error) => {
                 let waited = self.context.state.now().since(sent_at);
                 self.record_stream_error(&attempt, &error, waited);
+                if error.is_break() {
+                    self.record_break(&first.endpoint, &path.route).await;
+                }
                 Err(AttemptError::MayHaveRun)
             }
         }
@@ -445,6 +464,15 @@
         }
     }
 
+    /// Records that the request's connection to the first endpoint of a path broke before its answer
+    /// was under way, and finds out whether the endpoint has ended.
+    pub(super) async fn record_break(&mut self, first: &EndpointId, route: &StageRoute) {
+        let state = &self.context.state;
+        if state.record_request_break(first, Some(route), &self.prefix).await {
+            self.ends += 1;
+        }
+    }
+
     /// Records the activations that the stream will send between availability zones.
     fn record_transfers(&self, path: &PlannedPath) {
         let Some(engine) = &self.context.service.engine else { return };
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -43,6 +43,10 @@
     pub(super) timeouts: StreamTimeouts,
     /// Typical time between two events on the path: first as planned, then as measured.
     pub(super) typical_gap: Duration,
+    /// When the path's first event arrived.
+    pub(super) began_at: Option<Moment>,
+    /// Whether the path has outlived the time in which an answer may crash its endpoint.
+    pub(super) is_under_way: bool,
 }
 
 /// Result of waiting for the next events.
@@ -75,6 +79,11 @@
         matches!(self, StreamError::Stalled(_))
     }
 
+    /// Returns `true` if the first endpoint broke the stream off.
+    pub(super) const fn is_break(&self) -> bool {
+        matches!(self, StreamError::Broken(_) | StreamError::Event(_) | StreamError::Truncated)
+    }
+
     /// Returns `true` if the stream stalled although all endpoints of its path respond to probes.
     pub(super) fn is_unexplained_stall(&self) -> bool {
         matches!(self, StreamError::Stalled(unresponsive) if unresponsive.is_empty())
@@ -114,6 +123,17 @@
 }
 
 impl StreamAttempt {
+    /// Time from the first event after which an answer no longer counts as just begun.
+    const BEGINNING: Duration = Duration::from_millis(400);
+
+    /// Records that events arrived at `now`; returns `true` if the answer has just got under way.
+    fn record_events(&mut self, now: Moment) -> bool {
+        let began_at = *self.began_at.get_or_insert(now);
+        let was_under_way = self.is_under_way;
+        self.is_under_way |= now.since(began_at) >= Self::BEGINNING;
+        self.is_under_way && !was_under_way
+    }
+
     /// Waits until the next complete events arrive; with `may_leave`, only until the path is found
     /// to have stalled.
     ///
@@ -287,6 +307,12 @@
                     self.last_event =
                         self.attempt.as_ref().and_then(|attempt| attempt.splitter.last_id());
                     let now = self.call.context.state.now();
+                    let has_events = !events.is_empty();
+                    if let Some(attempt) = self.attempt.as_mut().filter(|_| has_events) {
+                        if attempt.record_events(now) {
+                            self.call.context.state.record_survival(&self.call.prefix);
+                        }
+                    }
                     if let Some(before) = self.relayed_at.replace(now) {
                         let gap = now.since(before);
                         gaps.observe(gap.as_secs_f64());
@@ -302,6 +328,7 @@
                     if let Some(attempt) = &self.attempt {
                         call.context.state.record_progress(&attempt.route);
                     }
+                    call.context.state.record_survival(&call.prefix);
                     let gap = self.longest_gap.as_millis();
                     call.context.record_completion(
                         call.sends,
@@ -344,6 +371,11 @@
         if let Some(mut attempt) = self.attempt.take() {
             let waited = self.time_without_events();
             self.call.record_stream_error(&attempt, &error, waited);
+            if error.is_break() && !attempt.is_under_way {
+                if let Some(first) = attempt.route.stages().first() {
+                    self.call.record_break(&first.endpoint, &attempt.route).await;
+                }
+            }
             if error.is_stall() {
                 self.call.replaced.replace(attempt.reservation.take());
                 stalled_path = Some(attempt);
