fix(gateway): keep parts of prompts from endpoints under which endpoints have ended

Cause: an endpoint that ends was counted as its own failure and nothing else. The request that ended it was sent again at once, up to five times, beside the streams that had just moved to the same endpoint, and each host began from nothing. Class: a failure that follows the work, not the place, and is therefore not contained by avoiding places.

Evidence is kept by part (CrashLedger): a request without an answer under way at an endpoint that is found to have ended speaks against its shared parts, an answer that gets under way speaks for them. A run of an endpoint counts once, whoever reports it; ends 100 ms apart or less count as one; at a moment with many ends a part must be under half of them. Three ends under three requests block a part, six if its requests were answered within a minute. An end under a blocked part speaks against no other one. Parts with the same evidence are blocked only together, until an end or an answer tells them apart. Hosts tell each other with every message; a host that has just started takes the verdicts over, with their age. A block lasts while such requests come, and lapses after two minutes; one more end renews it. Tables and reports are bounded.

Fewer ends before the verdict: a request is sent again once after an end, and not at all if others with its parts were hit too; requests under suspicion are sent one at a time by each host until an answer begins. Blocked requests are refused at once: 503 with a time to come back if nothing was sent, else 502. Operators see them at /prompt-parts of the metrics address and release one with DELETE; events 1312, 1313.

--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -8,6 +8,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
+        fmt,
         time::Duration,
     },
 };
@@ -25,6 +26,19 @@
     pub idle: Duration,
 }
 
+impl fmt::Display for BlockedPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {} endpoints ended under it, blocked {} ms ago, last requested {} ms ago",
+            self.part,
+            self.ends,
+            self.age.as_millis(),
+            self.idle.as_millis(),
+        )
+    }
+}
+
 /// The end of an endpoint with the requests that may have caused it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EndSummary {
@@ -49,6 +63,10 @@
     survivals: SurvivalTable,
     /// Broken connections of requests without an answer under way, whose endpoint may have ended.
     breaks: VecDeque<BrokenRequest>,
+    /// When endpoints ended at which requests had no answer under way, whatever came of it.
+    end_times: BTreeMap<EndpointLife, Moment>,
+    /// Parts that are no longer blocked, until they are taken.
+    released: Vec<PromptPart>,
     /// Endpoints that ended lately.
     ended: VecDeque<(EndpointId, Moment)>,
 }
@@ -69,6 +87,11 @@
     blocked_at: Option<Moment>,
     /// When a request with the blocked part last came.
     requested_at: Option<Moment>,
+    /// Parts with the same evidence, if there are any: then only requests with all of them are
+    /// blocked, and the next end or answer tells them apart.
+    companions: Vec<PromptPart>,
+    /// When the part was released since no request with it came.
+    lapsed_at: Option<Moment>,
     changed_at: Moment,
 }
 
@@ -93,7 +116,7 @@
     /// Number of ends that block a part without any known answer to its requests.
     const MIN_ENDS: usize = 3;
     /// Number of different requests under which these ends came.
-    const MIN_REQUESTS: usize = 2;
+    const MIN_REQUESTS: usize = 3;
     /// The same for a part whose requests were answered within [`Self::SURVIVAL_TIME`].
     const MIN_ENDS_AFTER_SURVIVAL: usize = 6;
     const MIN_REQUESTS_AFTER_SURVIVAL: usize = 3;
@@ -101,11 +124,14 @@
     const SURVIVAL_TIME: Duration = Duration::from_secs(60);
     /// Ends closer together count as one: they may have one cause, such as a rack without power.
     const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
+    /// Number of ends at one moment of which a part must be under half to be their cause.
+    const MASS_ENDS: usize = 4;
     /// Time between a broken connection and the finding that its endpoint has ended.
     const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
-    /// Time for which an end counts, and after which a blocked part is forgotten that no request
-    /// has.
+    /// Time for which an end counts.
     const RETENTION: Duration = Duration::from_secs(600);
+    /// Time without a request after which a part is no longer blocked; one more end blocks it again.
+    const LAPSE_TIME: Duration = Duration::from_secs(120);
     /// Time for which changes are reported.
     const REPORT_TIME: Duration = Duration::from_secs(2);
     /// Upper bounds of the table, of the ends of a part and of a report.
@@ -114,6 +140,7 @@
     const MAX_REPORTED: usize = 64;
     const MAX_REPORTED_ENDS: usize = 8;
     const MAX_BREAKS: usize = 512;
+    const MAX_END_TIMES: usize = 512;
     /// Difference below which two times from peers are the same one, delayed on its way.
     const MESSAGE_DELAY: Duration = Duration::from_millis(400);
 
@@ -166,35 +193,43 @@
     }
 
     /// Records that a request's answer got under way, which clears its parts.
-    ///
-    /// Returns the parts that were blocked until now.
-    pub fn record_survival(&mut self, prefix: &PromptPrefix, now: Moment) -> Vec<PromptPart> {
-        let mut released = Vec::new();
+    pub fn record_survival(&mut self, prefix: &PromptPrefix, now: Moment) {
         for part in prefix.shared() {
             self.survivals.record(part, now);
             if let Some(record) = self.parts.get_mut(part) {
                 record.survived_at = Some(now);
                 if record.clear(now) {
-                    released.push(part.clone());
+                    self.released.push(part.clone());
                 }
             }
         }
-        released
     }
 
     /// Sets the evidence against a part aside, as an operator asks; returns `true` if it was blocked.
     pub fn lift(&mut self, part: &PromptPart, now: Moment) -> bool {
-        self.parts.get_mut(part).is_some_and(|record| record.clear(now))
+        let was_blocked = self.parts.get_mut(part).is_some_and(|record| record.clear(now));
+        if was_blocked {
+            self.released.push(part.clone());
+        }
+        was_blocked
+    }
+
+    /// Returns the parts that are no longer blocked, each once.
+    pub fn take_released(&mut self) -> Vec<PromptPart> {
+        std::mem::take(&mut self.released)
     }
 
     /// Returns the first blocked part of a request; the block lasts while such requests come.
     pub fn check(&mut self, prefix: &PromptPrefix, now: Moment) -> Option<BlockedPart> {
-        let parts = &mut self.parts;
-        let part = prefix
-            .shared()
-            .iter()
-            .find(|part| parts.get(*part).is_some_and(|record| record.is_blocked(now)))?;
-        let record = parts.get_mut(part)?;
+        let shared = prefix.shared();
+        let is_match = |part: &&PromptPart| {
+            self.parts.get(*part).is_some_and(|record| {
+                record.is_blocked(now)
+                    && record.companions.iter().all(|other| shared.contains(other))
+            })
+        };
+        let part = shared.iter().find(is_match)?;
+        let record = self.parts.get_mut(part)?;
         let blocked = record.describe(part, now);
         record.requested_at = Some(now);
         blocked
@@ -210,6 +245,24 @@
         })
     }
 
+    /// Returns `true` if a request may be sent again under which `ends` endpoints have ended.
+    ///
+    /// After the first end it may once, unless endpoints ended under other requests with one of its
+    /// parts as well.
+    #[must_use]
+    pub fn may_repeat(&self, prefix: &PromptPrefix, ends: u32) -> bool {
+        let is_shared_suspicion = |part: &PromptPart| {
+            let Some(record) = self.parts.get(part) else { return false };
+            let has_other = record.ends.values().any(|end| end.own != prefix.own());
+            has_other && record.survived_at.is_none()
+        };
+        match ends {
+            0 => true,
+            1 => !prefix.shared().iter().any(is_shared_suspicion),
+            _ => false,
+        }
+    }
+
     /// Returns the blocked parts.
     #[must_use]
     pub fn blocked(&self, now: Moment) -> Vec<BlockedPart> {
@@ -221,24 +274,102 @@
     /// An end under a blocked part speaks against no other one.
     pub fn judge(&mut self, now: Moment) -> Vec<BlockedPart> {
         self.expire(now);
+        self.release_untied(now);
         let mut found = Vec::new();
         loop {
-            let blocked = self.parts.values().filter(|record| record.is_blocked(now));
-            let explained: BTreeSet<EndpointLife> =
-                blocked.flat_map(|record| record.ends.keys().cloned()).collect();
+            let explained = self.explained_ends(None, now);
             let candidates = self.parts.iter().filter(|(_, record)| !record.is_blocked(now));
-            let weighed = candidates
-                .filter_map(|(part, record)| Some((record.weigh(&explained, now)?, part.clone())));
-            let Some((_, part)) = weighed.max() else { return found };
+            let weighed: Vec<(EvidenceWeight, PromptPart)> = candidates
+                .filter_map(|(part, record)| {
+                    let mass_ends = self.unrelated_mass_ends(record);
+                    let is_counted = |life: &EndpointLife| {
+                        !explained.contains(life) && !mass_ends.contains(life)
+                    };
+                    Some((record.weigh(is_counted, now)?, part.clone()))
+                })
+                .collect();
+            let Some((_, part)) = weighed.iter().max().cloned() else { return found };
+            let others = weighed.iter().map(|(_, other)| other).filter(|other| **other != part);
+            let companions: Vec<PromptPart> = others
+                .filter(|other| self.has_same_ends(other, &part, &explained))
+                .cloned()
+                .collect();
             if let Some(record) = self.parts.get_mut(&part) {
                 record.blocked_at = Some(now);
                 record.requested_at = Some(now);
                 record.changed_at = now;
+                record.companions = companions;
                 found.extend(record.describe(&part, now));
             }
         }
     }
 
+    /// Returns the ends under a part at moments at which many endpoints ended, most of them not under
+    /// it.
+    fn unrelated_mass_ends(&self, record: &PartRecord) -> BTreeSet<EndpointLife> {
+        let is_near = |one: Moment, other: Moment| {
+            one.since(other).max(other.since(one)) < Self::COMMON_CAUSE_TIME
+        };
+        let is_unrelated = |at: Moment| {
+            let all = self.end_times.values().filter(|other| is_near(**other, at)).count();
+            let own = record.ends.values().filter(|other| is_near(other.at, at)).count();
+            all >= Self::MASS_ENDS && own * 2 < all
+        };
+        let unrelated = record.ends.iter().filter(|(_, end)| is_unrelated(end.at));
+        unrelated.map(|(life, _)| life.clone()).collect()
+    }
+
+    fn record_end_time(&mut self, life: &EndpointLife, at: Moment) {
+        if self.end_times.len() >= Self::MAX_END_TIMES {
+            let oldest = self.end_times.iter().min_by_key(|(_, at)| **at);
+            if let Some(life) = oldest.map(|(life, _)| life.clone()) {
+                self.end_times.remove(&life);
+            }
+        }
+        self.end_times.entry(life.clone()).or_insert(at);
+    }
+
+    /// Withdraws the verdicts on parts that have been told apart from their companions since.
+    fn release_untied(&mut self, now: Moment) {
+        let is_untied = |part: &PromptPart, record: &PartRecord| {
+            let explained = self.explained_ends(Some(part), now);
+            record.companions.iter().any(|other| !self.has_same_ends(part, other, &explained))
+        };
+        let blocked = self.parts.iter().filter(|(_, record)| record.is_blocked(now));
+        let untied: Vec<PromptPart> = blocked
+            .filter(|(part, record)| is_untied(part, record))
+            .map(|(part, _)| part.clone())
+            .collect();
+        for part in untied {
+            if let Some(record) = self.parts.get_mut(&part) {
+                record.blocked_at = None;
+                record.requested_at = None;
+                record.companions.clear();
+            }
+        }
+    }
+
+    /// Returns the ends under blocked parts other than `part`.
+    fn explained_ends(&self, part: Option<&PromptPart>, now: Moment) -> BTreeSet<EndpointLife> {
+        let blocked = self.parts.iter().filter(|(_, record)| record.is_blocked(now));
+        let others = blocked.filter(|(other, _)| Some(*other) != part);
+        others.flat_map(|(_, record)| record.ends.keys().cloned()).collect()
+    }
+
+    /// Returns `true` if the same ends speak against two parts, apart from the explained ones.
+    fn has_same_ends(
+        &self,
+        one: &PromptPart,
+        other: &PromptPart,
+        explained: &BTreeSet<EndpointLife>,
+    ) -> bool {
+        let lives = |part: &PromptPart| -> Vec<&EndpointLife> {
+            let ends = self.parts.get(part).into_iter().flat_map(|record| record.ends.keys());
+            ends.filter(|life| !explained.contains(*life)).collect()
+        };
+        lives(one) == lives(other)
+    }
+
     /// Returns what peers should know.
     #[must_use]
     pub fn report(&self, now: Moment) -> CrashReport {
@@ -267,6 +398,7 @@
                 ends: ends.collect(),
                 survived_ms: record.survived_at.map(age),
                 cleared_ms: record.cleared_at.map(age),
+                companions: record.companions.clone(),
                 blocked_ms: record.blocked_at.map(age),
                 requested_ms: record.requested_at.map(age),
             }
@@ -279,6 +411,9 @@
         self.expire(now);
         let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
         let mut adopted = Vec::new();
+        for end in report.parts.iter().flat_map(|found| &found.ends) {
+            self.record_end_time(&end.life, at(end.age_ms));
+        }
         for found in report.parts.into_iter().take(Self::MAX_PARTS) {
             let was_known = self.parts.contains_key(&found.part);
             let is_past = found.ends.is_empty() && found.blocked_ms.is_none();
@@ -293,19 +428,24 @@
             record.survived_at = later(record.survived_at, found.survived_ms.map(at));
             let cleared_at = later(record.cleared_at, found.cleared_ms.map(at));
             if let Some(cleared_at) = cleared_at.filter(|_| cleared_at != record.cleared_at) {
-                record.clear(cleared_at);
+                if record.clear(cleared_at) {
+                    self.released.push(found.part.clone());
+                }
             }
             for end in found.ends {
                 let found = PartEnd { at: at(end.age_ms), own: end.own, position: end.position };
                 record.add_end(end.life, found, now);
             }
             let blocked_at = found.blocked_ms.map(at);
+            let is_requested =
+                found.requested_ms.is_some_and(|age| now.since(at(age)) < Self::LAPSE_TIME);
             let is_current = |at: Moment| record.cleared_at.is_none_or(|cleared| cleared < at);
-            if let Some(blocked_at) = blocked_at.filter(|at| is_current(*at)) {
+            if let Some(blocked_at) = blocked_at.filter(|at| is_requested && is_current(*at)) {
                 if record.blocked_at.is_none() {
                     record.blocked_at = Some(blocked_at);
                     record.changed_at = now;
                     record.requested_at = Some(found.requested_ms.map_or(now, at));
+                    record.companions = found.companions;
                     adopted.extend(record.describe(&found.part, now));
                 }
             }
@@ -315,6 +455,7 @@
     }
 
     fn add_end(&mut self, life: &EndpointLife, prefix: &PromptPrefix, now: Moment) {
+        self.record_end_time(life, now);
         for (index, part) in prefix.shared().iter().enumerate() {
             if !self.parts.contains_key(part) && !self.make_room() {
                 return;
@@ -343,11 +484,16 @@
         let is_recent = |at: Moment| now.since(at) < Self::CONFIRMATION_TIME;
         self.breaks.retain(|broken| is_recent(broken.at));
         self.ended.retain(|(_, at)| is_recent(*at));
-        self.parts.retain(|_, record| {
+        self.end_times.retain(|_, at| now.since(*at) < Self::RETENTION);
+        let released = &mut self.released;
+        self.parts.retain(|part, record| {
             record.ends.retain(|_, end| now.since(end.at) < Self::RETENTION);
-            if record.requested_at.is_some_and(|at| now.since(at) >= Self::RETENTION) {
+            if record.blocked_at.is_some() && !record.is_blocked(now) {
+                released.push(part.clone());
                 record.blocked_at = None;
                 record.requested_at = None;
+                record.companions.clear();
+                record.lapsed_at = Some(now);
             }
             record.blocked_at.is_some()
                 || !record.ends.is_empty()
@@ -363,7 +509,7 @@
 
     fn is_blocked(&self, now: Moment) -> bool {
         let is_requested =
-            self.requested_at.is_some_and(|at| now.since(at) < CrashLedger::RETENTION);
+            self.requested_at.is_some_and(|at| now.since(at) < CrashLedger::LAPSE_TIME);
         self.blocked_at.is_some() && is_requested
     }
 
@@ -403,14 +549,19 @@
         if is_outdated {
             self.blocked_at = None;
             self.requested_at = None;
+            self.companions.clear();
         }
         is_outdated
     }
 
     /// Returns the weight of the ends without another explanation, if it suffices.
-    fn weigh(&self, explained: &BTreeSet<EndpointLife>, now: Moment) -> Option<EvidenceWeight> {
-        let unexplained = self.ends.iter().filter(|(life, _)| !explained.contains(*life));
-        let mut ends: Vec<PartEnd> = unexplained.map(|(_, end)| *end).collect();
+    fn weigh(
+        &self,
+        is_counted: impl Fn(&EndpointLife) -> bool,
+        now: Moment,
+    ) -> Option<EvidenceWeight> {
+        let counted = self.ends.iter().filter(|(life, _)| is_counted(life));
+        let mut ends: Vec<PartEnd> = counted.map(|(_, end)| *end).collect();
         ends.sort_by_key(|end| end.at);
         let mut last: Option<Moment> = None;
         let is_apart = |end: &&PartEnd| {
@@ -424,6 +575,9 @@
         let count = ends.iter().filter(is_apart).count();
         let requests: BTreeSet<u64> = ends.iter().map(|end| end.own).collect();
         let position = ends.iter().map(|end| end.position).max()?;
+        if self.lapsed_at.is_some_and(|lapsed_at| ends.iter().all(|end| end.at <= lapsed_at)) {
+            return None;
+        }
         let has_survived =
             self.survived_at.is_some_and(|at| now.since(at) < CrashLedger::SURVIVAL_TIME);
         let (min_ends, min_requests) = if has_survived {
--- a/crates/cassiafield-core/src/process/crash_report.rs
+++ b/crates/cassiafield-core/src/process/crash_report.rs
@@ -22,6 +22,8 @@
     pub survived_ms: Option<u32>,
     /// Time since the evidence before was set aside, in milliseconds.
     pub cleared_ms: Option<u32>,
+    /// Parts that a request must have as well to be blocked.
+    pub companions: Vec<PromptPart>,
     /// Time since the part was blocked, in milliseconds.
     pub blocked_ms: Option<u32>,
     /// Time since a request with the blocked part last came, in milliseconds.
--- a/crates/cassiafield-core/src/request/give_up_reason.rs
+++ b/crates/cassiafield-core/src/request/give_up_reason.rs
@@ -17,11 +17,13 @@
     Overloaded,
     /// The endpoints that the stream was resumed at failed it.
     EndpointFailed,
+    /// Endpoints have ended under requests with a part of this one's prompt.
+    PromptBlocked,
 }
 
 impl GiveUpReason {
     /// All reasons, for metrics and documentation.
-    pub const ALL: [GiveUpReason; 7] = [
+    pub const ALL: [GiveUpReason; 8] = [
         GiveUpReason::DeadlineExceeded,
         GiveUpReason::NotResumable,
         GiveUpReason::SendLimit,
@@ -29,6 +31,7 @@
         GiveUpReason::NoEndpoint,
         GiveUpReason::Overloaded,
         GiveUpReason::EndpointFailed,
+        GiveUpReason::PromptBlocked,
     ];
 
     /// Returns `true` if the stream will not be sent again however long its caller waits.
@@ -36,7 +39,10 @@
     pub const fn is_final(self) -> bool {
         matches!(
             self,
-            GiveUpReason::DeadlineExceeded | GiveUpReason::NotResumable | GiveUpReason::SendLimit
+            GiveUpReason::DeadlineExceeded
+                | GiveUpReason::NotResumable
+                | GiveUpReason::SendLimit
+                | GiveUpReason::PromptBlocked
         )
     }
 
@@ -51,6 +57,7 @@
             GiveUpReason::NoEndpoint => "no-endpoint",
             GiveUpReason::Overloaded => "overloaded",
             GiveUpReason::EndpointFailed => "endpoint-failed",
+            GiveUpReason::PromptBlocked => "prompt-blocked",
         }
     }
 }
--- a/crates/cassiafield-core/src/request/refusal_cause.rs
+++ b/crates/cassiafield-core/src/request/refusal_cause.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// No endpoint is available.
     NoEndpoint,
+    /// Endpoints have ended under requests with a part of this one's prompt.
+    PromptBlocked,
     /// The endpoint failed after the request was sent.
     EndpointFailed,
     /// The call needs the platform store, which is unreachable.
@@ -41,7 +43,7 @@
 
 impl RefusalCause {
     /// All causes, for metrics and documentation.
-    pub const ALL: [RefusalCause; 16] = [
+    pub const ALL: [RefusalCause; 17] = [
         RefusalCause::BadRequest,
         RefusalCause::Unauthorised,
         RefusalCause::NotInPlan,
@@ -55,6 +57,7 @@
         RefusalCause::Concurrency,
         RefusalCause::Overloaded,
         RefusalCause::NoEndpoint,
+        RefusalCause::PromptBlocked,
         RefusalCause::EndpointFailed,
         RefusalCause::StoreUnavailable,
         RefusalCause::NotReady,
@@ -76,6 +79,7 @@
             RefusalCause::EndpointFailed => 502,
             RefusalCause::Overloaded
             | RefusalCause::NoEndpoint
+            | RefusalCause::PromptBlocked
             | RefusalCause::StoreUnavailable
             | RefusalCause::NotReady => 503,
         }
@@ -98,6 +102,7 @@
             RefusalCause::Concurrency => "concurrency",
             RefusalCause::Overloaded => "overloaded",
             RefusalCause::NoEndpoint => "no-endpoint",
+            RefusalCause::PromptBlocked => "prompt-blocked",
             RefusalCause::EndpointFailed => "endpoint-failed",
             RefusalCause::StoreUnavailable => "store-unavailable",
             RefusalCause::NotReady => "not-ready",
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -28,6 +28,8 @@
     pub lines_over_budget: f64,
     /// Log lines dropped because the writer could not keep up.
     pub lines_dropped: f64,
+    /// Parts of prompts that are kept from endpoints.
+    pub blocked_parts: f64,
 }
 
 /// Counters, histograms and gauges of one host.
@@ -35,7 +37,7 @@
     registry: Registry,
     organisations: RefCell<HashSet<OrganisationId>>,
     /// In the order of the fields of [`GaugeValues`].
-    gauges: [Gauge; 6],
+    gauges: [Gauge; 7],
     responses: IntCounterVec,
     head_times: HistogramVec,
     completion_times: HistogramVec,
@@ -55,6 +57,7 @@
     sends_held_back: IntCounterVec,
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
+    blocked_parts: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -95,6 +98,10 @@
                     "cassiafield_log_lines_dropped",
                     "Log lines dropped, since they came faster than they could be written",
                 ),
+                builder.gauge(
+                    "cassiafield_blocked_parts",
+                    "Parts of prompts that are kept from endpoints",
+                ),
             ],
             responses: builder.counters(
                 "cassiafield_answers_total",
@@ -184,6 +191,10 @@
                 "cassiafield_sends_after_end_total",
                 "Requests sent again after an endpoint had ended under them",
             ),
+            blocked_parts: builder.counter(
+                "cassiafield_prompt_parts_blocked_total",
+                "Parts of prompts that were blocked, since endpoints ended under them",
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -307,6 +318,11 @@
         self.sends_after_end.inc();
     }
 
+    /// Counts a part of prompts that was blocked.
+    pub fn count_blocked_part(&self) {
+        self.blocked_parts.inc();
+    }
+
     /// Sets the gauges to `values` and returns all metrics in the text format.
     ///
     /// # Errors
@@ -320,6 +336,7 @@
             values.running,
             values.lines_over_budget,
             values.lines_dropped,
+            values.blocked_parts,
         ];
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(value);
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -11,8 +11,8 @@
     },
     anyhow::Context as _,
     cassiafield::process::{LogEvent, RequestDecision},
-    cassiafield_core::process::CloseReason,
-    http::StatusCode,
+    cassiafield_core::{ids::PromptPart, process::CloseReason},
+    http::{Method, StatusCode},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         task::{spawn_local, JoinHandle, LocalSet},
@@ -26,6 +26,8 @@
 }
 
 impl GatewayServer {
+    /// Path on the metrics address of the parts of prompts that are kept from endpoints.
+    const PROMPT_PARTS_PATH: &'static str = "/prompt-parts";
     /// File descriptors reserved for uses other than callers' connections.
     const RESERVED_DESCRIPTORS: usize = 600;
     /// Time before the platform's stop limit at which a stopping host exits in any case.
@@ -95,7 +97,7 @@
 
     async fn spawn_background(state: &Rc<GatewayState>, readiness_server: MonitoringServer) {
         let readiness = Rc::clone(state);
-        spawn_local(readiness_server.serve(Rc::new(move |_| {
+        spawn_local(readiness_server.serve(Rc::new(move |_, _| {
             let is_ready = readiness.is_ready();
             let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             (status, Vec::new())
@@ -103,12 +105,10 @@
         match MonitoringServer::bind(state.settings.metrics_address).await {
             Ok(server) => {
                 let metrics = Rc::clone(state);
-                spawn_local(server.serve(Rc::new(move |_| {
-                    match metrics.metrics.encode(metrics.gauge_values()) {
-                        Ok(text) => (StatusCode::OK, text),
-                        Err(error) => {
-                            (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
-                        }
+                spawn_local(server.serve(Rc::new(move |method, path| {
+                    match path.strip_prefix(Self::PROMPT_PARTS_PATH) {
+                        Some(rest) => answer_operator(&metrics, method, rest),
+                        None => encode_metrics(&metrics),
                     }
                 })));
             }
@@ -124,6 +124,31 @@
     }
 }
 
+fn encode_metrics(state: &GatewayState) -> (StatusCode, Vec<u8>) {
+    match state.metrics.encode(state.gauge_values()) {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
+    }
+}
+
+/// Lists the parts of prompts that are kept from endpoints, or releases one of them (`DELETE` of its
+/// identifier).
+fn answer_operator(state: &GatewayState, method: &Method, rest: &str) -> (StatusCode, Vec<u8>) {
+    let rest = rest.trim_start_matches('/');
+    if method == Method::GET && rest.is_empty() {
+        return (StatusCode::OK, state.describe_blocked_parts().into_bytes());
+    }
+    if method != Method::DELETE {
+        let text = "only GET of the list and DELETE of a part are served\n";
+        return (StatusCode::METHOD_NOT_ALLOWED, text.as_bytes().to_vec());
+    }
+    match rest.parse::<PromptPart>() {
+        Ok(part) if state.release_part(&part) => (StatusCode::OK, b"released\n".to_vec()),
+        Ok(_) => (StatusCode::NOT_FOUND, b"the part is not blocked here\n".to_vec()),
+        Err(error) => (StatusCode::BAD_REQUEST, format!("{error}\n").into_bytes()),
+    }
+}
+
 /// A host that serves requests.
 pub struct RunningHost {
     state: Rc<GatewayState>,
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -10,11 +10,11 @@
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
-        ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
+        ids::{EndpointId, HostId, Moment, OrganisationId, PromptPart, ServiceId},
         process::{
-            CrashLedger, DataAge, EndpointDirectory, EndpointLife, EngineLoad, FailureReport,
-            ListedEntries, OrganisationLoad, RevisionNotice, VersionOrder, VersionVerdict,
-            ZoneMembers,
+            BlockedPart, CrashLedger, CrashReport, DataAge, EndpointDirectory, EndpointLife,
+            EngineLoad, FailureReport, ListedEntries, OrganisationLoad, RevisionNotice,
+            VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{PromptPrefix, RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
@@ -26,7 +26,10 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::{
+        sync::{Mutex, MutexGuard, Notify},
+        time::timeout,
+    },
 };
 
 /// State of one host.
@@ -45,6 +48,8 @@
     pub(super) members: RefCell<ZoneMembers>,
     /// What speaks for and against the parts of prompts.
     pub(super) crashes: RefCell<CrashLedger>,
+    /// Held by the one request under suspicion that is being sent.
+    suspect_turns: Mutex<()>,
     /// Memory in use by organisation.
     pub organisations: RefCell<OrganisationLoad>,
     /// Counters and histograms.
@@ -87,6 +92,9 @@
     /// The load balancer checks readiness once a second and needs two failed checks.
     pub const DRAIN_PERIOD: Duration = Duration::from_millis(2_400);
 
+    /// Maximum time that a request under suspicion waits for others to be answered.
+    const MAX_SUSPECT_WAIT: Duration = Duration::from_secs(1);
+
     /// Time before the platform's stop limit at which no request may be in flight any more.
     const STOP_RESERVE: Duration = Duration::from_millis(750);
 
@@ -102,6 +110,7 @@
             load: RefCell::default(),
             members: RefCell::default(),
             crashes: RefCell::default(),
+            suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
@@ -514,6 +523,79 @@
             summary.suspects,
             parts.join(", "),
         ));
+        self.judge_prompts();
+        self.urgent_message.notify_one();
+    }
+
+    /// Blocks the parts of prompts that enough speaks against, and logs each change.
+    pub(super) fn judge_prompts(&self) {
+        let mut crashes = self.crashes.borrow_mut();
+        let blocked = crashes.judge(self.now());
+        drop(crashes);
+        if !blocked.is_empty() {
+            self.urgent_message.notify_one();
+        }
+        self.log_prompts(&blocked, "this host's evidence");
+        self.log_released_parts();
+    }
+
+    fn log_released_parts(&self) {
+        for part in self.crashes.borrow_mut().take_released() {
+            LogEvent::PromptPartReleased.log(format_args!("part {part}"));
+            self.urgent_message.notify_one();
+        }
+    }
+
+    /// Adds what a peer knows of prompts that crash endpoints.
+    pub(super) fn merge_crash_report(&self, report: CrashReport, address: SocketAddr) {
+        if report.is_empty() {
+            return;
+        }
+        let adopted = self.crashes.borrow_mut().merge(report, self.now());
+        self.log_prompts(&adopted, &format!("the verdict of {address}"));
+        self.judge_prompts();
+    }
+
+    fn log_prompts(&self, blocked: &[BlockedPart], source: &str) {
+        for found in blocked {
+            self.metrics.count_blocked_part();
+            LogEvent::PromptPartBlocked.log(format_args!("part {found}, by {source}"));
+        }
+    }
+
+    /// Returns the part of a request's prompt that is kept from endpoints, if there is one.
+    pub fn blocked_part(&self, prefix: &PromptPrefix) -> Option<BlockedPart> {
+        self.crashes.borrow_mut().check(prefix, self.now())
+    }
+
+    /// Returns the parts of prompts that are kept from endpoints, one a line.
+    #[must_use]
+    pub fn describe_blocked_parts(&self) -> String {
+        let blocked = self.crashes.borrow().blocked(self.now());
+        blocked.iter().map(|found| format!("{found}\n")).collect()
+    }
+
+    /// Lets a part of prompts reach endpoints again, on all hosts; returns `true` if it was blocked.
+    pub fn release_part(&self, part: &PromptPart) -> bool {
+        let was_blocked = self.crashes.borrow_mut().lift(part, self.now());
+        self.judge_prompts();
+        was_blocked
+    }
+
+    /// Waits until a request may be sent whose prompt is under suspicion: one at a time, until its
+    /// answer has begun.
+    ///
+    /// Returns `None` if it need not wait, or has waited long enough.
+    pub async fn suspect_turn(
+        &self,
+        prefix: &PromptPrefix,
+        ends: u32,
+    ) -> Option<MutexGuard<'_, ()>> {
+        let is_suspect = ends > 0 || self.crashes.borrow().is_suspect(prefix);
+        if !is_suspect {
+            return None;
+        }
+        timeout(Self::MAX_SUSPECT_WAIT, self.suspect_turns.lock()).await.ok()
     }
 
     /// Records that a request's connection broke before its answer was under way, and finds out
@@ -532,18 +614,19 @@
         if endpoints.is_empty() {
             endpoints.push(endpoint.clone());
         }
-        let directory = self.directory.borrow();
-        let life = |endpoint: EndpointId| {
-            let incarnation = directory.entry(&endpoint)?.incarnation;
-            Some(EndpointLife { endpoint, incarnation })
+        let (lives, address, has_ended) = {
+            let directory = self.directory.borrow();
+            let life = |endpoint: EndpointId| {
+                let incarnation = directory.entry(&endpoint)?.incarnation;
+                Some(EndpointLife { endpoint, incarnation })
+            };
+            let lives = endpoints.into_iter().filter_map(life).collect();
+            let address = directory.entry(endpoint).map(|entry| entry.address);
+            (lives, address, directory.is_unresponsive(endpoint, self.now()))
         };
-        let lives = endpoints.into_iter().filter_map(life).collect();
-        let address = directory.entry(endpoint).map(|entry| entry.address);
-        let is_known_to_have_ended = directory.is_unresponsive(endpoint, self.now());
-        drop(directory);
         self.crashes.borrow_mut().record_break(lives, prefix.clone(), self.now());
         let Some(address) = address else { return true };
-        if is_known_to_have_ended {
+        if has_ended {
             self.record_endpoint_end(endpoint);
             return true;
         }
@@ -558,9 +641,16 @@
         }
     }
 
+    /// Returns `true` if a request may be sent again under which `ends` endpoints have ended.
+    #[must_use]
+    pub fn may_repeat(&self, prefix: &PromptPrefix, ends: u32) -> bool {
+        self.crashes.borrow().may_repeat(prefix, ends)
+    }
+
     /// Records that a request's answer got under way.
     pub fn record_survival(&self, prefix: &PromptPrefix) {
         self.crashes.borrow_mut().record_survival(prefix, self.now());
+        self.log_released_parts();
     }
 
     /// Records that all endpoints of a route have just made progress.
@@ -642,6 +732,7 @@
             running: f64::from(self.in_flight.get()),
             lines_over_budget: LogRateLimiter::suppressed_total() as f64,
             lines_dropped: dropped_line_count() as f64,
+            blocked_parts: self.crashes.borrow().blocked(self.now()).len() as f64,
         }
     }
 
--- a/crates/cassiafield-gateway/src/process/monitoring_server.rs
+++ b/crates/cassiafield-gateway/src/process/monitoring_server.rs
@@ -2,7 +2,7 @@
     crate::request::ResponseBody,
     bytes::Bytes,
     cassiafield::process::LogEvent,
-    http::{Request, Response, StatusCode},
+    http::{Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
@@ -19,8 +19,8 @@
     },
 };
 
-/// Returns the status and text for a request path.
-pub(super) type PathHandler = dyn Fn(&str) -> (StatusCode, Vec<u8>);
+/// Returns the status and text for a request's method and path.
+pub(super) type PathHandler = dyn Fn(&Method, &str) -> (StatusCode, Vec<u8>);
 
 /// Serves short requests from the platform: readiness and metrics.
 pub(super) struct MonitoringServer {
@@ -55,7 +55,7 @@
             let handler = Rc::clone(&handler);
             spawn_local(async move {
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (status, text) = handler(request.uri().path());
+                    let (status, text) = handler(request.method(), request.uri().path());
                     let mut response = Response::new(ResponseBody::from_bytes(Bytes::from(text)));
                     *response.status_mut() = status;
                     std::future::ready(Ok::<_, Infallible>(response))
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -11,7 +11,7 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId, ZoneId},
         process::{
-            EngineUsage, FailureReport, FleetIntervals, LinkUsage, OrganisationUsage,
+            CrashReport, EngineUsage, FailureReport, FleetIntervals, LinkUsage, OrganisationUsage,
             SharedReading, SyncIntervals,
         },
     },
@@ -66,6 +66,9 @@
         /// Revision of the configuration that the host has.
         #[serde(default)]
         configuration_revision: u64,
+        /// What the host knows of prompts that crash endpoints.
+        #[serde(default)]
+        crashes: CrashReport,
     },
     /// The load that all hosts of an availability zone have reserved, sent to the hosts of other
     /// zones.
@@ -83,6 +86,9 @@
         /// Revision of the configuration that the zone's leader has.
         #[serde(default)]
         configuration_revision: u64,
+        /// What the zone's leader knows of prompts that crash endpoints.
+        #[serde(default)]
+        crashes: CrashReport,
     },
     /// A query for the peer's data from the store.
     Query(StateQuery),
@@ -275,6 +281,7 @@
             let requests = self.state.retries.request_counts(now);
             let grants = self.state.retries.grant_records(now);
             let readings_copy = readings.clone();
+            let crashes = self.state.crashes.borrow().report(now);
             let message = PeerMessage::Host {
                 host,
                 used,
@@ -286,6 +293,7 @@
                 organisations: self.state.organisations.borrow().own_usage().clone(),
                 is_stopping: self.state.is_stopping(),
                 configuration_revision,
+                crashes: crashes.clone(),
             };
             let peers = self.state.exchange.peer_addresses();
             send_to_all(socket, &message, &peers).await;
@@ -301,6 +309,7 @@
                     failures,
                     links,
                     configuration_revision,
+                    crashes,
                 };
                 let other_zone_hosts = self.other_zone_hosts.borrow().clone();
                 send_to_all(socket, &message, &other_zone_hosts).await;
@@ -358,7 +367,7 @@
     fn apply_message(&self, message: PeerMessage, from: SocketAddr) {
         let now = self.state.now();
         let mut load = self.state.load.borrow_mut();
-        let (readings, failures, revision) = match message {
+        let (readings, failures, revision, crashes) = match message {
             PeerMessage::Host {
                 host,
                 used,
@@ -370,6 +379,7 @@
                 organisations,
                 is_stopping,
                 configuration_revision,
+                crashes,
             } => {
                 self.state.members.borrow_mut().record(&host, is_stopping, now);
                 let mut organisation_load = self.state.organisations.borrow_mut();
@@ -377,12 +387,20 @@
                 load.links.record_peer(host.clone(), links, now);
                 self.state.retries.record_peer(host.clone(), requests, grants, now);
                 load.record_peer_usage(host, used, now);
-                (readings, failures, configuration_revision)
+                (readings, failures, configuration_revision, crashes)
             }
-            PeerMessage::Zone { zone, used, readings, failures, links, configuration_revision } => {
+            PeerMessage::Zone {
+                zone,
+                used,
+                readings,
+                failures,
+                links,
+                configuration_revision,
+                crashes,
+            } => {
                 load.links.record_zone(zone.clone(), links, now);
                 load.record_zone_usage(zone, used, now);
-                (readings, failures, configuration_revision)
+                (readings, failures, configuration_revision, crashes)
             }
             PeerMessage::Reply(reply) => {
                 self.state.exchange.complete_query(reply);
@@ -408,6 +426,7 @@
         for (endpoint, report) in failures {
             self.state.record_peer_failure(&endpoint, report);
         }
+        self.state.merge_crash_report(crashes, from);
     }
 }
 
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -4,19 +4,19 @@
         process::SenderKind,
         request::{
             call_context::CallContext, caller_request::strip_hop_headers,
-            refusal_response::refusal_response, ResponseBody,
+            refusal_response::refusal_response, stream_call::StreamCall, ResponseBody,
         },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::EndpointId,
-        process::{EndpointEntry, ServiceChoice},
+        process::{BlockedPart, EndpointEntry, ServiceChoice},
         request::{PromptPrefix, RefusalCause, RequestVerdict},
     },
     http::{header, HeaderValue, Response, StatusCode},
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
-    std::{fmt, time::Duration},
+    std::{cell::Cell, fmt, time::Duration},
     tokio::time::timeout,
 };
 
@@ -25,6 +25,8 @@
     context: CallContext,
     /// The parts of the prompt that other requests may share.
     prefix: PromptPrefix,
+    /// Number of endpoints that ended under this request.
+    ends: Cell<u32>,
 }
 
 /// Outcome of one attempt at an endpoint.
@@ -53,7 +55,7 @@
 
     pub(super) fn new(context: CallContext) -> Self {
         let prefix = context.request.prompt_prefix(context.state.codec.header_names());
-        Self { context, prefix }
+        Self { context, prefix, ends: Cell::default() }
     }
 
     pub(super) async fn run(self) -> Response<ResponseBody> {
@@ -67,6 +69,13 @@
             {
                 break;
             }
+            let blocked = self.context.state.blocked_part(&self.prefix);
+            if let Some(blocked) = blocked {
+                return self.refuse_blocked(verdict, &blocked);
+            }
+            if !self.context.state.may_repeat(&self.prefix, self.ends.get()) {
+                break;
+            }
             let service = &self.context.service.service;
             if sends > 0 && !self.context.state.acquire_retry(service).await {
                 break;
@@ -109,6 +118,24 @@
             .log(outcome);
     }
 
+    /// Refuses a request with a part in its prompt that is kept from endpoints.
+    fn refuse_blocked(
+        &self,
+        verdict: RequestVerdict,
+        blocked: &BlockedPart,
+    ) -> Response<ResponseBody> {
+        let is_not_run = verdict == RequestVerdict::NotRun;
+        let cause =
+            if is_not_run { RefusalCause::PromptBlocked } else { RefusalCause::EndpointFailed };
+        self.context.state.metrics.count_refusal(cause);
+        self.context
+            .decision(LogEvent::RequestRefused)
+            .cause(cause)
+            .verdict(verdict)
+            .log(format_args!("part {blocked}; route {}", self.context.rule.name));
+        refusal_response(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY))
+    }
+
     /// Refuses a request that got no response from any endpoint.
     fn refuse(&self, verdict: RequestVerdict, tried: usize) -> Response<ResponseBody> {
         let now = self.context.state.now();
@@ -147,6 +174,10 @@
     }
 
     async fn attempt(&self, entry: &EndpointEntry, sends: &mut u32) -> EndpointOutcome {
+        let _turn = self.context.state.suspect_turn(&self.prefix, self.ends.get()).await;
+        if self.context.state.blocked_part(&self.prefix).is_some() {
+            return EndpointOutcome::NotRun;
+        }
         let guard = self.context.state.track_dispatch(&entry.endpoint);
         let started_at = self.context.state.now();
         let at_most_once = !self.context.rule.kind.is_retryable();
@@ -211,7 +242,10 @@
 
     /// Records that the request's connection broke, and finds out whether the endpoint has ended.
     async fn record_break(&self, entry: &EndpointEntry) {
-        self.context.state.record_request_break(&entry.endpoint, None, &self.prefix).await;
+        let state = &self.context.state;
+        if state.record_request_break(&entry.endpoint, None, &self.prefix).await {
+            self.ends.set(self.ends.get() + 1);
+        }
     }
 
     async fn read_response(
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -15,7 +15,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, ModelId},
-        process::{PathError, PlannedPath},
+        process::{BlockedPart, PathError, PlannedPath},
         request::{
             EventSplitter, GiveUpReason, PromptPrefix, RefusalCause, RequestVerdict, StageRoute,
             StreamTimeouts,
@@ -60,6 +60,8 @@
     pub(super) prefix: PromptPrefix,
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
+    /// The part of the prompt that is kept from endpoints, if that was found.
+    pub(super) blocked: Option<BlockedPart>,
     pub(super) prompt_tokens: u32,
     /// Expected number of output tokens.
     pub(super) output_tokens: u32,
@@ -82,6 +84,8 @@
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
     /// Maximum number of sends of a request, over all endpoints.
     const MAX_SENDS: u32 = 5;
+    /// Time after which callers may return whose prompt is kept from endpoints.
+    pub(super) const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(60);
     /// Fraction of the objective that a request may wait for memory.
     ///
     /// The rest is left for the first event.
@@ -126,6 +130,7 @@
             model,
             prefix,
             ends: 0,
+            blocked: None,
             prompt_tokens,
             output_tokens,
         }
@@ -140,6 +145,9 @@
             .unwrap_or(0);
         let mut verdict = RequestVerdict::NotRun;
         let mut cause = RefusalCause::NoEndpoint;
+        if self.is_blocked() {
+            return self.refuse(verdict, RefusalCause::PromptBlocked);
+        }
         for number in 0..Self::MAX_SENDS {
             if !self.acquire_send().await {
                 break;
@@ -147,7 +155,7 @@
             match self.attempt(start, QueueWait::First(self.initial_queue_wait())).await {
                 Ok((head, attempt, first)) => return self.start_relay(head, attempt, first),
                 Err(AttemptError::NoPath(found)) => {
-                    if number == 0 {
+                    if number == 0 || found == RefusalCause::PromptBlocked {
                         cause = found;
                     }
                     break;
@@ -175,6 +183,7 @@
         let has_time = !self.context.remaining_time().is_zero();
         has_time
             && self.sends < Self::MAX_SENDS
+            && self.may_repeat()
             && (self.sends == 0
                 || self.context.state.acquire_retry(&self.context.service.service).await)
     }
@@ -200,8 +209,10 @@
             Some(GiveUpReason::DeadlineExceeded)
         } else if self.context.rule.kind != RequestKind::ResumableStream {
             Some(GiveUpReason::NotResumable)
-        } else if self.sends >= Self::MAX_SENDS {
+        } else if self.sends >= Self::MAX_SENDS || !self.may_repeat() {
             Some(GiveUpReason::SendLimit)
+        } else if self.context.state.blocked_part(&self.prefix).is_some() {
+            Some(GiveUpReason::PromptBlocked)
         } else {
             None
         }
@@ -222,9 +233,10 @@
         let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.count_refusal(cause);
         let retry_after = is_not_run.then(|| self.retry_delay(cause));
-        let bottleneck = match self.bottleneck.get() {
-            Some(error) => format!("{error}{}", self.describe_bottleneck(error)),
-            None => self.refusal_reason().to_owned(),
+        let bottleneck = match (&self.blocked, self.bottleneck.get()) {
+            (Some(blocked), _) => format!("part {blocked}"),
+            (None, Some(error)) => format!("{error}{}", self.describe_bottleneck(error)),
+            (None, None) => self.refusal_reason().to_owned(),
         };
         self.context
             .decision(LogEvent::RequestRefused)
@@ -244,6 +256,9 @@
 
     /// Returns when the caller should return.
     fn retry_delay(&self, cause: RefusalCause) -> Duration {
+        if cause == RefusalCause::PromptBlocked {
+            return Self::BLOCKED_RETRY_DELAY;
+        }
         if let Some(PathError::Paused { until }) = self.bottleneck.get() {
             // Callers that were refused at the same time return apart.
             let spread = Self::PAUSE_SPREAD.mul_f64(fastrand::f64());
@@ -261,6 +276,8 @@
     fn refusal_reason(&self) -> &'static str {
         if self.context.remaining_time().is_zero() {
             "the deadline has passed"
+        } else if !self.may_repeat() {
+            "endpoints ended under the request"
         } else if self.sends >= Self::MAX_SENDS {
             "the send limit is reached"
         } else if self.sends == 0 {
@@ -278,6 +295,12 @@
         last_event: u64,
         wait: QueueWait,
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
+        let state = Rc::clone(&self.context.state);
+        // Held until the answer has begun or has failed to.
+        let _turn = state.suspect_turn(&self.prefix, self.ends).await;
+        if self.is_blocked() {
+            return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
+        }
         let path = self.plan_with_wait(wait).await?;
         let Some(first) = path.route.stages().first().cloned() else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
@@ -301,6 +324,10 @@
         let request = self
             .stream_request(&path, last_event)
             .ok_or(AttemptError::NoPath(RefusalCause::BadRequest))?;
+        // The part may have been blocked while the request waited for memory or a connection.
+        if self.is_blocked() {
+            return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
+        }
         if !self.begin_send(&path.route) {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
             let now = self.context.state.now();
@@ -411,6 +438,17 @@
         self.context.rule.kind.is_retryable()
     }
 
+    /// Returns `true` unless too many endpoints ended under this request and others like it.
+    fn may_repeat(&self) -> bool {
+        self.context.state.may_repeat(&self.prefix, self.ends)
+    }
+
+    /// Returns `true` if a part of the prompt is kept from endpoints.
+    fn is_blocked(&mut self) -> bool {
+        self.blocked = self.context.state.blocked_part(&self.prefix);
+        self.blocked.is_some()
+    }
+
     /// Returns `true` if the request may be sent over a path now: no endpoint on it has asked for a
     /// pause.
     fn begin_send(&self, route: &StageRoute) -> bool {
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -574,6 +574,7 @@
 const fn give_up_reason(error: &AttemptError) -> GiveUpReason {
     match error {
         AttemptError::NoPath(RefusalCause::Overloaded) => GiveUpReason::Overloaded,
+        AttemptError::NoPath(RefusalCause::PromptBlocked) => GiveUpReason::PromptBlocked,
         AttemptError::NoPath(_) => GiveUpReason::NoEndpoint,
         AttemptError::NotRun | AttemptError::MayHaveRun | AttemptError::Failed(_) => {
             GiveUpReason::EndpointFailed
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -85,6 +85,8 @@
     1309 PlacerLeaseMissed Info "The host failed to acquire the placer's lease.";
     1310 EndpointPaused Info "An endpoint asked this host to send it nothing for a time.";
     1311 EndpointEnded Warning "An endpoint ended while requests without an answer were in flight there.";
+    1312 PromptPartBlocked Warning "A part of prompts is kept from endpoints, since endpoints ended under it.";
+    1313 PromptPartReleased Info "A part of prompts is no longer kept from endpoints.";
     1401 StreamResumed Info "A stream resumed on another route.";
     1402 StreamGivenUp Warning "A stream ended before its answer was complete.";
     1403 FrameDropped Info "A token frame was dropped: late, duplicate or of another stream.";
