fix(gateway): limit every body that an endpoint can fill

Cause: descriptions of errors on streams, reports and the report read before an order were collected without a limit, and plain answers had 16 MiB each but none together.

Now a head may have 64 KiB, an error of a stream and a report 256 KiB, a plain answer 16 MiB, and all that are read whole at the same time 64 MiB (BodyBudget); a body over its limit closes its connection. Looked at elsewhere: the store's answers (limited), peers (datagrams), the older path (messages of engines, services, peers and lists are limited; lines of the store's watch are not, which only the store can fill).

--- a/crates/cassiafield-gateway/src/connection/http_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/http_connection.rs
@@ -59,6 +59,8 @@
 }
 
 impl HttpConnection {
+    /// Maximum size of a response head, in bytes.
+    const MAX_HEAD_BYTES: usize = 64 * 1_024;
     /// Time after which unacknowledged data closes the connection (`TCP_USER_TIMEOUT`).
     const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -84,6 +86,7 @@
         };
         let stream = timeout(connect_timeout, opening).await.map_err(|_| timed_out())??;
         let (sender, connection) = Builder::new()
+            .max_buf_size(Self::MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| ConnectionError::Connect(io::Error::other(error)))?;
--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to callers, endpoints and the platform's store.
 
+mod body_budget;
 mod caller_connection;
 mod caller_listener;
 mod connection_pool;
@@ -11,6 +12,7 @@
 mod tracked_stream;
 
 pub use self::{
+    body_budget::{BodyBudget, BodyError},
     caller_connection::{CallerConnection, RequestLabel, ResponseGuard},
     caller_listener::{CallerListener, CallerService},
     connection_pool::{ConnectionPool, PooledConnection},
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, ConnectionPool, HttpConnection, PlatformCodec},
+        connection::{BodyBudget, ConnectionError, ConnectionPool, HttpConnection, PlatformCodec},
         process::{
             dropped_line_count, health_probe::HealthProbe, in_flight_request::DispatchedRequest,
             retry_broker::RetryBroker, state_exchange::StateExchange, AdmissionQueue, BootClock,
@@ -40,6 +40,8 @@
     pub codec: Rc<dyn PlatformCodec>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// Memory for the responses that are read whole.
+    pub bodies: BodyBudget,
     /// The known endpoints.
     pub directory: RefCell<EndpointDirectory>,
     /// Load of the model endpoints.
@@ -87,6 +89,13 @@
     /// Maximum age of a ready host's configuration, in percent of the revocation limit.
     const MAX_READY_AGE_PERCENT: u32 = 50;
 
+    /// Memory for all responses that are read whole at the same time, in bytes.
+    ///
+    /// An endpoint may send bytes without end; the memory of a host is a few hundred MB.
+    const MAX_BODIES_BYTES: usize = 64 * 1_024 * 1_024;
+    /// Maximum size of an endpoint's report, in bytes.
+    pub(super) const MAX_REPORT_BYTES: usize = 256 * 1_024;
+
     /// Time for which a stopping host still accepts every request.
     ///
     /// The load balancer checks readiness once a second and needs two failed checks.
@@ -106,6 +115,7 @@
             settings,
             codec,
             pool: ConnectionPool::default(),
+            bodies: BodyBudget::new(Self::MAX_BODIES_BYTES),
             directory: RefCell::default(),
             load: RefCell::default(),
             members: RefCell::default(),
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -9,7 +9,7 @@
         request::StageRoute,
     },
     http::{header, Request},
-    http_body_util::{BodyExt as _, Full},
+    http_body_util::Full,
     std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
@@ -203,7 +203,7 @@
         .body(Full::new(Bytes::new()))?;
     let response = open.send(request, HealthProbe::PROBE_TIMEOUT).await?;
     state.record_pause(endpoint, response.status(), response.headers());
-    let body = response.into_body().collect().await?.to_bytes();
+    let body = state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES).await?;
     let report = state.codec.parse_report(&body)?;
     *connection = Some(open);
     Ok(report)
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -1,8 +1,8 @@
 use {
     crate::{
         connection::{
-            ConnectionError, EndpointReport, HttpConnection, StoreCall, StoreClient, StoreResponse,
-            WireRequest,
+            BodyError, ConnectionError, EndpointReport, HttpConnection, StoreCall, StoreClient,
+            StoreResponse, WireRequest,
         },
         process::{GatewayState, SenderKind},
     },
@@ -17,7 +17,7 @@
         version::ServiceRule,
     },
     http::{header, Request, StatusCode},
-    http_body_util::{BodyExt as _, Full},
+    http_body_util::Full,
     std::{collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -324,8 +324,13 @@
         let request = self.endpoint_request(entry, self.state.codec.report_request())?;
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
         self.state.record_pause(&entry.endpoint, response.status(), response.headers());
-        let body =
-            response.into_body().collect().await.map_err(ConnectionError::Broken)?.to_bytes();
+        let reading =
+            self.state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES);
+        let body = match reading.await {
+            Ok(body) => body,
+            Err(BodyError::Broken(error)) => return Err(ConnectionError::Broken(error)),
+            Err(BodyError::TooLarge | BodyError::NoMemory) => return Err(ConnectionError::Unsent),
+        };
         let report: Option<EndpointReport> = match self.state.codec.parse_report(&body) {
             Ok(report) => Some(report),
             Err(error) => {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, PooledConnection},
+        connection::{BodyError, ConnectionError, PooledConnection},
         process::SenderKind,
         request::{
             call_context::CallContext, caller_request::strip_hop_headers,
@@ -14,7 +14,6 @@
         request::{PromptPrefix, RefusalCause, RequestVerdict},
     },
     http::{header, HeaderValue, Response, StatusCode},
-    http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     std::{cell::Cell, fmt, time::Duration},
     tokio::time::timeout,
@@ -260,14 +259,16 @@
         }
         let is_reusable = connection.apply_response_head(response.headers());
         let (mut parts, body) = response.into_parts();
-        let reading = Limited::new(body, Self::MAX_RESPONSE_BYTES).collect();
+        let reading = self.context.state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
         let body = match timeout(self.context.remaining_time(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::Broken(_))) => {
                 self.record_break(entry).await;
                 return self.record_failure(entry, &ConnectionError::TimedOut);
             }
-            Err(_) => return self.record_failure(entry, &ConnectionError::TimedOut),
+            Ok(Err(BodyError::TooLarge | BodyError::NoMemory)) | Err(_) => {
+                return self.record_failure(entry, &ConnectionError::TimedOut)
+            }
         };
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -23,7 +23,7 @@
         version::{RequestKind, ServiceRule},
     },
     http::{HeaderValue, Request, Response, StatusCode},
-    http_body_util::{BodyExt as _, Full},
+    http_body_util::Full,
     hyper::body::Incoming,
     std::{
         cell::{Cell, RefCell},
@@ -82,6 +82,8 @@
 impl StreamCall {
     /// Timeout of opening a connection to an endpoint.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+    /// Maximum size of an endpoint's description of an error, in bytes.
+    const MAX_ERROR_BYTES: usize = 256 * 1_024;
     /// Maximum number of sends of a request, over all endpoints.
     const MAX_SENDS: u32 = 5;
     /// Time after which callers may return whose prompt is kept from endpoints.
@@ -614,10 +616,11 @@
         }
         let (mut parts, body) = response.into_parts();
         let body_timeout = self.timeouts().head_timeout().min(self.context.remaining_time());
-        match timeout(body_timeout, body.collect()).await {
+        let reading = self.context.state.bodies.collect(body, Self::MAX_ERROR_BYTES);
+        match timeout(body_timeout, reading).await {
             Ok(Ok(body)) => {
                 strip_hop_headers(&mut parts.headers);
-                let body = ResponseBody::from_bytes(body.to_bytes());
+                let body = ResponseBody::from_bytes(body);
                 AttemptError::Failed(Box::new(Response::from_parts(parts, body)))
             }
             Ok(Err(_)) | Err(_) => AttemptError::MayHaveRun,
