fix(gateway): a stream without a length is not complete before its first event

Cause: the end of the connection was taken for the end of the stream whenever no event was half read. A framed stream without events stays complete: its endpoint said so.

Such an end is a broken path: the stream is resumed elsewhere or the caller gets 502.

--- a/crates/cassiafield-core/src/request/event_splitter.rs
+++ b/crates/cassiafield-core/src/request/event_splitter.rs
@@ -54,6 +54,7 @@
 pub struct EventSplitter {
     buffer: Vec<u8>,
     last: Option<u64>,
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -63,13 +64,13 @@
     /// Creates a splitter for a stream that continues after event `last`.
     #[must_use]
     pub const fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last: Some(last) }
+        Self { buffer: Vec::new(), last: Some(last), has_events: false }
     }
 
     /// Creates a splitter that accepts any id as the first one.
     #[must_use]
     pub const fn with_unknown_start() -> Self {
-        Self { buffer: Vec::new(), last: None }
+        Self { buffer: Vec::new(), last: None, has_events: false }
     }
 
     /// Appends received bytes.
@@ -83,6 +84,12 @@
         self.last
     }
 
+    /// Returns `true` if an event was returned since the splitter was created.
+    #[must_use]
+    pub const fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Returns `true` if the buffer holds bytes of an incomplete event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
@@ -116,6 +123,7 @@
             }
         }
         self.last = Some(id);
+        self.has_events = true;
         Ok(Some(StreamEvent { id, bytes }))
     }
 }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -22,7 +22,7 @@
         },
         version::{RequestKind, ServiceRule},
     },
-    http::{HeaderValue, Request, Response, StatusCode},
+    http::{header, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
     hyper::body::Incoming,
     std::{
@@ -385,6 +385,8 @@
             return Err(self.handle_error_response(&path.route, response).await);
         }
         let (parts, body) = response.into_parts();
+        let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
         let splitter = if last_event == 0 {
             EventSplitter::with_unknown_start()
         } else {
@@ -394,6 +396,7 @@
             connection,
             is_reusable,
             body,
+            is_framed,
             splitter,
             route: path.route.clone(),
             reservation: Some(reservation),
@@ -636,10 +639,10 @@
     ) -> Response<ResponseBody> {
         let (sender, receiver) = mpsc::channel(Self::MAX_BUFFERED_CHUNKS);
         let (mut parts, ()) = head.into_parts();
-        let length = parts.headers.get(http::header::CONTENT_LENGTH).cloned();
+        let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
         strip_hop_headers(&mut parts.headers);
         if let Some(length) = length {
-            parts.headers.insert(http::header::CONTENT_LENGTH, length);
+            parts.headers.insert(header::CONTENT_LENGTH, length);
         }
         tokio::task::spawn_local(StreamRelay::new(self, attempt, sender).run(first));
         Response::from_parts(parts, ResponseBody::from_chunks(receiver))
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -36,6 +36,8 @@
     pub(super) connection: PooledConnection,
     pub(super) is_reusable: bool,
     pub(super) body: Incoming,
+    /// Whether the body has a length or comes in chunks.
+    pub(super) is_framed: bool,
     pub(super) splitter: EventSplitter,
     pub(super) route: StageRoute,
     /// `None` while a replacement for this path is planned.
@@ -67,6 +69,8 @@
     Event(EventError),
     /// The stream ended within an event.
     Truncated,
+    /// The connection ended before the first event.
+    Empty,
     /// No events arrived in time; the given endpoints are unresponsive.
     Stalled(Vec<EndpointId>),
     /// The deadline of the request has passed.
@@ -81,7 +85,13 @@
 
     /// Returns `true` if the first endpoint broke the stream off.
     pub(super) const fn is_break(&self) -> bool {
-        matches!(self, StreamError::Broken(_) | StreamError::Event(_) | StreamError::Truncated)
+        matches!(
+            self,
+            StreamError::Broken(_)
+                | StreamError::Event(_)
+                | StreamError::Truncated
+                | StreamError::Empty
+        )
     }
 
     /// Returns `true` if the stream stalled although all endpoints of its path respond to probes.
@@ -93,7 +103,10 @@
     pub(super) fn endpoints_to_exclude(&self, attempt: &StreamAttempt) -> Vec<EndpointId> {
         match self {
             StreamError::Stalled(unresponsive) => unresponsive.clone(),
-            StreamError::Broken(_) | StreamError::Event(_) | StreamError::Truncated => attempt
+            StreamError::Broken(_)
+            | StreamError::Event(_)
+            | StreamError::Truncated
+            | StreamError::Empty => attempt
                 .route
                 .stages()
                 .first()
@@ -111,6 +124,7 @@
             StreamError::Broken(error) => write!(f, "connection broke: {error}"),
             StreamError::Event(error) => error.fmt(f),
             StreamError::Truncated => f.write_str("ended within an event"),
+            StreamError::Empty => f.write_str("ended before its first event"),
             StreamError::Stalled(unresponsive) if unresponsive.is_empty() => {
                 f.write_str("stalled although all its endpoints respond")
             }
@@ -148,7 +162,7 @@
         let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
         let stall_timeout = self.timeouts.stall_timeout();
         let mut unresponsive = pin!(state.wait_for_unresponsive(&self.route, probe_delay));
-        let mut reading = pin!(read_events(&mut self.body, &mut self.splitter));
+        let mut reading = pin!(read_events(&mut self.body, &mut self.splitter, self.is_framed));
         let mut has_stalled = false;
         let outcome = loop {
             tokio::select! {
@@ -186,7 +200,7 @@
 
     /// Waits until the next complete events arrive, however long the path stalls.
     async fn late_events(&mut self, remaining_time: Duration) -> ReadOutcome {
-        let reading = read_events(&mut self.body, &mut self.splitter);
+        let reading = read_events(&mut self.body, &mut self.splitter, self.is_framed);
         let outcome = timeout(remaining_time, reading).await;
         outcome.unwrap_or(ReadOutcome::Failed(StreamError::DeadlineExceeded))
     }
@@ -216,7 +230,13 @@
 /// Reads a body until events are complete or the stream ends.
 ///
 /// Nothing is lost if the returned future is dropped.
-async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> ReadOutcome {
+///
+/// The end of a connection ends a body that is not framed, so without any event it says nothing.
+async fn read_events(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+    is_framed: bool,
+) -> ReadOutcome {
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
@@ -233,6 +253,9 @@
             None if splitter.has_partial_event() => {
                 return ReadOutcome::Failed(StreamError::Truncated)
             }
+            None if !is_framed && !splitter.has_events() => {
+                return ReadOutcome::Failed(StreamError::Empty)
+            }
             None => return ReadOutcome::End,
         }
     }
