fix(gateway): an answer without a length is not complete if its endpoint has ended

Callers could get a cut answer that looked complete: an answer with neither a length nor chunks ends with its connection, and a process that ends closes its connections too. After such an end the host opens a connection to the endpoint, as after a break: if the endpoint refuses it, the stream is resumed elsewhere or the caller gets an incomplete answer; a plain call may run again only if its kind allows.

--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -624,19 +624,27 @@
         if endpoints.is_empty() {
             endpoints.push(endpoint.clone());
         }
-        let (lives, address, has_ended) = {
+        let lives = {
             let directory = self.directory.borrow();
             let life = |endpoint: EndpointId| {
                 let incarnation = directory.entry(&endpoint)?.incarnation;
                 Some(EndpointLife { endpoint, incarnation })
             };
-            let lives = endpoints.into_iter().filter_map(life).collect();
-            let address = directory.entry(endpoint).map(|entry| entry.address);
-            (lives, address, directory.is_unresponsive(endpoint, self.now()))
+            endpoints.into_iter().filter_map(life).collect()
         };
         self.crashes.borrow_mut().record_break(lives, prefix.clone(), self.now());
+        self.has_ended(endpoint).await
+    }
+
+    /// Finds out whether an endpoint whose connection has just ended or broken has ended itself.
+    pub async fn has_ended(&self, endpoint: &EndpointId) -> bool {
+        let (address, is_unresponsive) = {
+            let directory = self.directory.borrow();
+            let address = directory.entry(endpoint).map(|entry| entry.address);
+            (address, directory.is_unresponsive(endpoint, self.now()))
+        };
         let Some(address) = address else { return true };
-        if has_ended {
+        if is_unresponsive {
             self.record_endpoint_end(endpoint);
             return true;
         }
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -270,6 +270,13 @@
                 return self.record_failure(entry, &ConnectionError::TimedOut)
             }
         };
+        let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        if !is_framed && self.context.state.has_ended(&entry.endpoint).await {
+            // The end of the connection may be that of the endpoint in the middle of its answer.
+            self.record_break(entry).await;
+            return self.record_failure(entry, &ConnectionError::TimedOut);
+        }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
             connection.return_to(&self.context.state.pool, max_idle, self.context.state.now());
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -71,6 +71,8 @@
     Truncated,
     /// The connection ended before the first event.
     Empty,
+    /// The connection ended with its endpoint, and nothing else marks the end of the stream.
+    EndpointEnded,
     /// No events arrived in time; the given endpoints are unresponsive.
     Stalled(Vec<EndpointId>),
     /// The deadline of the request has passed.
@@ -91,6 +93,7 @@
                 | StreamError::Event(_)
                 | StreamError::Truncated
                 | StreamError::Empty
+                | StreamError::EndpointEnded
         )
     }
 
@@ -106,7 +109,8 @@
             StreamError::Broken(_)
             | StreamError::Event(_)
             | StreamError::Truncated
-            | StreamError::Empty => attempt
+            | StreamError::Empty
+            | StreamError::EndpointEnded => attempt
                 .route
                 .stages()
                 .first()
@@ -124,6 +128,7 @@
             StreamError::Broken(error) => write!(f, "connection broke: {error}"),
             StreamError::Event(error) => error.fmt(f),
             StreamError::Truncated => f.write_str("ended within an event"),
+            StreamError::EndpointEnded => f.write_str("ended with its endpoint"),
             StreamError::Empty => f.write_str("ended before its first event"),
             StreamError::Stalled(unresponsive) if unresponsive.is_empty() => {
                 f.write_str("stalled although all its endpoints respond")
@@ -345,6 +350,10 @@
                         return;
                     }
                 }
+                ReadOutcome::End if self.has_endpoint_ended().await => {
+                    next = ReadOutcome::Failed(StreamError::EndpointEnded);
+                    continue;
+                }
                 ReadOutcome::End => {
                     let last_event = self.last_event.unwrap_or(0);
                     let call = &self.call;
@@ -378,6 +387,16 @@
         }
     }
 
+    /// Returns `true` if the stream ended with its connection because its endpoint has ended.
+    async fn has_endpoint_ended(&self) -> bool {
+        let unframed = self.attempt.as_ref().filter(|attempt| !attempt.is_framed);
+        let first = unframed.and_then(|attempt| attempt.route.stages().first());
+        match first {
+            Some(stage) => self.call.context.state.has_ended(&stage.endpoint).await,
+            None => false,
+        }
+    }
+
     /// Goes on after the path failed, and returns the next events.
     ///
     /// A stalled path stays open until another one has delivered; whichever delivers first goes on.
