fix(gateway): blocked parts of prompts survive a restart of all hosts

The host that reads the store for all zones writes the blocked parts with their evidence when they change (one key, one write), every host reads them once at its start (one read).

Evidence: a_part_stays_blocked_at_a_host_that_only_the_store_can_tell fails without the keeper and passes with it. Ages in the store are taken as of the read; without requests the block lapses after two minutes as ever.

--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -406,6 +406,15 @@
         CrashReport { parts: parts.collect() }
     }
 
+    /// Returns the blocked parts with their evidence, to be kept where a restart of all hosts does not
+    /// lose them.
+    #[must_use]
+    pub fn verdicts(&self, now: Moment) -> CrashReport {
+        let mut report = self.report(now);
+        report.parts.retain(|found| found.blocked_ms.is_some());
+        report
+    }
+
     /// Adds what a peer knows; returns the parts that it blocks and this host did not.
     pub fn merge(&mut self, report: CrashReport, now: Moment) -> Vec<BlockedPart> {
         self.expire(now);
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -4,8 +4,9 @@
             CallerConnection, CallerListener, CallerService as _, ConnectionRegistry, PlatformCodec,
         },
         process::{
-            health_probe::HealthProbe, monitoring_server::MonitoringServer, EngineMonitor,
-            GatewaySettings, GatewayState, LayerPlacer, PeerLink, ProcessSignals, StoreSync,
+            health_probe::HealthProbe, monitoring_server::MonitoringServer,
+            verdict_keeper::VerdictKeeper, EngineMonitor, GatewaySettings, GatewayState,
+            LayerPlacer, PeerLink, ProcessSignals, StoreSync,
         },
         request::HostService,
     },
@@ -118,6 +119,7 @@
         spawn_local(LayerPlacer::new(Rc::clone(state)).run());
         spawn_local(EngineMonitor::new(Rc::clone(state)).run());
         spawn_local(HealthProbe::run_trials(Rc::clone(state)));
+        spawn_local(VerdictKeeper::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
         spawn_local(link.run_messages());
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -22,6 +22,7 @@
     http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
         cell::{Cell, RefCell},
+        fmt,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -557,12 +558,12 @@
     }
 
     /// Adds what a peer knows of prompts that crash endpoints.
-    pub(super) fn merge_crash_report(&self, report: CrashReport, address: SocketAddr) {
+    pub(super) fn merge_crash_report(&self, report: CrashReport, source: impl fmt::Display) {
         if report.is_empty() {
             return;
         }
         let adopted = self.crashes.borrow_mut().merge(report, self.now());
-        self.log_prompts(&adopted, &format!("the verdict of {address}"));
+        self.log_prompts(&adopted, &format!("the verdict of {source}"));
         self.judge_prompts();
     }
 
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -22,6 +22,7 @@
 mod state_exchange;
 mod store_availability;
 mod store_sync;
+mod verdict_keeper;
 
 pub use self::{
     admission_queue::AdmissionQueue,
