fix(core): verdicts on prompts wait for peers' evidence, and reports stay small

Evidence without a verdict is reported for two seconds after a change and then every ten seconds, not in every message. Verdicts are worked out only after something has changed.

--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -65,6 +65,10 @@
     breaks: VecDeque<BrokenRequest>,
     /// When endpoints ended at which requests had no answer under way, whatever came of it.
     end_times: BTreeMap<EndpointLife, Moment>,
+    /// Whether anything has changed since the last verdicts.
+    has_new_evidence: bool,
+    /// When evidence that suffices will be old enough for a verdict.
+    judge_again_at: Option<Moment>,
     /// Parts that are no longer blocked, until they are taken.
     released: Vec<PromptPart>,
     /// Endpoints that ended lately.
@@ -110,6 +114,8 @@
     ends: usize,
     requests: usize,
     position: u8,
+    /// When the last of the ends came that suffice.
+    suffices_at: Moment,
 }
 
 impl CrashLedger {
@@ -126,6 +132,8 @@
     const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
     /// Number of ends at one moment of which a part must be under half to be their cause.
     const MASS_ENDS: usize = 4;
+    /// Time after the last end that a verdict needs, in which peers report other causes of the ends.
+    const JOINING_TIME: Duration = Duration::from_millis(250);
     /// Time between a broken connection and the finding that its endpoint has ended.
     const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
     /// Time for which an end counts.
@@ -134,6 +142,10 @@
     const LAPSE_TIME: Duration = Duration::from_secs(120);
     /// Time for which changes are reported.
     const REPORT_TIME: Duration = Duration::from_secs(2);
+    /// Interval at which evidence without a verdict is reported again, for hosts that were cut off, and
+    /// the time in which it is.
+    const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
+    const REPEAT_TIME: Duration = Duration::from_millis(400);
     /// Upper bounds of the table, of the ends of a part and of a report.
     const MAX_PARTS: usize = 256;
     const MAX_ENDS: usize = 16;
@@ -197,6 +209,7 @@
         for part in prefix.shared() {
             self.survivals.record(part, now);
             if let Some(record) = self.parts.get_mut(part) {
+                self.has_new_evidence |= !record.ends.is_empty();
                 record.survived_at = Some(now);
                 if record.clear(now) {
                     self.released.push(part.clone());
@@ -207,6 +220,7 @@
 
     /// Sets the evidence against a part aside, as an operator asks; returns `true` if it was blocked.
     pub fn lift(&mut self, part: &PromptPart, now: Moment) -> bool {
+        self.has_new_evidence = true;
         let was_blocked = self.parts.get_mut(part).is_some_and(|record| record.clear(now));
         if was_blocked {
             self.released.push(part.clone());
@@ -274,12 +288,18 @@
     /// An end under a blocked part speaks against no other one.
     pub fn judge(&mut self, now: Moment) -> Vec<BlockedPart> {
         self.expire(now);
+        let is_due = self.judge_again_at.is_some_and(|at| now >= at);
+        if !std::mem::take(&mut self.has_new_evidence) && !is_due {
+            return Vec::new();
+        }
+        self.judge_again_at = None;
         self.release_untied(now);
         let mut found = Vec::new();
         loop {
             let explained = self.explained_ends(None, now);
             let candidates = self.parts.iter().filter(|(_, record)| !record.is_blocked(now));
             let weighed: Vec<(EvidenceWeight, PromptPart)> = candidates
+                .filter(|(_, record)| record.ends.len() >= Self::MIN_ENDS)
                 .filter_map(|(part, record)| {
                     let mass_ends = self.unrelated_mass_ends(record);
                     let is_counted = |life: &EndpointLife| {
@@ -288,7 +308,11 @@
                     Some((record.weigh(is_counted, now)?, part.clone()))
                 })
                 .collect();
-            let Some((_, part)) = weighed.iter().max().cloned() else { return found };
+            let Some((weight, part)) = weighed.iter().max().cloned() else { return found };
+            if now < weight.suffices_at + Self::JOINING_TIME {
+                self.judge_again_at = Some(weight.suffices_at + Self::JOINING_TIME);
+                return found;
+            }
             let others = weighed.iter().map(|(_, other)| other).filter(|other| **other != part);
             let companions: Vec<PromptPart> = others
                 .filter(|other| self.has_same_ends(other, &part, &explained))
@@ -374,9 +398,11 @@
     #[must_use]
     pub fn report(&self, now: Moment) -> CrashReport {
         let is_news = |record: &PartRecord| {
+            let since_change = now.since(record.changed_at);
+            let since_repeat = since_change.as_millis() % Self::REPEAT_INTERVAL.as_millis();
             record.is_blocked(now)
-                || !record.ends.is_empty()
-                || now.since(record.changed_at) < Self::REPORT_TIME
+                || since_change < Self::REPORT_TIME
+                || !record.ends.is_empty() && since_repeat < Self::REPEAT_TIME.as_millis()
         };
         let mut records: Vec<_> = self.parts.iter().filter(|(_, record)| is_news(record)).collect();
         records.sort_by_key(|(_, record)| {
@@ -418,6 +444,7 @@
     /// Adds what a peer knows; returns the parts that it blocks and this host did not.
     pub fn merge(&mut self, report: CrashReport, now: Moment) -> Vec<BlockedPart> {
         self.expire(now);
+        self.has_new_evidence |= !report.is_empty();
         let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
         let mut adopted = Vec::new();
         for end in report.parts.iter().flat_map(|found| &found.ends) {
@@ -464,6 +491,7 @@
     }
 
     fn add_end(&mut self, life: &EndpointLife, prefix: &PromptPrefix, now: Moment) {
+        self.has_new_evidence = true;
         self.record_end_time(life, now);
         for (index, part) in prefix.shared().iter().enumerate() {
             if !self.parts.contains_key(part) && !self.make_room() {
@@ -581,9 +609,8 @@
             }
             is_apart
         };
-        let count = ends.iter().filter(is_apart).count();
+        let times: Vec<Moment> = ends.iter().filter(is_apart).map(|end| end.at).collect();
         let requests: BTreeSet<u64> = ends.iter().map(|end| end.own).collect();
-        let position = ends.iter().map(|end| end.position).max()?;
         if self.lapsed_at.is_some_and(|lapsed_at| ends.iter().all(|end| end.at <= lapsed_at)) {
             return None;
         }
@@ -594,8 +621,11 @@
         } else {
             (CrashLedger::MIN_ENDS, CrashLedger::MIN_REQUESTS)
         };
-        let weight = EvidenceWeight { ends: count, requests: requests.len(), position };
-        (count >= min_ends && requests.len() >= min_requests).then_some(weight)
+        let suffices_at = *times.get(min_ends - 1)?;
+        let position = ends.iter().map(|end| end.position).max()?;
+        let weight =
+            EvidenceWeight { ends: times.len(), requests: requests.len(), position, suffices_at };
+        (requests.len() >= min_requests).then_some(weight)
     }
 }
 
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -576,6 +576,7 @@
 
     /// Returns the part of a request's prompt that is kept from endpoints, if there is one.
     pub fn blocked_part(&self, prefix: &PromptPrefix) -> Option<BlockedPart> {
+        self.judge_prompts();
         self.crashes.borrow_mut().check(prefix, self.now())
     }
 
