fix(gateway): an endpoint that refuses its report and asks for a pause has responded

A pause now says by itself that the endpoint has responded.

Evidence: an_endpoint_that_refuses_its_report_has_responded failed without the change and passes with it.

--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -93,7 +93,10 @@
         state.directory.borrow_mut().record_response(&endpoint, now);
     } else {
         connection = None;
-        state.record_unresponsive(&endpoint);
+        // An endpoint that refuses its report and asks for a pause has responded.
+        if !state.is_paused(&endpoint) {
+            state.record_unresponsive(&endpoint);
+        }
     }
     (endpoint, connection)
 }
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -143,7 +143,8 @@
         let result =
             timeout(Self::PROBE_TIMEOUT, fetch_report(state, endpoint, address, &mut connection))
                 .await;
-        let is_responsive = matches!(result, Ok(Ok(_)));
+        // An endpoint that refuses its report and asks for a pause has responded.
+        let is_responsive = matches!(result, Ok(Ok(_))) || state.is_paused(endpoint);
         if is_responsive {
             set_outcome(ProbeOutcome::Responsive);
             state.directory.borrow_mut().record_response(endpoint, started_at);
