--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -603,6 +603,10 @@
         prefix: &PromptPrefix,
         ends: u32,
     ) -> Option<MutexGuard<'_, ()>> {
+        // Without parts nothing tells a request from any other.
+        if prefix.shared().is_empty() {
+            return None;
+        }
         let is_suspect = ends > 0 || self.crashes.borrow().is_suspect(prefix);
         if !is_suspect {
             return None;
