feat(gateway): log the rates of requests that endpoints name, and count sends to them

RequestRate reads the value (0, fractions, huge; negative values and what is no number are logged and not used; the lowest of several counts); EndpointLimits keeps the last word of each endpoint by incarnation. No logic is changed.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -2,9 +2,10 @@
     crate::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
         process::{
-            EndpointEntry, EndpointIncarnation, EndpointPauses, FailureCause, FailureReport,
+            EndpointEntry, EndpointIncarnation, EndpointLimits, EndpointPauses, FailureCause,
+            FailureReport,
         },
-        request::{LayerSpan, RetryAfter},
+        request::{LayerSpan, RequestRate, RetryAfter},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -86,6 +87,7 @@
 pub struct EndpointDirectory {
     known: BTreeMap<EndpointId, KnownEndpoint>,
     pauses: EndpointPauses,
+    limits: EndpointLimits,
     /// Whether the latest read of the list failed.
     is_unreadable: bool,
     /// When the list was first requested with success after the last failure.
@@ -150,6 +152,8 @@
             }
             !is_gone
         });
+        let known = &self.known;
+        self.limits.retain_listed(|endpoint| known.contains_key(endpoint), requested_at);
         changes
     }
 
@@ -264,6 +268,31 @@
         Some(self.pauses.record(endpoint, incarnation, asked, spread, now))
     }
 
+    /// Records that an endpoint answered a request that was sent at `sent_at`, and the rate that it
+    /// named, if any; returns `true` if that changes its limit.
+    pub fn record_limit(
+        &mut self,
+        endpoint: &EndpointId,
+        named: Option<RequestRate>,
+        sent_at: Moment,
+        now: Moment,
+    ) -> bool {
+        let Some(incarnation) = self.entry(endpoint).map(|entry| entry.incarnation) else {
+            return false;
+        };
+        match named {
+            Some(rate) => self.limits.record_named(endpoint, incarnation, rate, now),
+            None => self.limits.record_unnamed(endpoint, incarnation, sent_at),
+        }
+    }
+
+    /// Returns the rate of requests that all hosts together may send to an endpoint; `None` without a
+    /// limit.
+    #[must_use]
+    pub fn request_rate(&self, endpoint: &EndpointId, now: Moment) -> Option<RequestRate> {
+        self.limits.rate(endpoint, self.entry(endpoint)?.incarnation, now)
+    }
+
     /// Records that a request is being sent to an endpoint, which counts after a pause.
     pub fn record_send(&mut self, endpoint: &EndpointId, now: Moment) {
         if let Some(known) = self.known.get(endpoint) {
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod endpoint_directory;
 mod endpoint_entry;
 mod endpoint_health;
+mod endpoint_limits;
 mod endpoint_pauses;
 mod endpoint_record;
 mod endpoint_table;
@@ -21,6 +22,7 @@
 mod floor_transition;
 mod inter_token_latency;
 mod layer_placement;
+mod limit_report;
 mod link_load;
 mod listed_entries;
 mod loan_message;
@@ -54,6 +56,7 @@
     endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
     endpoint_entry::{EndpointEntry, EndpointIncarnation, EndpointLife},
     endpoint_health::EndpointHealth,
+    endpoint_limits::{EndpointLimits, LimitReports},
     endpoint_pauses::EndpointPauses,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
@@ -65,6 +68,7 @@
     floor_transition::FloorTransition,
     inter_token_latency::InterTokenLatency,
     layer_placement::{LayerAssignment, LayerPlacement, PlacementCandidate},
+    limit_report::LimitReport,
     link_load::{LinkLoad, LinkUsage, ZonePair},
     listed_entries::{ListChanges, ListedEntries, ListedEntry},
     loan_message::{LoanDemand, LoanGrant, LoanRef, LoanRequest, LoanResponse, LoanReturn},
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod layer_span;
 mod prompt_prefix;
 mod refusal_cause;
+mod request_rate;
 mod request_verdict;
 mod retry_after;
 mod stage_route;
@@ -22,6 +23,7 @@
     layer_span::{LayerSpan, SpanError},
     prompt_prefix::PromptPrefix,
     refusal_cause::RefusalCause,
+    request_rate::{RequestRate, RequestRateError},
     request_verdict::RequestVerdict,
     retry_after::{RetryAfter, RetryAfterError},
     stage_route::{RouteDraft, RouteError, RouteStage, StageRoute},
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -165,6 +165,8 @@
     pub prompt_parts: HeaderName,
     /// The caller's estimate of the number of output tokens.
     pub length_hint: HeaderName,
+    /// Requests a second that an endpoint takes from all hosts together.
+    pub request_limit: HeaderName,
     /// Set by an endpoint that did not run the request.
     pub not_run: HeaderName,
     /// Identifies the execution that produced a response.
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -55,6 +55,8 @@
     probes: IntCounter,
     endpoint_pauses: IntCounter,
     sends_held_back: IntCounterVec,
+    limit_changes: IntCounter,
+    limited_sends: IntCounterVec,
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
@@ -178,6 +180,15 @@
                 .counter("cassiafield_probes_total", "Endpoints asked whether they live"),
             endpoint_pauses: builder
                 .counter("cassiafield_endpoint_pauses_total", "Pauses that endpoints asked for"),
+            limit_changes: builder.counter(
+                "cassiafield_limit_changes_total",
+                "Changes of the rates of requests that endpoints take",
+            ),
+            limited_sends: builder.counters(
+                "cassiafield_limited_sends_total",
+                "Requests sent to endpoints that take a limited rate",
+                &["sender"],
+            ),
             sends_held_back: builder.counters(
                 "cassiafield_sends_held_back_total",
                 "Sends to endpoints held back, since the endpoint had asked for a pause",
@@ -303,6 +314,16 @@
         self.endpoint_pauses.inc();
     }
 
+    /// Counts a change of the rate of requests that an endpoint takes.
+    pub fn count_limit_change(&self) {
+        self.limit_changes.inc();
+    }
+
+    /// Counts a request that is sent to an endpoint which takes a limited rate.
+    pub fn count_limited_send(&self, sender: SenderKind) {
+        self.limited_sends.with_label_values(&[sender.name()]).inc();
+    }
+
     /// Counts a send to an endpoint that was held back, since the endpoint had asked for a pause.
     pub fn count_send_held_back(&self, sender: SenderKind) {
         self.sends_held_back.with_label_values(&[sender.name()]).inc();
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -16,7 +16,7 @@
             EngineLoad, FailureReport, ListedEntries, OrganisationLoad, RevisionNotice,
             VersionOrder, VersionVerdict, ZoneMembers,
         },
-        request::{PromptPrefix, RetryAfter, StageRoute},
+        request::{PromptPrefix, RequestRate, RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
@@ -464,6 +464,48 @@
         ));
     }
 
+    /// Records the rate of requests that a response head names, or that it names none.
+    ///
+    /// Of several values the lowest counts.
+    pub fn record_limit(
+        &self,
+        endpoint: &EndpointId,
+        sender: SenderKind,
+        headers: &HeaderMap,
+        sent_at: Moment,
+    ) {
+        let read = |value: &HeaderValue| {
+            let rate = value.to_str().unwrap_or_default().parse::<RequestRate>();
+            if let Err(error) = &rate {
+                LogEvent::EndpointLimited
+                    .log(format_args!("endpoint {endpoint}: {error}: {value:?}; not used"));
+            }
+            rate.ok()
+        };
+        let values = headers.get_all(&self.codec.header_names().request_limit);
+        let has_value = values.iter().next().is_some();
+        let named = values.iter().filter_map(read).min();
+        if has_value && named.is_none() {
+            return;
+        }
+        let now = self.now();
+        let is_change = self.directory.borrow_mut().record_limit(endpoint, named, sent_at, now);
+        if !is_change {
+            return;
+        }
+        self.metrics.count_limit_change();
+        let sender = sender.name();
+        match named {
+            Some(rate) => LogEvent::EndpointLimited.log(format_args!(
+                "endpoint {endpoint} takes {rate} from all hosts, says its answer to a {sender}"
+            )),
+            None => LogEvent::EndpointLimited.log(format_args!(
+                "endpoint {endpoint} names no limit any more in its answer to a {sender}"
+            )),
+        }
+        self.urgent_message.notify_one();
+    }
+
     /// Returns `true` if something may be sent to an endpoint now: it has not asked for a pause.
     ///
     /// Every send to an endpoint asks this right before its first byte: waiting for a connection
@@ -476,6 +518,9 @@
             self.metrics.count_send_held_back(sender);
         } else if sender.is_request() {
             directory.record_send(endpoint, now);
+            if directory.request_rate(endpoint, now).is_some() {
+                self.metrics.count_limited_send(sender);
+            }
         }
         may_send
     }
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -202,8 +202,10 @@
         .uri(wire.target)
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
+    let sent_at = state.now();
     let response = open.send(request, HealthProbe::PROBE_TIMEOUT).await?;
     state.record_pause(endpoint, response.status(), response.headers());
+    state.record_limit(endpoint, SenderKind::Probe, response.headers(), sent_at);
     let body = state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES).await?;
     let report = state.codec.parse_report(&body)?;
     *connection = Some(open);
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -300,8 +300,11 @@
         self.begin_send(entry)?;
         let wire = self.state.codec.placement_order(span, orders);
         let request = self.endpoint_request(entry, wire)?;
+        let sent_at = self.state.now();
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
-        self.state.record_pause(&entry.endpoint, response.status(), response.headers());
+        let (endpoint, headers) = (&entry.endpoint, response.headers());
+        self.state.record_pause(endpoint, response.status(), headers);
+        self.state.record_limit(endpoint, SenderKind::Order, headers, sent_at);
         Ok(response.status())
     }
 
@@ -322,8 +325,11 @@
         }
         self.begin_send(entry)?;
         let request = self.endpoint_request(entry, self.state.codec.report_request())?;
+        let sent_at = self.state.now();
         let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
-        self.state.record_pause(&entry.endpoint, response.status(), response.headers());
+        let (endpoint, headers) = (&entry.endpoint, response.headers());
+        self.state.record_pause(endpoint, response.status(), headers);
+        self.state.record_limit(endpoint, SenderKind::Order, headers, sent_at);
         let reading =
             self.state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES);
         let body = match reading.await {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -9,7 +9,7 @@
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::EndpointId,
+        ids::{EndpointId, Moment},
         process::{BlockedPart, EndpointEntry, ServiceChoice},
         request::{PromptPrefix, RefusalCause, RequestVerdict},
     },
@@ -205,6 +205,7 @@
         }
         *sends += 1;
         self.context.record_send();
+        let sent_at = state.now();
         let response = match connection.http.send(request, self.context.remaining_time()).await {
             Ok(response) => response,
             Err(ConnectionError::Unsent) => {
@@ -218,7 +219,7 @@
                 return self.record_failure(entry, &error);
             }
         };
-        let outcome = self.read_response(entry, connection, response).await;
+        let outcome = self.read_response(entry, connection, response, sent_at).await;
         if let EndpointOutcome::Response(_) = &outcome {
             let latency = self.context.state.now().since(started_at);
             self.context
@@ -252,11 +253,14 @@
         entry: &EndpointEntry,
         mut connection: PooledConnection,
         response: Response<Incoming>,
+        sent_at: Moment,
     ) -> EndpointOutcome {
-        self.context.state.record_pause(&entry.endpoint, response.status(), response.headers());
+        let state = &self.context.state;
+        state.record_pause(&entry.endpoint, response.status(), response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
             return self.record_failure(entry, &ConnectionError::TimedOut);
         }
+        state.record_limit(&entry.endpoint, SenderKind::Call, response.headers(), sent_at);
         let is_reusable = connection.apply_response_head(response.headers());
         let (mut parts, body) = response.into_parts();
         let reading = self.context.state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -380,6 +380,8 @@
         if self.context.belongs_to_other_request(response.headers()) {
             return Err(self.record_connection_failure(&first.endpoint, &ConnectionError::TimedOut));
         }
+        let headers = response.headers();
+        self.context.state.record_limit(&first.endpoint, SenderKind::Stream, headers, sent_at);
         let is_reusable = connection.apply_response_head(response.headers());
         if status != StatusCode::OK {
             return Err(self.handle_error_response(&path.route, response).await);
