--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -4,7 +4,7 @@
         process::{
             survival_table::SurvivalTable, CrashReport, EndpointLife, PartEndReport, PartReport,
         },
-        request::PromptPrefix,
+        request::{PromptPrefix, RequestFingerprint, RequestIdentity},
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -46,6 +46,8 @@
     pub suspects: usize,
     /// Their shared parts, each with the number of ends that speak against it.
     pub parts: Vec<(PromptPart, usize)>,
+    /// Their fingerprints.
+    pub fingerprints: Vec<RequestFingerprint>,
 }
 
 /// Finds the parts of prompts that crash endpoints, and keeps them from endpoints.
@@ -78,7 +80,7 @@
 #[derive(Clone, Debug)]
 struct BrokenRequest {
     lives: Vec<EndpointLife>,
-    prefix: PromptPrefix,
+    identity: RequestIdentity,
     at: Moment,
 }
 
@@ -159,12 +161,14 @@
     /// Records that a request's connection broke before its answer was under way.
     ///
     /// `lives` are the endpoints that may have ended. It is evidence only if one of them has.
-    pub fn record_break(&mut self, lives: Vec<EndpointLife>, prefix: PromptPrefix, now: Moment) {
+    pub fn record_break(
+        &mut self,
+        lives: Vec<EndpointLife>,
+        identity: &RequestIdentity,
+        now: Moment,
+    ) {
         self.expire(now);
-        if prefix.shared().is_empty() {
-            return;
-        }
-        let broken = BrokenRequest { lives, prefix, at: now };
+        let broken = BrokenRequest { lives, identity: identity.clone(), at: now };
         let ended: Vec<EndpointLife> = broken
             .lives
             .iter()
@@ -172,7 +176,7 @@
             .cloned()
             .collect();
         for life in ended {
-            self.add_end(&life, &broken.prefix, now);
+            self.add_end(&life, &broken.identity, now);
         }
         if self.breaks.len() >= Self::MAX_BREAKS {
             self.breaks.pop_front();
@@ -192,8 +196,9 @@
         for broken in &breaks {
             for life in broken.lives.iter().filter(|life| &life.endpoint == endpoint) {
                 summary.suspects += 1;
-                self.add_end(life, &broken.prefix, broken.at);
-                parts.extend(broken.prefix.shared().iter().cloned());
+                self.add_end(life, &broken.identity, broken.at);
+                parts.extend(broken.identity.prefix().shared().iter().cloned());
+                summary.fingerprints.extend(broken.identity.fingerprint());
             }
         }
         // Each of them speaks against its parts once only.
@@ -205,8 +210,8 @@
     }
 
     /// Records that a request's answer got under way, which clears its parts.
-    pub fn record_survival(&mut self, prefix: &PromptPrefix, now: Moment) {
-        for part in prefix.shared() {
+    pub fn record_survival(&mut self, identity: &RequestIdentity, now: Moment) {
+        for part in identity.prefix().shared() {
             self.survivals.record(part, now);
             if let Some(record) = self.parts.get_mut(part) {
                 self.has_new_evidence |= !record.ends.is_empty();
@@ -234,8 +239,8 @@
     }
 
     /// Returns the first blocked part of a request; the block lasts while such requests come.
-    pub fn check(&mut self, prefix: &PromptPrefix, now: Moment) -> Option<BlockedPart> {
-        let shared = prefix.shared();
+    pub fn check(&mut self, identity: &RequestIdentity, now: Moment) -> Option<BlockedPart> {
+        let shared = identity.prefix().shared();
         let is_match = |part: &&PromptPart| {
             self.parts.get(*part).is_some_and(|record| {
                 record.is_blocked(now)
@@ -252,8 +257,8 @@
     /// Returns `true` if an endpoint ended under a request with one of the parts, and none of its
     /// requests has been answered since.
     #[must_use]
-    pub fn is_suspect(&self, prefix: &PromptPrefix) -> bool {
-        prefix.shared().iter().any(|part| {
+    pub fn is_suspect(&self, identity: &RequestIdentity) -> bool {
+        identity.prefix().shared().iter().any(|part| {
             let record = self.parts.get(part);
             record.is_some_and(|record| !record.ends.is_empty() && record.survived_at.is_none())
         })
@@ -264,7 +269,8 @@
     /// After the first end it may once, unless endpoints ended under other requests with one of its
     /// parts as well.
     #[must_use]
-    pub fn may_repeat(&self, prefix: &PromptPrefix, ends: u32) -> bool {
+    pub fn may_repeat(&self, identity: &RequestIdentity, ends: u32) -> bool {
+        let prefix = identity.prefix();
         let is_shared_suspicion = |part: &PromptPart| {
             let Some(record) = self.parts.get(part) else { return false };
             let has_other = record.ends.values().any(|end| end.own != prefix.own());
@@ -490,7 +496,8 @@
         adopted
     }
 
-    fn add_end(&mut self, life: &EndpointLife, prefix: &PromptPrefix, now: Moment) {
+    fn add_end(&mut self, life: &EndpointLife, identity: &RequestIdentity, now: Moment) {
+        let prefix: &PromptPrefix = identity.prefix();
         self.has_new_evidence = true;
         self.record_end_time(life, now);
         for (index, part) in prefix.shared().iter().enumerate() {
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -7,6 +7,8 @@
 mod layer_span;
 mod prompt_prefix;
 mod refusal_cause;
+mod request_fingerprint;
+mod request_identity;
 mod request_rate;
 mod request_verdict;
 mod retry_after;
@@ -23,6 +25,8 @@
     layer_span::{LayerSpan, SpanError},
     prompt_prefix::PromptPrefix,
     refusal_cause::RefusalCause,
+    request_fingerprint::{FingerprintSource, RequestFingerprint, RequestFingerprintError},
+    request_identity::RequestIdentity,
     request_rate::{RequestRate, RequestRateError},
     request_verdict::RequestVerdict,
     retry_after::{RetryAfter, RetryAfterError},
--- a/crates/cassiafield-core/tests/crash_ledger.rs
+++ b/crates/cassiafield-core/tests/crash_ledger.rs
@@ -4,7 +4,7 @@
     cassiafield_core::{
         ids::{Moment, PromptPart},
         process::{CrashLedger, CrashReport, EndpointIncarnation, EndpointLife},
-        request::PromptPrefix,
+        request::{PromptPrefix, RequestIdentity},
     },
     proptest::prelude::*,
     std::time::Duration,
@@ -16,8 +16,9 @@
     START + Duration::from_millis(millis)
 }
 
-fn prefix(text: &str) -> PromptPrefix {
-    text.parse().expect("a prompt")
+fn request(text: &str) -> RequestIdentity {
+    let prefix: PromptPrefix = text.parse().expect("a prompt");
+    prefix.into()
 }
 
 fn part(text: &str) -> PromptPart {
@@ -31,7 +32,7 @@
 
 /// Ends an endpoint under a request.
 fn end(ledger: &mut CrashLedger, number: u64, text: &str, now: Moment) {
-    ledger.record_break(vec![life(number)], prefix(text), now);
+    ledger.record_break(vec![life(number)], &request(text), now);
     ledger.record_end(&life(number).endpoint, now);
 }
 
@@ -44,7 +45,7 @@
     let mut ledger = CrashLedger::default();
     for number in 0..3 {
         end(&mut ledger, number, &format!("aa:40,bad:9,{number:x}:7"), at(number * 1_000));
-        ledger.record_survival(&prefix("aa:40,cc:9,ff:1"), at(number * 1_000 + 500));
+        ledger.record_survival(&request("aa:40,cc:9,ff:1"), at(number * 1_000 + 500));
     }
     ledger
 }
@@ -54,11 +55,11 @@
     let mut ledger = convinced();
     assert_eq!(judged(&mut ledger, at(3_000)), ["bad"]);
     assert!(judged(&mut ledger, at(3_000)).is_empty());
-    let blocked = ledger.check(&prefix("dd:1,bad:9,77:1"), at(3_100)).expect("a blocked part");
+    let blocked = ledger.check(&request("dd:1,bad:9,77:1"), at(3_100)).expect("a blocked part");
     assert_eq!((blocked.ends, blocked.part), (3, part("bad")));
-    assert!(ledger.check(&prefix("aa:40,cc:9,77:1"), at(3_100)).is_none());
+    assert!(ledger.check(&request("aa:40,cc:9,77:1"), at(3_100)).is_none());
     // The last part is the request's own.
-    assert!(ledger.check(&prefix("aa:40,bad:9"), at(3_100)).is_none());
+    assert!(ledger.check(&request("aa:40,bad:9"), at(3_100)).is_none());
 }
 
 /// Guards against blaming one request, one moment, or one endpoint several times.
@@ -107,7 +108,7 @@
 fn a_broken_connection_counts_only_once_its_endpoint_has_ended() {
     let mut ledger = CrashLedger::default();
     for number in 0..6 {
-        ledger.record_break(vec![life(number)], prefix(&format!("bad:9,{number:x}:7")), at(0));
+        ledger.record_break(vec![life(number)], &request(&format!("bad:9,{number:x}:7")), at(0));
     }
     assert!(judged(&mut ledger, at(100)).is_empty());
     // Found too late to be the reason.
@@ -115,7 +116,7 @@
     assert!(ledger.report(at(2_500)).is_empty());
     // In either order.
     ledger.record_end(&life(1).endpoint, at(3_000));
-    ledger.record_break(vec![life(1)], prefix("bad:9,5:7"), at(3_010));
+    ledger.record_break(vec![life(1)], &request("bad:9,5:7"), at(3_010));
     assert_eq!(ledger.report(at(3_020)).parts.len(), 1);
 }
 
@@ -123,19 +124,19 @@
 #[test]
 fn an_answer_clears_the_parts_of_its_request() {
     let mut ledger = convinced();
-    ledger.record_survival(&prefix("bad:9,99:1"), at(2_500));
+    ledger.record_survival(&request("bad:9,99:1"), at(2_500));
     assert!(judged(&mut ledger, at(3_000)).is_empty());
     let mut ledger = convinced();
     assert_eq!(judged(&mut ledger, at(3_000)), ["bad"]);
-    ledger.record_survival(&prefix("bad:9,99:1"), at(3_500));
+    ledger.record_survival(&request("bad:9,99:1"), at(3_500));
     assert_eq!(ledger.take_released(), [part("bad")]);
-    assert!(ledger.check(&prefix("bad:9,9a:1"), at(3_600)).is_none());
+    assert!(ledger.check(&request("bad:9,9a:1"), at(3_600)).is_none());
 }
 
 #[test]
 fn a_part_that_was_answered_lately_needs_more_ends() {
     let mut ledger = CrashLedger::default();
-    ledger.record_survival(&prefix("bad:9,99:1"), at(0));
+    ledger.record_survival(&request("bad:9,99:1"), at(0));
     for number in 1..=5 {
         end(&mut ledger, number, &format!("bad:9,{number:x}:7"), at(number * 1_000));
     }
@@ -153,33 +154,33 @@
             end(&mut ledger, number, &format!("bad:9,dd:9,{number:x}:7"), at(number * 1_000));
         }
         assert_eq!(judged(&mut ledger, at(3_000)).len(), 1);
-        assert!(ledger.check(&prefix("dd:9,bad:9,7:7"), at(3_000)).is_some());
-        assert!(ledger.check(&prefix("bad:9,7:7"), at(3_000)).is_none());
-        assert!(ledger.check(&prefix("dd:9,7:7"), at(3_000)).is_none());
+        assert!(ledger.check(&request("dd:9,bad:9,7:7"), at(3_000)).is_some());
+        assert!(ledger.check(&request("bad:9,7:7"), at(3_000)).is_none());
+        assert!(ledger.check(&request("dd:9,7:7"), at(3_000)).is_none());
         ledger
     };
     // Another end tells them apart, and so does an answer.
     let mut ledger = tied();
     end(&mut ledger, 3, "bad:9,ee:9,3:7", at(3_500));
     assert_eq!(judged(&mut ledger, at(3_600)), ["bad"]);
-    assert!(ledger.check(&prefix("bad:9,7:7"), at(3_700)).is_some());
-    assert!(ledger.check(&prefix("dd:9,7:7"), at(3_700)).is_none());
+    assert!(ledger.check(&request("bad:9,7:7"), at(3_700)).is_some());
+    assert!(ledger.check(&request("dd:9,7:7"), at(3_700)).is_none());
     let mut ledger = tied();
-    ledger.record_survival(&prefix("dd:9,7:7"), at(3_500));
+    ledger.record_survival(&request("dd:9,7:7"), at(3_500));
     judged(&mut ledger, at(3_600));
-    assert!(ledger.check(&prefix("bad:9,8:7"), at(3_700)).is_some());
-    assert!(ledger.check(&prefix("dd:9,8:7"), at(3_700)).is_none());
+    assert!(ledger.check(&request("bad:9,8:7"), at(3_700)).is_some());
+    assert!(ledger.check(&request("dd:9,8:7"), at(3_700)).is_none());
 }
 
 #[test]
 fn a_request_is_repeated_once_unless_others_were_hit_too() {
     let mut ledger = CrashLedger::default();
     end(&mut ledger, 0, "bad:9,1:7", at(0));
-    assert!(ledger.may_repeat(&prefix("bad:9,1:7"), 1));
-    assert!(!ledger.may_repeat(&prefix("bad:9,1:7"), 2));
-    assert!(ledger.may_repeat(&prefix("bad:9,2:7"), 0));
+    assert!(ledger.may_repeat(&request("bad:9,1:7"), 1));
+    assert!(!ledger.may_repeat(&request("bad:9,1:7"), 2));
+    assert!(ledger.may_repeat(&request("bad:9,2:7"), 0));
     end(&mut ledger, 1, "bad:9,2:7", at(500));
-    assert!(!ledger.may_repeat(&prefix("bad:9,2:7"), 1));
+    assert!(!ledger.may_repeat(&request("bad:9,2:7"), 1));
 }
 
 /// Guards against evidence that is lost or counted twice on its way between hosts.
@@ -200,7 +201,7 @@
     let mut late = CrashLedger::default();
     let adopted = late.merge(first.report(at(5_260)), at(5_260));
     assert_eq!((adopted[0].part.clone(), adopted[0].age), (part("bad"), Duration::from_secs(3)));
-    assert!(late.check(&prefix("bad:9,9:7"), at(5_270)).is_some());
+    assert!(late.check(&request("bad:9,9:7"), at(5_270)).is_some());
 }
 
 /// Guards against two hosts that keep a verdict alive between them after it was set aside.
@@ -235,9 +236,9 @@
     let mut now = 3_000;
     for _ in 0..10 {
         now += 100_000;
-        assert!(ledger.check(&prefix("bad:9,9:7"), at(now)).is_some(), "while requests come");
+        assert!(ledger.check(&request("bad:9,9:7"), at(now)).is_some(), "while requests come");
     }
-    assert!(ledger.check(&prefix("bad:9,9:7"), at(now + 121_000)).is_none());
+    assert!(ledger.check(&request("bad:9,9:7"), at(now + 121_000)).is_none());
 
     let mut ledger = convinced();
     ledger.judge(at(3_000));
@@ -254,7 +255,7 @@
     ledger.judge(at(3_000));
     for number in 0..20_000_u64 {
         let text = format!("{number:x}a:1,{number:x}b:1,{number:x}:1");
-        ledger.record_survival(&prefix(&text), at(3_100));
+        ledger.record_survival(&request(&text), at(3_100));
         end(&mut ledger, 100 + number, &text, at(3_100 + number));
     }
     let report = ledger.report(at(30_000));
@@ -269,9 +270,9 @@
         text in ".{0,200}",
         ages in proptest::collection::vec(any::<u32>(), 0..6),
     ) {
-        let parsed = prefix(&text);
+        let parsed = request(&text);
         let mut ledger = CrashLedger::default();
-        ledger.record_break(vec![life(1)], parsed.clone(), at(0));
+        ledger.record_break(vec![life(1)], &parsed, at(0));
         ledger.record_end(&life(1).endpoint, at(0));
         ledger.judge(at(1));
         let mut report: CrashReport = convinced().report(at(2_500));
--- a/crates/cassiafield-core/tests/crash_model.rs
+++ b/crates/cassiafield-core/tests/crash_model.rs
@@ -5,7 +5,7 @@
     cassiafield_core::{
         ids::{EndpointId, Moment, PromptPart},
         process::{CrashLedger, CrashReport, EndpointIncarnation, EndpointLife},
-        request::PromptPrefix,
+        request::{PromptPrefix, RequestIdentity},
     },
     std::collections::VecDeque,
 };
@@ -54,7 +54,7 @@
 struct Run {
     host: usize,
     endpoint: usize,
-    prefix: PromptPrefix,
+    identity: RequestIdentity,
     is_culprit: bool,
     first_event_at: u64,
     ends_at: u64,
@@ -140,13 +140,21 @@
             format!("a{class}:40,d{subject:x}:9,{own:x}:7")
         };
         let prefix: PromptPrefix = text.parse().expect("a prompt");
+        let identity = RequestIdentity::from(prefix);
         let host = usize::try_from(self.dice.next(HOSTS as u64)).expect("small");
-        self.send(now, host, prefix, is_culprit, 0);
+        self.send(now, host, identity, is_culprit, 0);
     }
 
-    fn send(&mut self, now: u64, host: usize, prefix: PromptPrefix, is_culprit: bool, ends: u32) {
+    fn send(
+        &mut self,
+        now: u64,
+        host: usize,
+        identity: RequestIdentity,
+        is_culprit: bool,
+        ends: u32,
+    ) {
         self.judge(now, host);
-        if self.ledgers[host].check(&prefix, moment(now)).is_some() {
+        if self.ledgers[host].check(&identity, moment(now)).is_some() {
             return;
         }
         let up: Vec<usize> =
@@ -166,7 +174,7 @@
         self.runs.push(Run {
             host,
             endpoint,
-            prefix,
+            identity,
             is_culprit,
             first_event_at,
             ends_at,
@@ -180,7 +188,7 @@
             let is_begun = now >= run.first_event_at + 400 || now >= run.ends_at;
             if is_begun && !run.is_under_way && !run.is_culprit {
                 run.is_under_way = true;
-                self.ledgers[run.host].record_survival(&run.prefix, moment(now));
+                self.ledgers[run.host].record_survival(&run.identity, moment(now));
             }
         }
         let culprits = self.runs.iter().filter(|run| run.is_culprit && now >= run.first_event_at);
@@ -208,7 +216,7 @@
         let broken: Vec<Run> = broken;
         for run in broken.iter().filter(|run| !run.is_under_way) {
             let ledger = &mut self.ledgers[run.host];
-            ledger.record_break(vec![life.clone()], run.prefix.clone(), moment(now));
+            ledger.record_break(vec![life.clone()], &run.identity, moment(now));
             ledger.record_end(&life.endpoint, moment(now));
         }
         for host in 0..HOSTS {
@@ -216,8 +224,8 @@
         }
         for run in broken {
             let ends = run.ends + u32::from(!run.is_under_way);
-            if self.ledgers[run.host].may_repeat(&run.prefix, ends) {
-                self.send(now + TICK_MS, run.host, run.prefix, run.is_culprit, ends);
+            if self.ledgers[run.host].may_repeat(&run.identity, ends) {
+                self.send(now + TICK_MS, run.host, run.identity, run.is_culprit, ends);
             }
         }
     }
@@ -225,7 +233,8 @@
     fn judge(&mut self, now: u64, host: usize) {
         for found in self.ledgers[host].judge(moment(now)) {
             // Together with the culprit, another part is blocked only beside it.
-            let alone = format!("{}:1,ffff:1", found.part).parse().expect("a prompt");
+            let alone: PromptPrefix = format!("{}:1,ffff:1", found.part).parse().expect("a prompt");
+            let alone = RequestIdentity::from(alone);
             let is_blocked = self.ledgers[host].check(&alone, moment(now)).is_some();
             if found.part.as_str() != CULPRIT_PART && is_blocked {
                 self.wrongly_blocked.push(found.part);
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -16,7 +16,7 @@
             EngineLoad, FailureReport, LimitReports, ListedEntries, OrganisationLoad,
             RevisionNotice, TurnBroker, VersionOrder, VersionVerdict, ZoneMembers,
         },
-        request::{PromptPrefix, RequestRate, RetryAfter, StageRoute},
+        request::{RequestFingerprint, RequestIdentity, RequestRate, RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
@@ -610,11 +610,14 @@
         self.metrics.count_endpoint_end();
         let parts: Vec<String> =
             summary.parts.iter().map(|(part, ends)| format!("{part} ({ends})")).collect();
+        let fingerprints: Vec<String> =
+            summary.fingerprints.iter().map(RequestFingerprint::to_string).collect();
         LogEvent::EndpointEnded.log(format_args!(
             "endpoint {endpoint}; {} requests of this host had no answer under way; parts of their \
-             prompts, with the ends known under each: {}",
+             prompts, with the ends known under each: {}; fingerprints: {}",
             summary.suspects,
             parts.join(", "),
+            fingerprints.join(", "),
         ));
         self.judge_prompts();
         self.urgent_message.notify_one();
@@ -657,9 +660,9 @@
     }
 
     /// Returns the part of a request's prompt that is kept from endpoints, if there is one.
-    pub fn blocked_part(&self, prefix: &PromptPrefix) -> Option<BlockedPart> {
+    pub fn blocked_part(&self, identity: &RequestIdentity) -> Option<BlockedPart> {
         self.judge_prompts();
-        self.crashes.borrow_mut().check(prefix, self.now())
+        self.crashes.borrow_mut().check(identity, self.now())
     }
 
     /// Returns the parts of prompts that are kept from endpoints, one a line.
@@ -682,14 +685,14 @@
     /// Returns `None` if it need not wait, or has waited long enough.
     pub async fn suspect_turn(
         &self,
-        prefix: &PromptPrefix,
+        identity: &RequestIdentity,
         ends: u32,
     ) -> Option<MutexGuard<'_, ()>> {
         // Without parts nothing tells a request from any other.
-        if prefix.shared().is_empty() {
+        if identity.prefix().shared().is_empty() {
             return None;
         }
-        let is_suspect = ends > 0 || self.crashes.borrow().is_suspect(prefix);
+        let is_suspect = ends > 0 || self.crashes.borrow().is_suspect(identity);
         if !is_suspect {
             return None;
         }
@@ -704,7 +707,7 @@
         &self,
         endpoint: &EndpointId,
         route: Option<&StageRoute>,
-        prefix: &PromptPrefix,
+        identity: &RequestIdentity,
     ) -> bool {
         let stages = route.map_or(&[][..], StageRoute::stages);
         let mut endpoints: Vec<EndpointId> =
@@ -720,7 +723,7 @@
             };
             endpoints.into_iter().filter_map(life).collect()
         };
-        self.crashes.borrow_mut().record_break(lives, prefix.clone(), self.now());
+        self.crashes.borrow_mut().record_break(lives, identity, self.now());
         self.has_ended(endpoint).await
     }
 
@@ -749,13 +752,13 @@
 
     /// Returns `true` if a request may be sent again under which `ends` endpoints have ended.
     #[must_use]
-    pub fn may_repeat(&self, prefix: &PromptPrefix, ends: u32) -> bool {
-        self.crashes.borrow().may_repeat(prefix, ends)
+    pub fn may_repeat(&self, identity: &RequestIdentity, ends: u32) -> bool {
+        self.crashes.borrow().may_repeat(identity, ends)
     }
 
     /// Records that a request's answer got under way.
-    pub fn record_survival(&self, prefix: &PromptPrefix) {
-        self.crashes.borrow_mut().record_survival(prefix, self.now());
+    pub fn record_survival(&self, identity: &RequestIdentity) {
+        self.crashes.borrow_mut().record_survival(identity, self.now());
         self.log_released_parts();
     }
 
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -7,6 +7,7 @@
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::EndpointId,
+        request::RequestIdentity,
         version::{RouteRule, ServiceRule},
     },
     http::{HeaderMap, Request},
@@ -22,9 +23,16 @@
     pub(super) request: CallerRequest,
     /// Counts the request as in flight.
     pub(super) in_flight: InFlightRequest,
+    pub(super) identity: RequestIdentity,
 }
 
 impl CallContext {
+    /// Returns what the request has in common with others, its fingerprint included.
+    pub(super) fn full_identity(&self) -> &RequestIdentity {
+        self.identity.identify(|| self.request.fingerprint(self.state.codec.header_names()));
+        &self.identity
+    }
+
     /// Returns the time until the caller or the route times out.
     pub(super) fn remaining_time(&self) -> Duration {
         self.request.remaining_time(self.rule.timeout, self.state.now())
--- a/crates/cassiafield-gateway/src/request/caller_request.rs
+++ b/crates/cassiafield-gateway/src/request/caller_request.rs
@@ -3,11 +3,14 @@
     bytes::Bytes,
     cassiafield_core::{
         ids::{Moment, OrganisationId},
-        request::PromptPrefix,
+        request::{FingerprintSource, PromptPrefix, RequestFingerprint, RequestIdentity},
     },
     compact_str::CompactString,
     http::{header, HeaderMap, HeaderName, HeaderValue, Method},
-    std::time::Duration,
+    std::{
+        hash::{DefaultHasher, Hash as _, Hasher as _},
+        time::Duration,
+    },
 };
 
 /// A parsed request of a caller.
@@ -81,11 +84,28 @@
         Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
     }
 
-    /// Returns the parts of the prompt; none if they are not stated.
+    /// Returns what the request has in common with others, without its fingerprint.
     #[must_use]
-    pub fn prompt_prefix(&self, names: &HeaderNames) -> PromptPrefix {
+    pub fn identity(&self, names: &HeaderNames) -> RequestIdentity {
         let value = self.headers.get(&names.prompt_parts).and_then(|value| value.to_str().ok());
-        value.and_then(|text| text.parse().ok()).unwrap_or_default()
+        let prefix: PromptPrefix = value.and_then(|text| text.parse().ok()).unwrap_or_default();
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        RequestIdentity::new(prefix, hasher.finish())
+    }
+
+    /// Returns the fingerprint, which takes the whole body to compute.
+    #[must_use]
+    pub fn fingerprint(&self, names: &HeaderNames) -> RequestFingerprint {
+        let header = |name: &HeaderName| self.headers.get(name).map_or(&[][..], |v| v.as_bytes());
+        RequestFingerprint::from(FingerprintSource {
+            method: self.method.as_str(),
+            host: header(&header::HOST),
+            target: &self.target,
+            organisation: self.organisation.as_ref().map_or("", OrganisationId::as_str),
+            prompt: header(&names.prompt_parts),
+            body: &self.body,
+        })
     }
 
     /// Returns the value of a numeric header.
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -166,7 +166,8 @@
         let is_stream = service.engine.is_some() && kind.is_stream();
         let state = Rc::clone(&self.state);
         let in_flight = self.state.track_request();
-        let context = CallContext { state, rule, service, request, in_flight };
+        let identity = request.identity(state.codec.header_names());
+        let context = CallContext { state, rule, service, request, in_flight, identity };
         let response = if is_stream {
             StreamCall::new(context).run().await
         } else {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -11,7 +11,7 @@
     cassiafield_core::{
         ids::{EndpointId, Moment},
         process::{BlockedPart, EndpointEntry, ServiceChoice},
-        request::{PromptPrefix, RefusalCause, RequestVerdict},
+        request::{RefusalCause, RequestVerdict},
     },
     http::{header, HeaderValue, Response, StatusCode},
     hyper::body::Incoming,
@@ -22,8 +22,6 @@
 /// A request to a plain service, whose response is buffered completely.
 pub(super) struct PlainCall {
     context: CallContext,
-    /// The parts of the prompt that other requests may share.
-    prefix: PromptPrefix,
     /// Number of endpoints that ended under this request.
     ends: Cell<u32>,
 }
@@ -57,8 +55,7 @@
     const RETRY_AFTER: Duration = Duration::from_millis(60);
 
     pub(super) fn new(context: CallContext) -> Self {
-        let prefix = context.request.prompt_prefix(context.state.codec.header_names());
-        Self { context, prefix, ends: Cell::default() }
+        Self { context, ends: Cell::default() }
     }
 
     pub(super) async fn run(self) -> Response<ResponseBody> {
@@ -72,11 +69,11 @@
             {
                 break;
             }
-            let blocked = self.context.state.blocked_part(&self.prefix);
+            let blocked = self.context.state.blocked_part(&self.context.identity);
             if let Some(blocked) = blocked {
                 return self.refuse_blocked(verdict, &blocked);
             }
-            if !self.context.state.may_repeat(&self.prefix, self.ends.get()) {
+            if !self.context.state.may_repeat(&self.context.identity, self.ends.get()) {
                 break;
             }
             let Some((entry, turn)) = self.choose_with_turn(&excluded).await else { break };
@@ -197,8 +194,9 @@
         turn: SendTurn,
         sends: &mut u32,
     ) -> EndpointOutcome {
-        let _suspect_turn = self.context.state.suspect_turn(&self.prefix, self.ends.get()).await;
-        if self.context.state.blocked_part(&self.prefix).is_some() {
+        let _suspect_turn =
+            self.context.state.suspect_turn(&self.context.identity, self.ends.get()).await;
+        if self.context.state.blocked_part(&self.context.identity).is_some() {
             return EndpointOutcome::NotRun;
         }
         let guard = self.context.state.track_dispatch(&entry.endpoint);
@@ -268,7 +266,7 @@
     /// Records that the request's connection broke, and finds out whether the endpoint has ended.
     async fn record_break(&self, entry: &EndpointEntry) {
         let state = &self.context.state;
-        if state.record_request_break(&entry.endpoint, None, &self.prefix).await {
+        if state.record_request_break(&entry.endpoint, None, self.context.full_identity()).await {
             self.ends.set(self.ends.get() + 1);
         }
     }
@@ -316,7 +314,7 @@
             self.context.state.record_endpoint_refusal(&entry.endpoint, is_misdirected);
             return EndpointOutcome::NotRun;
         }
-        self.context.state.record_survival(&self.prefix);
+        self.context.state.record_survival(&self.context.identity);
         strip_hop_headers(&mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -17,8 +17,7 @@
         ids::{EndpointId, ModelId},
         process::{BlockedPart, PathError, PlannedPath},
         request::{
-            EventSplitter, GiveUpReason, PromptPrefix, RefusalCause, RequestVerdict, StageRoute,
-            StreamTimeouts,
+            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
         },
         version::{RequestKind, ServiceRule},
     },
@@ -56,8 +55,6 @@
     /// Why the last failed planning found no path.
     pub(super) bottleneck: Cell<Option<PathError>>,
     pub(super) model: ModelId,
-    /// The parts of the prompt that other requests may share.
-    pub(super) prefix: PromptPrefix,
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
     /// The part of the prompt that is kept from endpoints, if that was found.
@@ -118,7 +115,6 @@
             .get(&names.model)
             .and_then(|value| value.to_str().ok())
             .and_then(|name| name.parse().ok());
-        let prefix = request.prompt_prefix(names);
         // Paths are planned per service; the model name only labels the route.
         let model = model.unwrap_or_else(|| fallback_model(service));
         Self {
@@ -130,7 +126,6 @@
             replaced: RefCell::default(),
             bottleneck: Cell::new(None),
             model,
-            prefix,
             ends: 0,
             blocked: None,
             prompt_tokens,
@@ -213,7 +208,7 @@
             Some(GiveUpReason::NotResumable)
         } else if self.sends >= Self::MAX_SENDS || !self.may_repeat() {
             Some(GiveUpReason::SendLimit)
-        } else if self.context.state.blocked_part(&self.prefix).is_some() {
+        } else if self.context.state.blocked_part(&self.context.identity).is_some() {
             Some(GiveUpReason::PromptBlocked)
         } else {
             None
@@ -301,7 +296,7 @@
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
         let state = Rc::clone(&self.context.state);
         // Held until the answer has begun or has failed to.
-        let _suspect_turn = state.suspect_turn(&self.prefix, self.ends).await;
+        let _suspect_turn = state.suspect_turn(&self.context.identity, self.ends).await;
         if self.is_blocked() {
             return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
         }
@@ -450,12 +445,12 @@
 
     /// Returns `true` unless too many endpoints ended under this request and others like it.
     fn may_repeat(&self) -> bool {
-        self.context.state.may_repeat(&self.prefix, self.ends)
+        self.context.state.may_repeat(&self.context.identity, self.ends)
     }
 
     /// Returns `true` if a part of the prompt is kept from endpoints.
     fn is_blocked(&mut self) -> bool {
-        self.blocked = self.context.state.blocked_part(&self.prefix);
+        self.blocked = self.context.state.blocked_part(&self.context.identity);
         self.blocked.is_some()
     }
 
@@ -516,7 +511,7 @@
     /// was under way, and finds out whether the endpoint has ended.
     pub(super) async fn record_break(&mut self, first: &EndpointId, route: &StageRoute) {
         let state = &self.context.state;
-        if state.record_request_break(first, Some(route), &self.prefix).await {
+        if state.record_request_break(first, Some(route), self.context.full_identity()).await {
             self.ends += 1;
         }
     }
