fix(gateway): calls wait for a turn only when no other endpoint stands free

What callers saw: with limits at two of three plain endpoints, 34 of 232 delivery changes were late (aim 150 ms), although the third endpoint had room: a call waited up to 250 ms for a turn at the endpoint that it had chosen.

Change: a call takes a turn within 20 ms or asks the next endpoint; only when none is left it waits at the one whose next turn comes first (choose_soonest).

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -397,6 +397,24 @@
         best.map(|known| &known.entry)
     }
 
+    /// Chooses the endpoint of a service that first has a turn free, and returns when; for the case
+    /// that [`EndpointDirectory::choose`] finds none.
+    #[must_use]
+    pub fn choose_soonest(
+        &self,
+        choice: &ServiceChoice<'_>,
+        now: Moment,
+    ) -> Option<(&EndpointEntry, Moment)> {
+        let live = self.live_entries(choice.service);
+        let others = live.filter(|entry| !choice.excluded.contains(&entry.endpoint));
+        let full = others.filter_map(|entry| {
+            let is_paused = self.blocked_until(&entry.endpoint, now).is_some();
+            let until = self.limits.full_until(&entry.endpoint, entry.incarnation, now);
+            Some((entry, until.filter(|_| !is_paused)?))
+        });
+        full.min_by_key(|(_, until)| *until)
+    }
+
     /// Records that a request was sent to an endpoint.
     pub fn record_dispatch(&mut self, endpoint: &EndpointId) {
         if let Some(known) = self.known.get_mut(endpoint) {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -49,6 +49,8 @@
     const MAX_ENDPOINTS_TRIED: u32 = 4;
     /// Maximum number of endpoints that are asked for a turn.
     const MAX_CHOICES: u32 = 16;
+    /// Time that a request waits for a turn while other endpoints may stand free.
+    const SHORT_TURN_WAIT: Duration = Duration::from_millis(20);
     /// Maximum time that a request waits for a turn at an endpoint that takes a limited rate.
     const MAX_TURN_WAIT: Duration = Duration::from_millis(250);
     /// Minimum retry delay advised to callers; jitter raises it up to twofold.
@@ -164,28 +166,43 @@
         refusal_response(cause, (verdict == RequestVerdict::NotRun).then_some(retry_after))
     }
 
-    fn choose(&self, excluded: &[EndpointId]) -> Option<EndpointEntry> {
-        let choice = ServiceChoice {
+    fn choice<'a>(&'a self, excluded: &'a [EndpointId]) -> ServiceChoice<'a> {
+        ServiceChoice {
             service: &self.context.service.service,
             zone: &self.context.state.settings.zone,
             excluded,
             at_most_once: !self.context.rule.kind.is_retryable(),
-        };
-        self.context.state.directory.borrow().choose(&choice, self.context.state.now()).cloned()
+        }
+    }
+
+    fn choose(&self, excluded: &[EndpointId]) -> Option<EndpointEntry> {
+        let now = self.context.state.now();
+        self.context.state.directory.borrow().choose(&self.choice(excluded), now).cloned()
     }
 
-    /// Chooses an endpoint and waits for a turn there, if it takes a limited rate.
+    /// Chooses an endpoint and takes a turn there, if it takes a limited rate.
+    ///
+    /// The request waits for a turn only if no endpoint stands free.
     async fn choose_with_turn(&self, excluded: &[EndpointId]) -> Option<(EndpointEntry, SendTurn)> {
+        let state = &self.context.state;
         for _ in 0..Self::MAX_CHOICES {
             // An endpoint without a free turn is not chosen again until one may be free.
-            let entry = self.choose(excluded)?;
-            let max_wait = Self::MAX_TURN_WAIT.min(self.context.remaining_time() / 2);
-            let turn = self.context.state.acquire_turn(&entry.endpoint, max_wait).await;
-            if let Some(turn) = turn {
+            let Some(entry) = self.choose(excluded) else { break };
+            if let Some(turn) = state.acquire_turn(&entry.endpoint, Self::SHORT_TURN_WAIT).await {
                 return Some((entry, turn));
             }
         }
-        None
+        let max_wait = Self::MAX_TURN_WAIT.min(self.context.remaining_time() / 2);
+        let (entry, until) = {
+            let directory = state.directory.borrow();
+            let (entry, until) = directory.choose_soonest(&self.choice(excluded), state.now())?;
+            (entry.clone(), until)
+        };
+        if until.since(state.now()) > max_wait {
+            return None;
+        }
+        let turn = state.acquire_turn(&entry.endpoint, max_wait).await?;
+        Some((entry, turn))
     }
 
     async fn attempt(
