refactor(core): names of the crash ledger that do not speak of parts only

No logic and no message changes: fields travel by position.

rename: BlockedPart BlockedSubject rename: PartReport SubjectReport rename: PartEndReport SubjectEndReport rename: CrashReport::parts CrashReport::subjects rename: BlockedPart::part BlockedSubject::subject rename: PartReport::part SubjectReport::subject

--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -2,7 +2,8 @@
     crate::{
         ids::{EndpointId, Moment, PromptPart},
         process::{
-            survival_table::SurvivalTable, CrashReport, EndpointLife, PartEndReport, PartReport,
+            survival_table::SurvivalTable, CrashReport, EndpointLife, SubjectEndReport,
+            SubjectReport,
         },
         request::{PromptPrefix, RequestFingerprint, RequestIdentity},
     },
@@ -15,9 +16,9 @@
 
 /// A part of prompts that is kept from endpoints, and why.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct BlockedPart {
-    /// The part.
-    pub part: PromptPart,
+pub struct BlockedSubject {
+    /// What the requests have in common.
+    pub subject: PromptPart,
     /// Number of endpoints that ended under requests with it, as far as known.
     pub ends: usize,
     /// Time since it was blocked.
@@ -26,12 +27,12 @@
     pub idle: Duration,
 }
 
-impl fmt::Display for BlockedPart {
+impl fmt::Display for BlockedSubject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
             "{}: {} endpoints ended under it, blocked {} ms ago, last requested {} ms ago",
-            self.part,
+            self.subject,
             self.ends,
             self.age.as_millis(),
             self.idle.as_millis(),
@@ -61,7 +62,7 @@
 /// requests, which are in flight when others crash an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    parts: BTreeMap<PromptPart, PartRecord>,
+    records: BTreeMap<PromptPart, SubjectRecord>,
     survivals: SurvivalTable,
     /// Broken connections of requests without an answer under way, whose endpoint may have ended.
     breaks: VecDeque<BrokenRequest>,
@@ -85,8 +86,8 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct PartRecord {
-    ends: BTreeMap<EndpointLife, PartEnd>,
+struct SubjectRecord {
+    ends: BTreeMap<EndpointLife, SubjectEnd>,
     survived_at: Option<Moment>,
     /// Evidence up to then does not count.
     cleared_at: Option<Moment>,
@@ -102,7 +103,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct PartEnd {
+struct SubjectEnd {
     at: Moment,
     own: u64,
     position: u8,
@@ -204,7 +205,7 @@
         // Each of them speaks against its parts once only.
         self.breaks = breaks;
         self.breaks.retain(|broken| broken.lives.iter().all(|life| &life.endpoint != endpoint));
-        let count = |part: &PromptPart| self.parts.get(part).map_or(0, |found| found.ends.len());
+        let count = |part: &PromptPart| self.records.get(part).map_or(0, |found| found.ends.len());
         summary.parts = parts.into_iter().map(|part| (part.clone(), count(&part))).collect();
         summary
     }
@@ -213,7 +214,7 @@
     pub fn record_survival(&mut self, identity: &RequestIdentity, now: Moment) {
         for part in identity.prefix().shared() {
             self.survivals.record(part, now);
-            if let Some(record) = self.parts.get_mut(part) {
+            if let Some(record) = self.records.get_mut(part) {
                 self.has_new_evidence |= !record.ends.is_empty();
                 record.survived_at = Some(now);
                 if record.clear(now) {
@@ -226,7 +227,7 @@
     /// Sets the evidence against a part aside, as an operator asks; returns `true` if it was blocked.
     pub fn lift(&mut self, part: &PromptPart, now: Moment) -> bool {
         self.has_new_evidence = true;
-        let was_blocked = self.parts.get_mut(part).is_some_and(|record| record.clear(now));
+        let was_blocked = self.records.get_mut(part).is_some_and(|record| record.clear(now));
         if was_blocked {
             self.released.push(part.clone());
         }
@@ -239,16 +240,16 @@
     }
 
     /// Returns the first blocked part of a request; the block lasts while such requests come.
-    pub fn check(&mut self, identity: &RequestIdentity, now: Moment) -> Option<BlockedPart> {
+    pub fn check(&mut self, identity: &RequestIdentity, now: Moment) -> Option<BlockedSubject> {
         let shared = identity.prefix().shared();
         let is_match = |part: &&PromptPart| {
-            self.parts.get(*part).is_some_and(|record| {
+            self.records.get(*part).is_some_and(|record| {
                 record.is_blocked(now)
                     && record.companions.iter().all(|other| shared.contains(other))
             })
         };
         let part = shared.iter().find(is_match)?;
-        let record = self.parts.get_mut(part)?;
+        let record = self.records.get_mut(part)?;
         let blocked = record.describe(part, now);
         record.requested_at = Some(now);
         blocked
@@ -259,7 +260,7 @@
     #[must_use]
     pub fn is_suspect(&self, identity: &RequestIdentity) -> bool {
         identity.prefix().shared().iter().any(|part| {
-            let record = self.parts.get(part);
+            let record = self.records.get(part);
             record.is_some_and(|record| !record.ends.is_empty() && record.survived_at.is_none())
         })
     }
@@ -272,7 +273,7 @@
     pub fn may_repeat(&self, identity: &RequestIdentity, ends: u32) -> bool {
         let prefix = identity.prefix();
         let is_shared_suspicion = |part: &PromptPart| {
-            let Some(record) = self.parts.get(part) else { return false };
+            let Some(record) = self.records.get(part) else { return false };
             let has_other = record.ends.values().any(|end| end.own != prefix.own());
             has_other && record.survived_at.is_none()
         };
@@ -285,14 +286,14 @@
 
     /// Returns the blocked parts.
     #[must_use]
-    pub fn blocked(&self, now: Moment) -> Vec<BlockedPart> {
-        self.parts.iter().filter_map(|(part, record)| record.describe(part, now)).collect()
+    pub fn blocked(&self, now: Moment) -> Vec<BlockedSubject> {
+        self.records.iter().filter_map(|(part, record)| record.describe(part, now)).collect()
     }
 
     /// Blocks the parts that enough speaks against, and returns those that were not before.
     ///
     /// An end under a blocked part speaks against no other one.
-    pub fn judge(&mut self, now: Moment) -> Vec<BlockedPart> {
+    pub fn judge(&mut self, now: Moment) -> Vec<BlockedSubject> {
         self.expire(now);
         let is_due = self.judge_again_at.is_some_and(|at| now >= at);
         if !std::mem::take(&mut self.has_new_evidence) && !is_due {
@@ -303,7 +304,7 @@
         let mut found = Vec::new();
         loop {
             let explained = self.explained_ends(None, now);
-            let candidates = self.parts.iter().filter(|(_, record)| !record.is_blocked(now));
+            let candidates = self.records.iter().filter(|(_, record)| !record.is_blocked(now));
             let weighed: Vec<(EvidenceWeight, PromptPart)> = candidates
                 .filter(|(_, record)| record.ends.len() >= Self::MIN_ENDS)
                 .filter_map(|(part, record)| {
@@ -324,7 +325,7 @@
                 .filter(|other| self.has_same_ends(other, &part, &explained))
                 .cloned()
                 .collect();
-            if let Some(record) = self.parts.get_mut(&part) {
+            if let Some(record) = self.records.get_mut(&part) {
                 record.blocked_at = Some(now);
                 record.requested_at = Some(now);
                 record.changed_at = now;
@@ -336,7 +337,7 @@
 
     /// Returns the ends under a part at moments at which many endpoints ended, most of them not under
     /// it.
-    fn unrelated_mass_ends(&self, record: &PartRecord) -> BTreeSet<EndpointLife> {
+    fn unrelated_mass_ends(&self, record: &SubjectRecord) -> BTreeSet<EndpointLife> {
         let is_near = |one: Moment, other: Moment| {
             one.since(other).max(other.since(one)) < Self::COMMON_CAUSE_TIME
         };
@@ -361,17 +362,17 @@
 
     /// Withdraws the verdicts on parts that have been told apart from their companions since.
     fn release_untied(&mut self, now: Moment) {
-        let is_untied = |part: &PromptPart, record: &PartRecord| {
+        let is_untied = |part: &PromptPart, record: &SubjectRecord| {
             let explained = self.explained_ends(Some(part), now);
             record.companions.iter().any(|other| !self.has_same_ends(part, other, &explained))
         };
-        let blocked = self.parts.iter().filter(|(_, record)| record.is_blocked(now));
+        let blocked = self.records.iter().filter(|(_, record)| record.is_blocked(now));
         let untied: Vec<PromptPart> = blocked
             .filter(|(part, record)| is_untied(part, record))
             .map(|(part, _)| part.clone())
             .collect();
         for part in untied {
-            if let Some(record) = self.parts.get_mut(&part) {
+            if let Some(record) = self.records.get_mut(&part) {
                 record.blocked_at = None;
                 record.requested_at = None;
                 record.companions.clear();
@@ -381,7 +382,7 @@
 
     /// Returns the ends under blocked parts other than `part`.
     fn explained_ends(&self, part: Option<&PromptPart>, now: Moment) -> BTreeSet<EndpointLife> {
-        let blocked = self.parts.iter().filter(|(_, record)| record.is_blocked(now));
+        let blocked = self.records.iter().filter(|(_, record)| record.is_blocked(now));
         let others = blocked.filter(|(other, _)| Some(*other) != part);
         others.flat_map(|(_, record)| record.ends.keys().cloned()).collect()
     }
@@ -394,7 +395,7 @@
         explained: &BTreeSet<EndpointLife>,
     ) -> bool {
         let lives = |part: &PromptPart| -> Vec<&EndpointLife> {
-            let ends = self.parts.get(part).into_iter().flat_map(|record| record.ends.keys());
+            let ends = self.records.get(part).into_iter().flat_map(|record| record.ends.keys());
             ends.filter(|life| !explained.contains(*life)).collect()
         };
         lives(one) == lives(other)
@@ -403,30 +404,31 @@
     /// Returns what peers should know.
     #[must_use]
     pub fn report(&self, now: Moment) -> CrashReport {
-        let is_news = |record: &PartRecord| {
+        let is_news = |record: &SubjectRecord| {
             let since_change = now.since(record.changed_at);
             let since_repeat = since_change.as_millis() % Self::REPEAT_INTERVAL.as_millis();
             record.is_blocked(now)
                 || since_change < Self::REPORT_TIME
                 || !record.ends.is_empty() && since_repeat < Self::REPEAT_TIME.as_millis()
         };
-        let mut records: Vec<_> = self.parts.iter().filter(|(_, record)| is_news(record)).collect();
+        let mut records: Vec<_> =
+            self.records.iter().filter(|(_, record)| is_news(record)).collect();
         records.sort_by_key(|(_, record)| {
             let rank = (record.is_blocked(now), record.ends.len(), record.changed_at);
             std::cmp::Reverse(rank)
         });
         records.truncate(Self::MAX_REPORTED);
         let age = |at: Moment| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let parts = records.into_iter().map(|(part, record)| {
+        let subjects = records.into_iter().map(|(part, record)| {
             let ends = record.ends.iter().take(Self::MAX_REPORTED_ENDS);
-            let ends = ends.map(|(life, end)| PartEndReport {
+            let ends = ends.map(|(life, end)| SubjectEndReport {
                 life: life.clone(),
                 age_ms: age(end.at),
                 own: end.own,
                 position: end.position,
             });
-            PartReport {
-                part: part.clone(),
+            SubjectReport {
+                subject: part.clone(),
                 ends: ends.collect(),
                 survived_ms: record.survived_at.map(age),
                 cleared_ms: record.cleared_at.map(age),
@@ -435,7 +437,7 @@
                 requested_ms: record.requested_at.map(age),
             }
         });
-        CrashReport { parts: parts.collect() }
+        CrashReport { subjects: subjects.collect() }
     }
 
     /// Returns the blocked parts with their evidence, to be kept where a restart of all hosts does not
@@ -443,39 +445,39 @@
     #[must_use]
     pub fn verdicts(&self, now: Moment) -> CrashReport {
         let mut report = self.report(now);
-        report.parts.retain(|found| found.blocked_ms.is_some());
+        report.subjects.retain(|found| found.blocked_ms.is_some());
         report
     }
 
     /// Adds what a peer knows; returns the parts that it blocks and this host did not.
-    pub fn merge(&mut self, report: CrashReport, now: Moment) -> Vec<BlockedPart> {
+    pub fn merge(&mut self, report: CrashReport, now: Moment) -> Vec<BlockedSubject> {
         self.expire(now);
         self.has_new_evidence |= !report.is_empty();
         let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
         let mut adopted = Vec::new();
-        for end in report.parts.iter().flat_map(|found| &found.ends) {
+        for end in report.subjects.iter().flat_map(|found| &found.ends) {
             self.record_end_time(&end.life, at(end.age_ms));
         }
-        for found in report.parts.into_iter().take(Self::MAX_PARTS) {
-            let was_known = self.parts.contains_key(&found.part);
+        for found in report.subjects.into_iter().take(Self::MAX_PARTS) {
+            let was_known = self.records.contains_key(&found.subject);
             let is_past = found.ends.is_empty() && found.blocked_ms.is_none();
             if !was_known && (is_past || !self.make_room()) {
                 continue;
             }
-            let survived_at = self.survivals.last(&found.part);
-            let record = self.parts.entry(found.part.clone()).or_default();
+            let survived_at = self.survivals.last(&found.subject);
+            let record = self.records.entry(found.subject.clone()).or_default();
             if !was_known {
-                *record = PartRecord::new(survived_at, now);
+                *record = SubjectRecord::new(survived_at, now);
             }
             record.survived_at = later(record.survived_at, found.survived_ms.map(at));
             let cleared_at = later(record.cleared_at, found.cleared_ms.map(at));
             if let Some(cleared_at) = cleared_at.filter(|_| cleared_at != record.cleared_at) {
                 if record.clear(cleared_at) {
-                    self.released.push(found.part.clone());
+                    self.released.push(found.subject.clone());
                 }
             }
             for end in found.ends {
-                let found = PartEnd { at: at(end.age_ms), own: end.own, position: end.position };
+                let found = SubjectEnd { at: at(end.age_ms), own: end.own, position: end.position };
                 record.add_end(end.life, found, now);
             }
             let blocked_at = found.blocked_ms.map(at);
@@ -488,7 +490,7 @@
                     record.changed_at = now;
                     record.requested_at = Some(found.requested_ms.map_or(now, at));
                     record.companions = found.companions;
-                    adopted.extend(record.describe(&found.part, now));
+                    adopted.extend(record.describe(&found.subject, now));
                 }
             }
             record.requested_at = later(record.requested_at, found.requested_ms.map(at));
@@ -501,27 +503,29 @@
         self.has_new_evidence = true;
         self.record_end_time(life, now);
         for (index, part) in prefix.shared().iter().enumerate() {
-            if !self.parts.contains_key(part) && !self.make_room() {
+            if !self.records.contains_key(part) && !self.make_room() {
                 return;
             }
             let survived_at = self.survivals.last(part);
-            let record =
-                self.parts.entry(part.clone()).or_insert_with(|| PartRecord::new(survived_at, now));
+            let record = self
+                .records
+                .entry(part.clone())
+                .or_insert_with(|| SubjectRecord::new(survived_at, now));
             let position = u8::try_from(index).unwrap_or(u8::MAX);
-            let end = PartEnd { at: now, own: prefix.own(), position };
+            let end = SubjectEnd { at: now, own: prefix.own(), position };
             record.add_end(life.clone(), end, now);
         }
     }
 
     /// Makes room for one more part; returns `false` if every known one is blocked.
     fn make_room(&mut self) -> bool {
-        if self.parts.len() < Self::MAX_PARTS {
+        if self.records.len() < Self::MAX_PARTS {
             return true;
         }
-        let unblocked = self.parts.iter().filter(|(_, record)| record.blocked_at.is_none());
+        let unblocked = self.records.iter().filter(|(_, record)| record.blocked_at.is_none());
         let least = unblocked.min_by_key(|(_, record)| (record.ends.len(), record.changed_at));
         let least = least.map(|(part, _)| part.clone());
-        least.is_some_and(|part| self.parts.remove(&part).is_some())
+        least.is_some_and(|part| self.records.remove(&part).is_some())
     }
 
     fn expire(&mut self, now: Moment) {
@@ -530,7 +534,7 @@
         self.ended.retain(|(_, at)| is_recent(*at));
         self.end_times.retain(|_, at| now.since(*at) < Self::RETENTION);
         let released = &mut self.released;
-        self.parts.retain(|part, record| {
+        self.records.retain(|part, record| {
             record.ends.retain(|_, end| now.since(end.at) < Self::RETENTION);
             if record.blocked_at.is_some() && !record.is_blocked(now) {
                 released.push(part.clone());
@@ -546,7 +550,7 @@
     }
 }
 
-impl PartRecord {
+impl SubjectRecord {
     fn new(survived_at: Option<Moment>, now: Moment) -> Self {
         Self { survived_at, cleared_at: survived_at, changed_at: now, ..Self::default() }
     }
@@ -557,17 +561,17 @@
         self.blocked_at.is_some() && is_requested
     }
 
-    fn describe(&self, part: &PromptPart, now: Moment) -> Option<BlockedPart> {
+    fn describe(&self, part: &PromptPart, now: Moment) -> Option<BlockedSubject> {
         let blocked_at = self.blocked_at.filter(|_| self.is_blocked(now))?;
-        Some(BlockedPart {
-            part: part.clone(),
+        Some(BlockedSubject {
+            subject: part.clone(),
             ends: self.ends.len(),
             age: now.since(blocked_at),
             idle: now.since(self.requested_at?),
         })
     }
 
-    fn add_end(&mut self, life: EndpointLife, end: PartEnd, now: Moment) {
+    fn add_end(&mut self, life: EndpointLife, end: SubjectEnd, now: Moment) {
         if self.cleared_at.is_some_and(|cleared| end.at <= cleared) {
             // Whoever reports it has not heard of the answer.
             self.changed_at = now;
@@ -605,10 +609,10 @@
         now: Moment,
     ) -> Option<EvidenceWeight> {
         let counted = self.ends.iter().filter(|(life, _)| is_counted(life));
-        let mut ends: Vec<PartEnd> = counted.map(|(_, end)| *end).collect();
+        let mut ends: Vec<SubjectEnd> = counted.map(|(_, end)| *end).collect();
         ends.sort_by_key(|end| end.at);
         let mut last: Option<Moment> = None;
-        let is_apart = |end: &&PartEnd| {
+        let is_apart = |end: &&SubjectEnd| {
             let is_apart =
                 last.is_none_or(|last| end.at.since(last) >= CrashLedger::COMMON_CAUSE_TIME);
             if is_apart {
--- a/crates/cassiafield-core/src/process/crash_report.rs
+++ b/crates/cassiafield-core/src/process/crash_report.rs
@@ -7,17 +7,17 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct CrashReport {
     /// The parts.
-    pub parts: Vec<PartReport>,
+    pub subjects: Vec<SubjectReport>,
 }
 
 /// The evidence on one part of prompts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct PartReport {
-    /// The part.
-    pub part: PromptPart,
+pub struct SubjectReport {
+    /// What the requests have in common.
+    pub subject: PromptPart,
     /// The ends of endpoints at which requests with the part had just been sent.
-    pub ends: Vec<PartEndReport>,
+    pub ends: Vec<SubjectEndReport>,
     /// Time since a request with the part last got an answer under way, in milliseconds.
     pub survived_ms: Option<u32>,
     /// Time since the evidence before was set aside, in milliseconds.
@@ -33,7 +33,7 @@
 /// The end of an endpoint, as evidence on a part.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct PartEndReport {
+pub struct SubjectEndReport {
     /// The run of the endpoint that ended.
     pub life: EndpointLife,
     /// Time since its end, in milliseconds.
@@ -48,6 +48,6 @@
     /// Returns `true` if there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.subjects.is_empty()
     }
 }
--- a/crates/cassiafield-core/tests/crash_ledger.rs
+++ b/crates/cassiafield-core/tests/crash_ledger.rs
@@ -37,7 +37,7 @@
 }
 
 fn judged(ledger: &mut CrashLedger, now: Moment) -> Vec<String> {
-    ledger.judge(now).iter().map(|found| found.part.to_string()).collect()
+    ledger.judge(now).iter().map(|found| found.subject.to_string()).collect()
 }
 
 /// Returns a ledger in which part `bad` has ended three endpoints.
@@ -56,7 +56,7 @@
     assert_eq!(judged(&mut ledger, at(3_000)), ["bad"]);
     assert!(judged(&mut ledger, at(3_000)).is_empty());
     let blocked = ledger.check(&request("dd:1,bad:9,77:1"), at(3_100)).expect("a blocked part");
-    assert_eq!((blocked.ends, blocked.part), (3, part("bad")));
+    assert_eq!((blocked.ends, blocked.subject), (3, part("bad")));
     assert!(ledger.check(&request("aa:40,cc:9,77:1"), at(3_100)).is_none());
     // The last part is the request's own.
     assert!(ledger.check(&request("aa:40,bad:9"), at(3_100)).is_none());
@@ -117,7 +117,7 @@
     // In either order.
     ledger.record_end(&life(1).endpoint, at(3_000));
     ledger.record_break(vec![life(1)], &request("bad:9,5:7"), at(3_010));
-    assert_eq!(ledger.report(at(3_020)).parts.len(), 1);
+    assert_eq!(ledger.report(at(3_020)).subjects.len(), 1);
 }
 
 /// Guards against blocking a part that other requests share and that was answered meanwhile.
@@ -200,7 +200,7 @@
     // A host that has seen nothing takes the verdict over, with its age.
     let mut late = CrashLedger::default();
     let adopted = late.merge(first.report(at(5_260)), at(5_260));
-    assert_eq!((adopted[0].part.clone(), adopted[0].age), (part("bad"), Duration::from_secs(3)));
+    assert_eq!((adopted[0].subject.clone(), adopted[0].age), (part("bad"), Duration::from_secs(3)));
     assert!(late.check(&request("bad:9,9:7"), at(5_270)).is_some());
 }
 
@@ -259,8 +259,11 @@
         end(&mut ledger, 100 + number, &text, at(3_100 + number));
     }
     let report = ledger.report(at(30_000));
-    assert!(report.parts.len() <= 64, "{} parts", report.parts.len());
-    assert!(report.parts.iter().any(|found| found.part == part("bad")), "the blocked part stays");
+    assert!(report.subjects.len() <= 64, "{} parts", report.subjects.len());
+    assert!(
+        report.subjects.iter().any(|found| found.subject == part("bad")),
+        "the blocked part stays"
+    );
 }
 
 proptest! {
@@ -276,7 +279,7 @@
         ledger.record_end(&life(1).endpoint, at(0));
         ledger.judge(at(1));
         let mut report: CrashReport = convinced().report(at(2_500));
-        for (found, age) in report.parts.iter_mut().zip(&ages) {
+        for (found, age) in report.subjects.iter_mut().zip(&ages) {
             found.blocked_ms = Some(*age);
             found.requested_ms = ages.last().copied();
             found.survived_ms = ages.first().copied();
--- a/crates/cassiafield-core/tests/crash_model.rs
+++ b/crates/cassiafield-core/tests/crash_model.rs
@@ -233,11 +233,12 @@
     fn judge(&mut self, now: u64, host: usize) {
         for found in self.ledgers[host].judge(moment(now)) {
             // Together with the culprit, another part is blocked only beside it.
-            let alone: PromptPrefix = format!("{}:1,ffff:1", found.part).parse().expect("a prompt");
+            let alone: PromptPrefix =
+                format!("{}:1,ffff:1", found.subject).parse().expect("a prompt");
             let alone = RequestIdentity::from(alone);
             let is_blocked = self.ledgers[host].check(&alone, moment(now)).is_some();
-            if found.part.as_str() != CULPRIT_PART && is_blocked {
-                self.wrongly_blocked.push(found.part);
+            if found.subject.as_str() != CULPRIT_PART && is_blocked {
+                self.wrongly_blocked.push(found.subject);
             }
         }
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -12,7 +12,7 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, OrganisationId, PromptPart, ServiceId},
         process::{
-            BlockedPart, CrashLedger, CrashReport, DataAge, EndpointDirectory, EndpointLife,
+            BlockedSubject, CrashLedger, CrashReport, DataAge, EndpointDirectory, EndpointLife,
             EngineLoad, FailureReport, LimitReports, ListedEntries, OrganisationLoad,
             RevisionNotice, TurnBroker, VersionOrder, VersionVerdict, ZoneMembers,
         },
@@ -652,7 +652,7 @@
         self.judge_prompts();
     }
 
-    fn log_prompts(&self, blocked: &[BlockedPart], source: &str) {
+    fn log_prompts(&self, blocked: &[BlockedSubject], source: &str) {
         for found in blocked {
             self.metrics.count_blocked_part();
             LogEvent::PromptPartBlocked.log(format_args!("part {found}, by {source}"));
@@ -660,7 +660,7 @@
     }
 
     /// Returns the part of a request's prompt that is kept from endpoints, if there is one.
-    pub fn blocked_part(&self, identity: &RequestIdentity) -> Option<BlockedPart> {
+    pub fn blocked_part(&self, identity: &RequestIdentity) -> Option<BlockedSubject> {
         self.judge_prompts();
         self.crashes.borrow_mut().check(identity, self.now())
     }
--- a/crates/cassiafield-gateway/src/process/verdict_keeper.rs
+++ b/crates/cassiafield-gateway/src/process/verdict_keeper.rs
@@ -55,7 +55,7 @@
         if let Some(item) = item {
             match rmp_serde::from_slice::<CrashReport>(&item.value) {
                 Ok(report) => {
-                    stored.extend(report.parts.iter().map(|found| found.part.clone()));
+                    stored.extend(report.subjects.iter().map(|found| found.subject.clone()));
                     self.state.merge_crash_report(report, "the store");
                 }
                 Err(error) => LogEvent::EntryRejected.log(format_args!("{}: {error}", Self::KEY)),
@@ -71,7 +71,7 @@
         }
         let verdicts = state.crashes.borrow().verdicts(state.now());
         let parts: BTreeSet<PromptPart> =
-            verdicts.parts.iter().map(|found| found.part.clone()).collect();
+            verdicts.subjects.iter().map(|found| found.subject.clone()).collect();
         if self.stored.as_ref() == Some(&parts) {
             return;
         }
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -10,7 +10,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
-        process::{BlockedPart, EndpointEntry, ServiceChoice},
+        process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
     },
     http::{header, HeaderValue, Response, StatusCode},
@@ -124,7 +124,7 @@
     fn refuse_blocked(
         &self,
         verdict: RequestVerdict,
-        blocked: &BlockedPart,
+        blocked: &BlockedSubject,
     ) -> Response<ResponseBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause =
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -15,7 +15,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, ModelId},
-        process::{BlockedPart, PathError, PlannedPath},
+        process::{BlockedSubject, PathError, PlannedPath},
         request::{
             EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
         },
@@ -58,7 +58,7 @@
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
     /// The part of the prompt that is kept from endpoints, if that was found.
-    pub(super) blocked: Option<BlockedPart>,
+    pub(super) blocked: Option<BlockedSubject>,
     pub(super) prompt_tokens: u32,
     /// Expected number of output tokens.
     pub(super) output_tokens: u32,
