--- a/crates/cassiafield-core/src/ids/mod.rs
+++ b/crates/cassiafield-core/src/ids/mod.rs
@@ -1,5 +1,6 @@
 //! Newtypes for names, stream ids, revisions and points in time.
 
+mod crash_subject;
 mod list_revision;
 mod moment;
 mod prompt_part;
@@ -9,6 +10,7 @@
 mod names;
 
 pub use self::{
+    crash_subject::CrashSubject,
     list_revision::ListRevision,
     moment::Moment,
     names::{
--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -1,11 +1,11 @@
 use {
     crate::{
-        ids::{EndpointId, Moment, PromptPart},
+        ids::{CrashSubject, EndpointId, Moment},
         process::{
             survival_table::SurvivalTable, CrashReport, EndpointLife, SubjectEndReport,
             SubjectReport,
         },
-        request::{PromptPrefix, RequestFingerprint, RequestIdentity},
+        request::{RefusalCause, RequestIdentity},
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -14,11 +14,11 @@
     },
 };
 
-/// A part of prompts that is kept from endpoints, and why.
+/// A part of prompts, or a request, that is kept from endpoints, and why.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BlockedSubject {
     /// What the requests have in common.
-    pub subject: PromptPart,
+    pub subject: CrashSubject,
     /// Number of endpoints that ended under requests with it, as far as known.
     pub ends: usize,
     /// Time since it was blocked.
@@ -27,6 +27,17 @@
     pub idle: Duration,
 }
 
+impl BlockedSubject {
+    /// Returns the cause for which requests with it are refused.
+    #[must_use]
+    pub const fn refusal_cause(&self) -> RefusalCause {
+        match self.subject {
+            CrashSubject::Part(_) => RefusalCause::PromptBlocked,
+            CrashSubject::Request(_) => RefusalCause::RequestBlocked,
+        }
+    }
+}
+
 impl fmt::Display for BlockedSubject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -45,24 +56,23 @@
 pub struct EndSummary {
     /// Number of requests that had been sent to the endpoint and had no answer under way.
     pub suspects: usize,
-    /// Their shared parts, each with the number of ends that speak against it.
-    pub parts: Vec<(PromptPart, usize)>,
-    /// Their fingerprints.
-    pub fingerprints: Vec<RequestFingerprint>,
+    /// What they may have in common with others, each with the number of ends that speak against it.
+    pub subjects: Vec<(CrashSubject, usize)>,
 }
 
-/// Finds the parts of prompts that crash endpoints, and keeps them from endpoints.
+/// Finds the parts of prompts and the requests that crash endpoints, and keeps them from endpoints.
 ///
-/// Evidence against a part is the end of an endpoint to which a request with the part had been sent
-/// and at which it had no answer under way. Evidence for it is a request whose answer got under way.
-/// Each run of an endpoint counts once, whichever host reports it.
+/// Evidence against one of these subjects is the end of an endpoint to which a request with it had
+/// been sent and at which that request had no answer under way. Evidence for it is a request whose
+/// answer got under way. Each run of an endpoint counts once, whichever host reports it.
 ///
 /// A part is blocked if several ends, some time apart and under different requests, have no other
 /// explanation. A part whose requests were answered lately needs more: it is shared by sound
-/// requests, which are in flight when others crash an endpoint.
+/// requests, which are in flight when others crash an endpoint. A request is blocked if it comes again
+/// and ends endpoints each time; a sound one that comes often is answered in between.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    records: BTreeMap<PromptPart, SubjectRecord>,
+    records: BTreeMap<CrashSubject, SubjectRecord>,
     survivals: SurvivalTable,
     /// Broken connections of requests without an answer under way, whose endpoint may have ended.
     breaks: VecDeque<BrokenRequest>,
@@ -72,8 +82,8 @@
     has_new_evidence: bool,
     /// When evidence that suffices will be old enough for a verdict.
     judge_again_at: Option<Moment>,
-    /// Parts that are no longer blocked, until they are taken.
-    released: Vec<PromptPart>,
+    /// Subjects that are no longer blocked, until they are taken.
+    released: Vec<CrashSubject>,
     /// Endpoints that ended lately.
     ended: VecDeque<(EndpointId, Moment)>,
 }
@@ -96,7 +106,7 @@
     requested_at: Option<Moment>,
     /// Parts with the same evidence, if there are any: then only requests with all of them are
     /// blocked, and the next end or answer tells them apart.
-    companions: Vec<PromptPart>,
+    companions: Vec<CrashSubject>,
     /// When the part was released since no request with it came.
     lapsed_at: Option<Moment>,
     changed_at: Moment,
@@ -129,14 +139,22 @@
     /// The same for a part whose requests were answered within [`Self::SURVIVAL_TIME`].
     const MIN_ENDS_AFTER_SURVIVAL: usize = 6;
     const MIN_REQUESTS_AFTER_SURVIVAL: usize = 3;
+    /// Number of attempts of a request under which ends came.
+    const MIN_ATTEMPTS: usize = 2;
     /// Time for which an answer speaks for the parts of its request.
     const SURVIVAL_TIME: Duration = Duration::from_secs(60);
     /// Ends closer together count as one: they may have one cause, such as a rack without power.
     const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
+    /// The same for a request, which is sent to the next endpoint only after the end of one.
+    const REQUEST_COMMON_CAUSE_TIME: Duration = Duration::from_millis(30);
+    /// Time after an end in which the endpoint has not returned yet.
+    const RETURN_TIME: Duration = Duration::from_secs(5);
     /// Number of ends at one moment of which a part must be under half to be their cause.
     const MASS_ENDS: usize = 4;
     /// Time after the last end that a verdict needs, in which peers report other causes of the ends.
     const JOINING_TIME: Duration = Duration::from_millis(250);
+    /// The same for a request, in which the next answer to a sound one reaches this host.
+    const REQUEST_JOINING_TIME: Duration = Duration::from_millis(500);
     /// Time between a broken connection and the finding that its endpoint has ended.
     const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
     /// Time for which an end counts.
@@ -149,8 +167,8 @@
     /// the time in which it is.
     const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
     const REPEAT_TIME: Duration = Duration::from_millis(400);
-    /// Upper bounds of the table, of the ends of a part and of a report.
-    const MAX_PARTS: usize = 256;
+    /// Upper bounds of the table for each kind of subject, of the ends of one and of a report.
+    const MAX_SUBJECTS: usize = 256;
     const MAX_ENDS: usize = 16;
     const MAX_REPORTED: usize = 64;
     const MAX_REPORTED_ENDS: usize = 8;
@@ -193,74 +211,100 @@
         }
         let mut summary = EndSummary::default();
         let breaks = std::mem::take(&mut self.breaks);
-        let mut parts = BTreeSet::new();
+        let mut subjects = BTreeSet::new();
         for broken in &breaks {
             for life in broken.lives.iter().filter(|life| &life.endpoint == endpoint) {
                 summary.suspects += 1;
                 self.add_end(life, &broken.identity, broken.at);
-                parts.extend(broken.identity.prefix().shared().iter().cloned());
-                summary.fingerprints.extend(broken.identity.fingerprint());
+                subjects.extend(subjects_of(&broken.identity));
             }
         }
-        // Each of them speaks against its parts once only.
+        // Each of them speaks against its subjects once only.
         self.breaks = breaks;
         self.breaks.retain(|broken| broken.lives.iter().all(|life| &life.endpoint != endpoint));
-        let count = |part: &PromptPart| self.records.get(part).map_or(0, |found| found.ends.len());
-        summary.parts = parts.into_iter().map(|part| (part.clone(), count(&part))).collect();
+        let counted = subjects.into_iter().map(|subject| {
+            let ends = self.records.get(&subject).map_or(0, |found| found.ends.len());
+            (subject, ends)
+        });
+        summary.subjects = counted.collect();
         summary
     }
 
-    /// Records that a request's answer got under way, which clears its parts.
+    /// Records that a request's answer got under way, which clears its subjects.
     pub fn record_survival(&mut self, identity: &RequestIdentity, now: Moment) {
         for part in identity.prefix().shared() {
             self.survivals.record(part, now);
-            if let Some(record) = self.records.get_mut(part) {
+        }
+        for subject in subjects_of(identity) {
+            if let Some(record) = self.records.get_mut(&subject) {
                 self.has_new_evidence |= !record.ends.is_empty();
                 record.survived_at = Some(now);
                 if record.clear(now) {
-                    self.released.push(part.clone());
+                    self.released.push(subject);
                 }
             }
         }
     }
 
-    /// Sets the evidence against a part aside, as an operator asks; returns `true` if it was blocked.
-    pub fn lift(&mut self, part: &PromptPart, now: Moment) -> bool {
+    /// Returns `true` if a request is known under which endpoints ended, so that fingerprints matter.
+    #[must_use]
+    pub fn needs_fingerprints(&self) -> bool {
+        // Requests are the last ones in order.
+        self.records.keys().next_back().is_some_and(CrashSubject::is_request)
+    }
+
+    /// Returns `true` if an endpoint ended under a request, or another one with the same subject, so
+    /// recently that it has not returned yet.
+    #[must_use]
+    pub fn has_just_ended_one(&self, identity: &RequestIdentity, now: Moment) -> bool {
+        let records = subjects_of(identity);
+        let mut ends = records
+            .filter_map(|subject| self.records.get(&subject))
+            .filter(|record| record.survived_at.is_none())
+            .flat_map(|record| record.ends.values());
+        ends.any(|end| now.since(end.at) < Self::RETURN_TIME)
+    }
+
+    /// Sets the evidence against a subject aside, as an operator asks; returns `true` if it was blocked.
+    pub fn lift(&mut self, subject: &CrashSubject, now: Moment) -> bool {
         self.has_new_evidence = true;
-        let was_blocked = self.records.get_mut(part).is_some_and(|record| record.clear(now));
+        let was_blocked = self.records.get_mut(subject).is_some_and(|record| record.clear(now));
         if was_blocked {
-            self.released.push(part.clone());
+            self.released.push(subject.clone());
         }
         was_blocked
     }
 
-    /// Returns the parts that are no longer blocked, each once.
-    pub fn take_released(&mut self) -> Vec<PromptPart> {
+    /// Returns the subjects that are no longer blocked, each once.
+    pub fn take_released(&mut self) -> Vec<CrashSubject> {
         std::mem::take(&mut self.released)
     }
 
-    /// Returns the first blocked part of a request; the block lasts while such requests come.
+    /// Returns the first blocked subject of a request; the block lasts while such requests come.
     pub fn check(&mut self, identity: &RequestIdentity, now: Moment) -> Option<BlockedSubject> {
-        let shared = identity.prefix().shared();
-        let is_match = |part: &&PromptPart| {
-            self.records.get(*part).is_some_and(|record| {
+        if self.records.is_empty() {
+            return None;
+        }
+        let subjects: Vec<CrashSubject> = subjects_of(identity).collect();
+        let is_match = |subject: &&CrashSubject| {
+            self.records.get(*subject).is_some_and(|record| {
                 record.is_blocked(now)
-                    && record.companions.iter().all(|other| shared.contains(other))
+                    && record.companions.iter().all(|other| subjects.contains(other))
             })
         };
-        let part = shared.iter().find(is_match)?;
-        let record = self.records.get_mut(part)?;
-        let blocked = record.describe(part, now);
+        let subject = subjects.iter().find(is_match)?;
+        let record = self.records.get_mut(subject)?;
+        let blocked = record.describe(subject, now);
         record.requested_at = Some(now);
         blocked
     }
 
-    /// Returns `true` if an endpoint ended under a request with one of the parts, and none of its
+    /// Returns `true` if an endpoint ended under a request with one of the subjects, and none of its
     /// requests has been answered since.
     #[must_use]
     pub fn is_suspect(&self, identity: &RequestIdentity) -> bool {
-        identity.prefix().shared().iter().any(|part| {
-            let record = self.records.get(part);
+        subjects_of(identity).any(|subject| {
+            let record = self.records.get(&subject);
             record.is_some_and(|record| !record.ends.is_empty() && record.survived_at.is_none())
         })
     }
@@ -268,31 +312,31 @@
     /// Returns `true` if a request may be sent again under which `ends` endpoints have ended.
     ///
     /// After the first end it may once, unless endpoints ended under other requests with one of its
-    /// parts as well.
+    /// subjects, or under other attempts of it, as well.
     #[must_use]
     pub fn may_repeat(&self, identity: &RequestIdentity, ends: u32) -> bool {
-        let prefix = identity.prefix();
-        let is_shared_suspicion = |part: &PromptPart| {
-            let Some(record) = self.records.get(part) else { return false };
-            let has_other = record.ends.values().any(|end| end.own != prefix.own());
+        let is_shared_suspicion = |subject: CrashSubject| {
+            let Some(record) = self.records.get(&subject) else { return false };
+            let own = own_number(&subject, identity);
+            let has_other = record.ends.values().any(|end| end.own != own);
             has_other && record.survived_at.is_none()
         };
         match ends {
             0 => true,
-            1 => !prefix.shared().iter().any(is_shared_suspicion),
+            1 => !subjects_of(identity).any(is_shared_suspicion),
             _ => false,
         }
     }
 
-    /// Returns the blocked parts.
+    /// Returns the blocked subjects.
     #[must_use]
     pub fn blocked(&self, now: Moment) -> Vec<BlockedSubject> {
         self.records.iter().filter_map(|(part, record)| record.describe(part, now)).collect()
     }
 
-    /// Blocks the parts that enough speaks against, and returns those that were not before.
+    /// Blocks the subjects that enough speaks against, and returns those that were not before.
     ///
-    /// An end under a blocked part speaks against no other one.
+    /// An end under a blocked subject speaks against no other one.
     pub fn judge(&mut self, now: Moment) -> Vec<BlockedSubject> {
         self.expire(now);
         let is_due = self.judge_again_at.is_some_and(|at| now >= at);
@@ -305,23 +349,25 @@
         loop {
             let explained = self.explained_ends(None, now);
             let candidates = self.records.iter().filter(|(_, record)| !record.is_blocked(now));
-            let weighed: Vec<(EvidenceWeight, PromptPart)> = candidates
+            let weighed: Vec<(EvidenceWeight, CrashSubject)> = candidates
                 .filter(|(_, record)| record.ends.len() >= Self::MIN_ENDS)
                 .filter_map(|(part, record)| {
                     let mass_ends = self.unrelated_mass_ends(record);
                     let is_counted = |life: &EndpointLife| {
                         !explained.contains(life) && !mass_ends.contains(life)
                     };
-                    Some((record.weigh(is_counted, now)?, part.clone()))
+                    Some((record.weigh(part.is_request(), is_counted, now)?, part.clone()))
                 })
                 .collect();
             let Some((weight, part)) = weighed.iter().max().cloned() else { return found };
-            if now < weight.suffices_at + Self::JOINING_TIME {
-                self.judge_again_at = Some(weight.suffices_at + Self::JOINING_TIME);
+            let joining_time =
+                if part.is_request() { Self::REQUEST_JOINING_TIME } else { Self::JOINING_TIME };
+            if now < weight.suffices_at + joining_time {
+                self.judge_again_at = Some(weight.suffices_at + joining_time);
                 return found;
             }
             let others = weighed.iter().map(|(_, other)| other).filter(|other| **other != part);
-            let companions: Vec<PromptPart> = others
+            let companions: Vec<CrashSubject> = others
                 .filter(|other| self.has_same_ends(other, &part, &explained))
                 .cloned()
                 .collect();
@@ -362,12 +408,12 @@
 
     /// Withdraws the verdicts on parts that have been told apart from their companions since.
     fn release_untied(&mut self, now: Moment) {
-        let is_untied = |part: &PromptPart, record: &SubjectRecord| {
+        let is_untied = |part: &CrashSubject, record: &SubjectRecord| {
             let explained = self.explained_ends(Some(part), now);
             record.companions.iter().any(|other| !self.has_same_ends(part, other, &explained))
         };
         let blocked = self.records.iter().filter(|(_, record)| record.is_blocked(now));
-        let untied: Vec<PromptPart> = blocked
+        let untied: Vec<CrashSubject> = blocked
             .filter(|(part, record)| is_untied(part, record))
             .map(|(part, _)| part.clone())
             .collect();
@@ -381,7 +427,7 @@
     }
 
     /// Returns the ends under blocked parts other than `part`.
-    fn explained_ends(&self, part: Option<&PromptPart>, now: Moment) -> BTreeSet<EndpointLife> {
+    fn explained_ends(&self, part: Option<&CrashSubject>, now: Moment) -> BTreeSet<EndpointLife> {
         let blocked = self.records.iter().filter(|(_, record)| record.is_blocked(now));
         let others = blocked.filter(|(other, _)| Some(*other) != part);
         others.flat_map(|(_, record)| record.ends.keys().cloned()).collect()
@@ -390,11 +436,11 @@
     /// Returns `true` if the same ends speak against two parts, apart from the explained ones.
     fn has_same_ends(
         &self,
-        one: &PromptPart,
-        other: &PromptPart,
+        one: &CrashSubject,
+        other: &CrashSubject,
         explained: &BTreeSet<EndpointLife>,
     ) -> bool {
-        let lives = |part: &PromptPart| -> Vec<&EndpointLife> {
+        let lives = |part: &CrashSubject| -> Vec<&EndpointLife> {
             let ends = self.records.get(part).into_iter().flat_map(|record| record.ends.keys());
             ends.filter(|life| !explained.contains(*life)).collect()
         };
@@ -458,13 +504,13 @@
         for end in report.subjects.iter().flat_map(|found| &found.ends) {
             self.record_end_time(&end.life, at(end.age_ms));
         }
-        for found in report.subjects.into_iter().take(Self::MAX_PARTS) {
+        for found in report.subjects.into_iter().take(2 * Self::MAX_SUBJECTS) {
             let was_known = self.records.contains_key(&found.subject);
             let is_past = found.ends.is_empty() && found.blocked_ms.is_none();
-            if !was_known && (is_past || !self.make_room()) {
+            if !was_known && (is_past || !self.make_room(&found.subject)) {
                 continue;
             }
-            let survived_at = self.survivals.last(&found.subject);
+            let survived_at = self.last_survival(&found.subject);
             let record = self.records.entry(found.subject.clone()).or_default();
             if !was_known {
                 *record = SubjectRecord::new(survived_at, now);
@@ -499,33 +545,40 @@
     }
 
     fn add_end(&mut self, life: &EndpointLife, identity: &RequestIdentity, now: Moment) {
-        let prefix: &PromptPrefix = identity.prefix();
         self.has_new_evidence = true;
         self.record_end_time(life, now);
-        for (index, part) in prefix.shared().iter().enumerate() {
-            if !self.records.contains_key(part) && !self.make_room() {
-                return;
+        for (index, subject) in subjects_of(identity).enumerate() {
+            if !self.records.contains_key(&subject) && !self.make_room(&subject) {
+                continue;
             }
-            let survived_at = self.survivals.last(part);
-            let record = self
-                .records
-                .entry(part.clone())
-                .or_insert_with(|| SubjectRecord::new(survived_at, now));
+            let survived_at = self.last_survival(&subject);
+            let own = own_number(&subject, identity);
+            let record =
+                self.records.entry(subject).or_insert_with(|| SubjectRecord::new(survived_at, now));
             let position = u8::try_from(index).unwrap_or(u8::MAX);
-            let end = SubjectEnd { at: now, own: prefix.own(), position };
-            record.add_end(life.clone(), end, now);
+            record.add_end(life.clone(), SubjectEnd { at: now, own, position }, now);
         }
     }
 
-    /// Makes room for one more part; returns `false` if every known one is blocked.
-    fn make_room(&mut self) -> bool {
-        if self.records.len() < Self::MAX_PARTS {
+    fn last_survival(&self, subject: &CrashSubject) -> Option<Moment> {
+        match subject {
+            CrashSubject::Part(part) => self.survivals.last(part),
+            // Answers are kept for requests under which endpoints have ended only.
+            CrashSubject::Request(_) => None,
+        }
+    }
+
+    /// Makes room for one more subject; returns `false` if every known one of its kind is blocked.
+    fn make_room(&mut self, subject: &CrashSubject) -> bool {
+        let is_request = subject.is_request();
+        let same_kind = self.records.iter().filter(|(other, _)| other.is_request() == is_request);
+        if same_kind.clone().count() < Self::MAX_SUBJECTS {
             return true;
         }
-        let unblocked = self.records.iter().filter(|(_, record)| record.blocked_at.is_none());
+        let unblocked = same_kind.filter(|(_, record)| record.blocked_at.is_none());
         let least = unblocked.min_by_key(|(_, record)| (record.ends.len(), record.changed_at));
-        let least = least.map(|(part, _)| part.clone());
-        least.is_some_and(|part| self.records.remove(&part).is_some())
+        let least = least.map(|(other, _)| other.clone());
+        least.is_some_and(|other| self.records.remove(&other).is_some())
     }
 
     fn expire(&mut self, now: Moment) {
@@ -561,7 +614,7 @@
         self.blocked_at.is_some() && is_requested
     }
 
-    fn describe(&self, part: &PromptPart, now: Moment) -> Option<BlockedSubject> {
+    fn describe(&self, part: &CrashSubject, now: Moment) -> Option<BlockedSubject> {
         let blocked_at = self.blocked_at.filter(|_| self.is_blocked(now))?;
         Some(BlockedSubject {
             subject: part.clone(),
@@ -605,16 +658,21 @@
     /// Returns the weight of the ends without another explanation, if it suffices.
     fn weigh(
         &self,
+        is_request: bool,
         is_counted: impl Fn(&EndpointLife) -> bool,
         now: Moment,
     ) -> Option<EvidenceWeight> {
         let counted = self.ends.iter().filter(|(life, _)| is_counted(life));
         let mut ends: Vec<SubjectEnd> = counted.map(|(_, end)| *end).collect();
         ends.sort_by_key(|end| end.at);
+        let common_cause_time = if is_request {
+            CrashLedger::REQUEST_COMMON_CAUSE_TIME
+        } else {
+            CrashLedger::COMMON_CAUSE_TIME
+        };
         let mut last: Option<Moment> = None;
         let is_apart = |end: &&SubjectEnd| {
-            let is_apart =
-                last.is_none_or(|last| end.at.since(last) >= CrashLedger::COMMON_CAUSE_TIME);
+            let is_apart = last.is_none_or(|last| end.at.since(last) >= common_cause_time);
             if is_apart {
                 last = Some(end.at);
             }
@@ -632,6 +690,7 @@
         } else {
             (CrashLedger::MIN_ENDS, CrashLedger::MIN_REQUESTS)
         };
+        let min_requests = if is_request { CrashLedger::MIN_ATTEMPTS } else { min_requests };
         let suffices_at = *times.get(min_ends - 1)?;
         let position = ends.iter().map(|end| end.position).max()?;
         let weight =
@@ -648,3 +707,17 @@
         (known, other) => known.max(other),
     }
 }
+
+/// Returns what a request may have in common with others; the request itself comes last.
+fn subjects_of(identity: &RequestIdentity) -> impl Iterator<Item = CrashSubject> + '_ {
+    let parts = identity.prefix().shared().iter().cloned().map(CrashSubject::Part);
+    parts.chain(identity.fingerprint().map(CrashSubject::Request))
+}
+
+/// Returns a number that tells requests with a subject apart, or attempts of one request.
+const fn own_number(subject: &CrashSubject, identity: &RequestIdentity) -> u64 {
+    match subject {
+        CrashSubject::Part(_) => identity.prefix().own(),
+        CrashSubject::Request(_) => identity.attempt(),
+    }
+}
--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -207,6 +207,15 @@
         all.filter(move |entry| &entry.service == service && !entry.is_leaving)
     }
 
+    /// Returns how many endpoints of a service accept new work and are not avoided, and how many accept
+    /// new work.
+    #[must_use]
+    pub fn usable_count(&self, service: &ServiceId, now: Moment) -> (usize, usize) {
+        let usable = self.live_entries(service);
+        let usable = usable.filter(|entry| !self.is_suspect(&entry.endpoint, now)).count();
+        (usable, self.live_entries(service).count())
+    }
+
     /// Returns all known endpoints, including those that are leaving.
     pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
         self.known.values().map(|known| &known.entry)
--- a/crates/cassiafield-core/src/request/refusal_cause.rs
+++ b/crates/cassiafield-core/src/request/refusal_cause.rs
@@ -33,6 +33,8 @@
     NoEndpoint,
     /// Endpoints have ended under requests with a part of this one's prompt.
     PromptBlocked,
+    /// Endpoints have ended under this request each time it came.
+    RequestBlocked,
     /// The endpoint failed after the request was sent.
     EndpointFailed,
     /// The call needs the platform store, which is unreachable.
@@ -43,7 +45,7 @@
 
 impl RefusalCause {
     /// All causes, for metrics and documentation.
-    pub const ALL: [RefusalCause; 17] = [
+    pub const ALL: [RefusalCause; 18] = [
         RefusalCause::BadRequest,
         RefusalCause::Unauthorised,
         RefusalCause::NotInPlan,
@@ -58,6 +60,7 @@
         RefusalCause::Overloaded,
         RefusalCause::NoEndpoint,
         RefusalCause::PromptBlocked,
+        RefusalCause::RequestBlocked,
         RefusalCause::EndpointFailed,
         RefusalCause::StoreUnavailable,
         RefusalCause::NotReady,
@@ -80,6 +83,7 @@
             RefusalCause::Overloaded
             | RefusalCause::NoEndpoint
             | RefusalCause::PromptBlocked
+            | RefusalCause::RequestBlocked
             | RefusalCause::StoreUnavailable
             | RefusalCause::NotReady => 503,
         }
@@ -103,6 +107,7 @@
             RefusalCause::Overloaded => "overloaded",
             RefusalCause::NoEndpoint => "no-endpoint",
             RefusalCause::PromptBlocked => "prompt-blocked",
+            RefusalCause::RequestBlocked => "request-blocked",
             RefusalCause::EndpointFailed => "endpoint-failed",
             RefusalCause::StoreUnavailable => "store-unavailable",
             RefusalCause::NotReady => "not-ready",
--- a/crates/cassiafield-core/tests/crash_ledger.rs
+++ b/crates/cassiafield-core/tests/crash_ledger.rs
@@ -1,10 +1,10 @@
-//! What speaks for and against the parts of prompts, in virtual time.
+//! What speaks for and against parts of prompts and requests, in virtual time.
 
 use {
     cassiafield_core::{
-        ids::{Moment, PromptPart},
+        ids::{CrashSubject, Moment},
         process::{CrashLedger, CrashReport, EndpointIncarnation, EndpointLife},
-        request::{PromptPrefix, RequestIdentity},
+        request::{FingerprintSource, PromptPrefix, RequestIdentity},
     },
     proptest::prelude::*,
     std::time::Duration,
@@ -21,7 +21,7 @@
     prefix.into()
 }
 
-fn part(text: &str) -> PromptPart {
+fn part(text: &str) -> CrashSubject {
     text.parse().expect("a part")
 }
 
@@ -289,3 +289,111 @@
         ledger.check(&parsed, at(30));
     }
 }
+
+/// Returns an attempt of a request without parts.
+fn lookup(target: &str, attempt: u64) -> RequestIdentity {
+    let identity = RequestIdentity::new(PromptPrefix::default(), attempt);
+    let source = FingerprintSource { target, ..FingerprintSource::default() };
+    identity.identify(|| source.into());
+    identity
+}
+
+/// Ends an endpoint under an attempt of a request.
+fn end_under(ledger: &mut CrashLedger, number: u64, identity: &RequestIdentity, now: Moment) {
+    ledger.record_break(vec![life(number)], identity, now);
+    ledger.record_end(&life(number).endpoint, now);
+}
+
+/// Guards against a request that comes again and goes on to end endpoints, and against others that are
+/// blocked with it.
+#[test]
+fn three_ends_under_two_attempts_block_a_request() {
+    let mut ledger = CrashLedger::default();
+    end_under(&mut ledger, 1, &lookup("/bad", 1), at(0));
+    assert!(ledger.may_repeat(&lookup("/bad", 1), 1));
+    end_under(&mut ledger, 2, &lookup("/bad", 1), at(75));
+    assert!(ledger.is_suspect(&lookup("/bad", 2)));
+    assert!(!ledger.may_repeat(&lookup("/bad", 2), 1), "others have ended under it");
+    end_under(&mut ledger, 3, &lookup("/bad", 2), at(200));
+    assert!(judged(&mut ledger, at(300)).is_empty(), "an answer may be on its way");
+    assert_eq!(judged(&mut ledger, at(800)).len(), 1);
+    let blocked = ledger.check(&lookup("/bad", 3), at(900)).expect("a blocked request");
+    assert!(blocked.subject.is_request());
+    assert_eq!(blocked.ends, 3);
+    assert!(ledger.check(&lookup("/good", 4), at(900)).is_none());
+    assert!(ledger.lift(&blocked.subject, at(1_000)));
+    assert!(ledger.check(&lookup("/bad", 5), at(1_100)).is_none());
+}
+
+/// Guards against blocking a request because of one attempt, whose endpoints may have ended together.
+#[test]
+fn one_attempt_or_one_moment_blocks_no_request() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..4 {
+        end_under(&mut ledger, number, &lookup("/one", 1), at(number * 500));
+        end_under(&mut ledger, 10 + number, &lookup("/all", number), at(5_000 + number * 5));
+    }
+    assert!(judged(&mut ledger, at(10_000)).is_empty());
+}
+
+/// Guards against blocking a sound request that comes often while others end endpoints.
+#[test]
+fn an_answer_clears_a_request() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..12 {
+        end_under(&mut ledger, number, &lookup("/popular", number), at(number * 1_000));
+        ledger.record_survival(&lookup("/popular", 100), at(number * 1_000 + 400));
+        assert!(judged(&mut ledger, at(number * 1_000 + 900)).is_empty());
+    }
+    assert!(!ledger.is_suspect(&lookup("/popular", 200)));
+}
+
+/// Guards against hosts of which each has seen one end.
+#[test]
+fn evidence_on_a_request_adds_up_over_hosts() {
+    let mut hosts = vec![CrashLedger::default(); 3];
+    for (number, host) in hosts.iter_mut().enumerate() {
+        let number = number as u64;
+        end_under(host, number, &lookup("/bad", number), at(number * 500));
+    }
+    let reports: Vec<CrashReport> = hosts.iter().map(|host| host.report(at(1_100))).collect();
+    let bytes: Vec<Vec<u8>> =
+        reports.iter().map(|report| rmp_serde::to_vec(report).expect("encodes")).collect();
+    let mut late = CrashLedger::default();
+    for report in bytes {
+        late.merge(rmp_serde::from_slice(&report).expect("decodes"), at(1_200));
+    }
+    assert_eq!(judged(&mut late, at(3_000)).len(), 1);
+    assert!(late.check(&lookup("/bad", 9), at(3_000)).is_some());
+}
+
+/// Guards against callers that fill the table with different requests, and push out what speaks against
+/// parts or against one request.
+#[test]
+fn many_different_requests_push_nothing_else_out() {
+    let mut ledger = convinced();
+    end_under(&mut ledger, 50, &lookup("/bad", 1), at(3_000));
+    end_under(&mut ledger, 51, &lookup("/bad", 1), at(3_200));
+    for number in 0..2_000 {
+        ledger.record_break(
+            vec![life(100 + number)],
+            &lookup(&format!("/{number}"), number),
+            at(4_000),
+        );
+        ledger.record_end(&life(100 + number).endpoint, at(4_000));
+    }
+    assert!(ledger.report(at(4_100)).subjects.len() <= 64);
+    assert_eq!(judged(&mut ledger, at(4_500)), ["bad"]);
+    end_under(&mut ledger, 52, &lookup("/bad", 2), at(6_000));
+    assert_eq!(judged(&mut ledger, at(7_000)).len(), 1);
+}
+
+/// Guards against the hashing of every request's body while nothing is under suspicion.
+#[test]
+fn fingerprints_are_needed_only_after_an_end() {
+    let mut ledger = CrashLedger::default();
+    ledger.record_survival(&lookup("/good", 1), at(0));
+    assert!(!ledger.needs_fingerprints());
+    end_under(&mut ledger, 1, &lookup("/bad", 1), at(10));
+    assert!(ledger.needs_fingerprints());
+}
--- a/crates/cassiafield-core/tests/crash_model.rs
+++ b/crates/cassiafield-core/tests/crash_model.rs
@@ -1,11 +1,11 @@
-//! A model of a fleet in which parts of prompts end endpoints, beside endpoints that end for other
-//! reasons: what hosts block, and what they let through, over many seeds.
+//! A model of a fleet in which parts of prompts, and a request that comes again, end endpoints, beside
+//! endpoints that end for other reasons: what hosts block, and what they let through, over many seeds.
 
 use {
     cassiafield_core::{
-        ids::{EndpointId, Moment, PromptPart},
+        ids::{CrashSubject, EndpointId, Moment},
         process::{CrashLedger, CrashReport, EndpointIncarnation, EndpointLife},
-        request::{PromptPrefix, RequestIdentity},
+        request::{FingerprintSource, PromptPrefix, RequestFingerprint, RequestIdentity},
     },
     std::collections::VecDeque,
 };
@@ -23,7 +23,15 @@
 /// What the rule allows: sends later than this after the fifth end.
 const CONTACT_MS: u64 = 3_000;
 const ENDS_BEFORE_COUNT: usize = 5;
+/// The same for a request that comes again.
+const REPEAT_ENDS_BEFORE_COUNT: usize = 3;
 const MAX_LATE_SENDS: usize = 3;
+/// Requests in a hundred that are the one which comes again and ends endpoints, and those that are one
+/// popular sound request, where such requests come at all.
+const REPEATS_PERCENT: u64 = 2;
+const POPULAR_PERCENT: u64 = 25;
+const REPEATED_TARGET: &str = "/repeated";
+const POPULAR_TARGET: &str = "/popular";
 const CULPRIT_PART: &str = "bad0";
 
 /// A small generator, so that seeds mean the same everywhere.
@@ -41,6 +49,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Trouble {
     has_culprits: bool,
+    /// Whether requests without parts come too, one of which ends endpoints again and again.
+    has_repeats: bool,
     /// Pause between two ends of single endpoints for another reason.
     kill_interval_ms: Option<u64>,
     /// Pause between two ends of a third of the endpoints at once.
@@ -51,11 +61,32 @@
     has_restarts: bool,
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunKind {
+    Sound,
+    /// A sound request without parts, whose whole answer comes at once.
+    SoundLookup,
+    /// A stream with the part that ends endpoints.
+    CulpritPart,
+    /// The request that comes again and ends endpoints.
+    CulpritRequest,
+}
+
+impl RunKind {
+    const fn is_culprit(self) -> bool {
+        matches!(self, RunKind::CulpritPart | RunKind::CulpritRequest)
+    }
+
+    const fn is_lookup(self) -> bool {
+        matches!(self, RunKind::SoundLookup | RunKind::CulpritRequest)
+    }
+}
+
 struct Run {
     host: usize,
     endpoint: usize,
     identity: RequestIdentity,
-    is_culprit: bool,
+    kind: RunKind,
     first_event_at: u64,
     ends_at: u64,
     ends: u32,
@@ -77,7 +108,9 @@
     messages: VecDeque<(u64, usize, CrashReport)>,
     ends_under_culprits: Vec<u64>,
     late_sends: usize,
-    wrongly_blocked: Vec<PromptPart>,
+    ends_under_repeats: Vec<u64>,
+    late_repeats: usize,
+    wrongly_blocked: Vec<CrashSubject>,
     request_count: u64,
 }
 
@@ -101,6 +134,8 @@
             messages: VecDeque::new(),
             ends_under_culprits: Vec::new(),
             late_sends: 0,
+            ends_under_repeats: Vec::new(),
+            late_repeats: 0,
             wrongly_blocked: Vec::new(),
             request_count: 0,
         }
@@ -130,6 +165,13 @@
         let subject = self.dice.next(SUBJECTS).min(self.dice.next(SUBJECTS));
         self.request_count += 1;
         let own = self.request_count;
+        if self.trouble.has_repeats {
+            let draw = self.dice.next(100);
+            if draw < REPEATS_PERCENT + POPULAR_PERCENT {
+                self.look_up(now, draw, own);
+                return;
+            }
+        }
         let text = if is_culprit {
             match own % 3 {
                 0 => format!("a{class}:40,{CULPRIT_PART}:80,d{subject:x}:9,{own:x}:7"),
@@ -140,19 +182,26 @@
             format!("a{class}:40,d{subject:x}:9,{own:x}:7")
         };
         let prefix: PromptPrefix = text.parse().expect("a prompt");
-        let identity = RequestIdentity::from(prefix);
         let host = usize::try_from(self.dice.next(HOSTS as u64)).expect("small");
-        self.send(now, host, identity, is_culprit, 0);
+        let kind = if is_culprit { RunKind::CulpritPart } else { RunKind::Sound };
+        self.send(now, host, identify(prefix, own, &text), kind, 0);
+    }
+
+    /// Sends the request that comes again, the popular one, or one that comes once.
+    fn look_up(&mut self, now: u64, draw: u64, own: u64) {
+        let is_repeat = draw < REPEATS_PERCENT && now > 4_000;
+        let unique = format!("/orders/{own}");
+        let (target, kind) = match draw % 5 {
+            _ if is_repeat => (REPEATED_TARGET, RunKind::CulpritRequest),
+            0 => (unique.as_str(), RunKind::SoundLookup),
+            _ => (POPULAR_TARGET, RunKind::SoundLookup),
+        };
+        let identity = identify(PromptPrefix::default(), own, target);
+        let host = usize::try_from(self.dice.next(HOSTS as u64)).expect("small");
+        self.send(now, host, identity, kind, 0);
     }
 
-    fn send(
-        &mut self,
-        now: u64,
-        host: usize,
-        identity: RequestIdentity,
-        is_culprit: bool,
-        ends: u32,
-    ) {
+    fn send(&mut self, now: u64, host: usize, identity: RequestIdentity, kind: RunKind, ends: u32) {
         self.judge(now, host);
         if self.ledgers[host].check(&identity, moment(now)).is_some() {
             return;
@@ -165,17 +214,26 @@
         // Hosts prefer the same endpoints, so that broken streams move together.
         let choice = self.dice.next(up.len() as u64).min(self.dice.next(up.len() as u64));
         let endpoint = up[usize::try_from(choice).expect("small")];
-        let is_late = self.ends_under_culprits.get(ENDS_BEFORE_COUNT - 1);
-        if is_culprit && is_late.is_some_and(|at| now > at + CONTACT_MS) {
-            self.late_sends += 1;
+        let is_late = |at: Option<&u64>| at.is_some_and(|at| now > at + CONTACT_MS);
+        match kind {
+            RunKind::CulpritPart => {
+                let last = self.ends_under_culprits.get(ENDS_BEFORE_COUNT - 1);
+                self.late_sends += usize::from(is_late(last));
+            }
+            RunKind::CulpritRequest => {
+                let last = self.ends_under_repeats.get(REPEAT_ENDS_BEFORE_COUNT - 1);
+                self.late_repeats += usize::from(is_late(last));
+            }
+            RunKind::Sound | RunKind::SoundLookup => {}
         }
         let first_event_at = now + 60 + self.dice.next(250);
-        let ends_at = first_event_at + 300 + self.dice.next(3_000);
+        let length = if kind.is_lookup() { 0 } else { 300 + self.dice.next(3_000) };
+        let ends_at = first_event_at + length;
         self.runs.push(Run {
             host,
             endpoint,
             identity,
-            is_culprit,
+            kind,
             first_event_at,
             ends_at,
             ends,
@@ -186,17 +244,21 @@
     fn advance(&mut self, now: u64) {
         for run in &mut self.runs {
             let is_begun = now >= run.first_event_at + 400 || now >= run.ends_at;
-            if is_begun && !run.is_under_way && !run.is_culprit {
+            if is_begun && !run.is_under_way && !run.kind.is_culprit() {
                 run.is_under_way = true;
                 self.ledgers[run.host].record_survival(&run.identity, moment(now));
             }
         }
-        let culprits = self.runs.iter().filter(|run| run.is_culprit && now >= run.first_event_at);
-        let crashed: Vec<usize> = culprits.map(|run| run.endpoint).collect();
-        self.runs.retain(|run| run.is_culprit || now < run.ends_at);
-        for endpoint in crashed {
+        let is_due = |run: &&Run| run.kind.is_culprit() && now >= run.first_event_at;
+        let culprits = self.runs.iter().filter(is_due);
+        let crashed: Vec<(usize, RunKind)> = culprits.map(|run| (run.endpoint, run.kind)).collect();
+        self.runs.retain(|run| run.kind.is_culprit() || now < run.ends_at);
+        for (endpoint, kind) in crashed {
             if self.endpoints[endpoint].up_at <= now {
-                self.ends_under_culprits.push(now);
+                match kind {
+                    RunKind::CulpritRequest => self.ends_under_repeats.push(now),
+                    _ => self.ends_under_culprits.push(now),
+                }
                 self.end(now, endpoint);
             }
         }
@@ -225,19 +287,26 @@
         for run in broken {
             let ends = run.ends + u32::from(!run.is_under_way);
             if self.ledgers[run.host].may_repeat(&run.identity, ends) {
-                self.send(now + TICK_MS, run.host, run.identity, run.is_culprit, ends);
+                self.send(now + TICK_MS, run.host, run.identity, run.kind, ends);
             }
         }
     }
 
     fn judge(&mut self, now: u64, host: usize) {
         for found in self.ledgers[host].judge(moment(now)) {
-            // Together with the culprit, another part is blocked only beside it.
-            let alone: PromptPrefix =
-                format!("{}:1,ffff:1", found.subject).parse().expect("a prompt");
-            let alone = RequestIdentity::from(alone);
-            let is_blocked = self.ledgers[host].check(&alone, moment(now)).is_some();
-            if found.subject.as_str() != CULPRIT_PART && is_blocked {
+            let is_wrong = match &found.subject {
+                CrashSubject::Request(fingerprint) => {
+                    *fingerprint != fingerprint_of(REPEATED_TARGET)
+                }
+                CrashSubject::Part(part) => {
+                    // Together with the culprit, another part is blocked only beside it.
+                    let alone: PromptPrefix = format!("{part}:1,ffff:1").parse().expect("a prompt");
+                    let alone = RequestIdentity::from(alone);
+                    let is_blocked = self.ledgers[host].check(&alone, moment(now)).is_some();
+                    part.as_str() != CULPRIT_PART && is_blocked
+                }
+            };
+            if is_wrong {
                 self.wrongly_blocked.push(found.subject);
             }
         }
@@ -304,8 +373,20 @@
     }
 }
 
+fn fingerprint_of(target: &str) -> RequestFingerprint {
+    let source = FingerprintSource { method: "GET", target, ..FingerprintSource::default() };
+    RequestFingerprint::from(source)
+}
+
+fn identify(prefix: PromptPrefix, attempt: u64, target: &str) -> RequestIdentity {
+    let identity = RequestIdentity::new(prefix, attempt);
+    identity.identify(|| fingerprint_of(target));
+    identity
+}
+
 const CALM: Trouble = Trouble {
     has_culprits: false,
+    has_repeats: false,
     kill_interval_ms: None,
     group_kill_interval_ms: None,
     has_cut: false,
@@ -320,20 +401,28 @@
 
 /// Plays a kind of trouble; returns what was broken.
 fn play_all(name: &str, trouble: Trouble, count: u64) -> Vec<String> {
-    let (mut ends, mut late, mut broken) = (0, 0, Vec::new());
+    let (mut ends, mut late, mut late_repeats, mut broken) = (0, 0, 0, Vec::new());
     for seed in seeds(count) {
         let fleet = Fleet::new(seed, trouble).play();
-        ends += fleet.ends_under_culprits.len();
+        ends += fleet.ends_under_culprits.len() + fleet.ends_under_repeats.len();
         late += fleet.late_sends;
-        if fleet.late_sends > MAX_LATE_SENDS || !fleet.wrongly_blocked.is_empty() {
-            let (late, blocked) = (fleet.late_sends, fleet.wrongly_blocked);
-            broken.push(format!("{name}, seed {seed}: {late} late sends, blocked {blocked:?}"));
+        late_repeats += fleet.late_repeats;
+        let late_in_run = fleet.late_sends.max(fleet.late_repeats);
+        if late_in_run > MAX_LATE_SENDS || !fleet.wrongly_blocked.is_empty() {
+            let blocked = fleet.wrongly_blocked;
+            broken.push(format!("{name}, seed {seed}: {late_in_run} late, blocked {blocked:?}"));
+        }
+        if trouble.has_repeats {
+            assert!(!fleet.ends_under_repeats.is_empty(), "seed {seed} plays no repeats");
         }
         if trouble.has_culprits {
             assert!(!fleet.ends_under_culprits.is_empty(), "seed {seed} plays no culprit");
         }
     }
-    println!("{name}: {ends} ends under culprits, {late} late sends, {} broken", broken.len());
+    println!(
+        "{name}: {ends} ends under culprits, {late} late sends, {late_repeats} late repeats, {} broken",
+        broken.len()
+    );
     broken
 }
 
@@ -383,3 +472,28 @@
     assert!(blocked.is_empty(), "{blocked:?}");
     assert!(worst <= MAX_LATE_SENDS, "{worst}");
 }
+
+/// Guards against a request that comes again and ends endpoints after it has ended three, and against
+/// blocking a popular sound one beside it, alone and beside prompts that end endpoints.
+#[test]
+fn a_request_that_comes_again_is_blocked_in_the_whole_fleet() {
+    let repeats = Trouble { has_repeats: true, ..CALM };
+    let both = Trouble { has_culprits: true, ..repeats };
+    assert_none(&[play_all("repeats", repeats, 40), play_all("repeats and culprits", both, 40)]);
+}
+
+/// Guards against blaming sound requests when endpoints end one after the other or a third at once,
+/// and against hosts that have forgotten.
+#[test]
+fn a_request_that_comes_again_is_told_from_what_is_in_flight_beside_it() {
+    let kills = Trouble { has_repeats: true, kill_interval_ms: Some(700), ..CALM };
+    let groups = Trouble { group_kill_interval_ms: Some(3_000), ..kills };
+    let restarts = Trouble { has_restarts: true, ..kills };
+    let cut = Trouble { has_cut: true, has_repeats: true, ..CALM };
+    assert_none(&[
+        play_all("repeats and kills", kills, 40),
+        play_all("repeats and kills of groups", groups, 40),
+        play_all("repeats, kills and restarts", restarts, 40),
+        play_all("repeats in a divided fleet", cut, 40),
+    ]);
+}
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -12,7 +12,7 @@
     },
     anyhow::Context as _,
     cassiafield::process::{LogEvent, RequestDecision},
-    cassiafield_core::{ids::PromptPart, process::CloseReason},
+    cassiafield_core::{ids::CrashSubject, process::CloseReason},
     http::{Method, StatusCode},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -133,8 +133,8 @@
     }
 }
 
-/// Lists the parts of prompts that are kept from endpoints, or releases one of them (`DELETE` of its
-/// identifier).
+/// Lists the parts of prompts and the requests that are kept from endpoints, or releases one of them
+/// (`DELETE` of its identifier).
 fn answer_operator(state: &GatewayState, method: &Method, rest: &str) -> (StatusCode, Vec<u8>) {
     let rest = rest.trim_start_matches('/');
     if method == Method::GET && rest.is_empty() {
@@ -144,8 +144,8 @@
         let text = "only GET of the list and DELETE of a part are served\n";
         return (StatusCode::METHOD_NOT_ALLOWED, text.as_bytes().to_vec());
     }
-    match rest.parse::<PromptPart>() {
-        Ok(part) if state.release_part(&part) => (StatusCode::OK, b"released\n".to_vec()),
+    match rest.parse::<CrashSubject>() {
+        Ok(subject) if state.release_subject(&subject) => (StatusCode::OK, b"released\n".to_vec()),
         Ok(_) => (StatusCode::NOT_FOUND, b"the part is not blocked here\n".to_vec()),
         Err(error) => (StatusCode::BAD_REQUEST, format!("{error}\n").into_bytes()),
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -10,13 +10,13 @@
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
-        ids::{EndpointId, HostId, Moment, OrganisationId, PromptPart, ServiceId},
+        ids::{CrashSubject, EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
             BlockedSubject, CrashLedger, CrashReport, DataAge, EndpointDirectory, EndpointLife,
             EngineLoad, FailureReport, LimitReports, ListedEntries, OrganisationLoad,
             RevisionNotice, TurnBroker, VersionOrder, VersionVerdict, ZoneMembers,
         },
-        request::{RequestFingerprint, RequestIdentity, RequestRate, RetryAfter, StageRoute},
+        request::{RequestIdentity, RequestRate, RetryAfter, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
@@ -608,16 +608,13 @@
             return;
         }
         self.metrics.count_endpoint_end();
-        let parts: Vec<String> =
-            summary.parts.iter().map(|(part, ends)| format!("{part} ({ends})")).collect();
-        let fingerprints: Vec<String> =
-            summary.fingerprints.iter().map(RequestFingerprint::to_string).collect();
+        let subjects: Vec<String> =
+            summary.subjects.iter().map(|(subject, ends)| format!("{subject} ({ends})")).collect();
         LogEvent::EndpointEnded.log(format_args!(
-            "endpoint {endpoint}; {} requests of this host had no answer under way; parts of their \
-             prompts, with the ends known under each: {}; fingerprints: {}",
+            "endpoint {endpoint}; {} requests of this host had no answer under way; these and the parts \
+             of their prompts, with the ends known under each: {}",
             summary.suspects,
-            parts.join(", "),
-            fingerprints.join(", "),
+            subjects.join(", "),
         ));
         self.judge_prompts();
         self.urgent_message.notify_one();
@@ -637,7 +634,7 @@
 
     fn log_released_parts(&self) {
         for part in self.crashes.borrow_mut().take_released() {
-            LogEvent::PromptPartReleased.log(format_args!("part {part}"));
+            LogEvent::PromptPartReleased.log(format_args!("part or request {part}"));
             self.urgent_message.notify_one();
         }
     }
@@ -655,12 +652,13 @@
     fn log_prompts(&self, blocked: &[BlockedSubject], source: &str) {
         for found in blocked {
             self.metrics.count_blocked_part();
-            LogEvent::PromptPartBlocked.log(format_args!("part {found}, by {source}"));
+            LogEvent::PromptPartBlocked.log(format_args!("part or request {found}, by {source}"));
         }
     }
 
-    /// Returns the part of a request's prompt that is kept from endpoints, if there is one.
-    pub fn blocked_part(&self, identity: &RequestIdentity) -> Option<BlockedSubject> {
+    /// Returns what of a request is kept from endpoints, if anything is: a part of its prompt, or all of
+    /// it.
+    pub fn blocked_subject(&self, identity: &RequestIdentity) -> Option<BlockedSubject> {
         self.judge_prompts();
         self.crashes.borrow_mut().check(identity, self.now())
     }
@@ -672,9 +670,10 @@
         blocked.iter().map(|found| format!("{found}\n")).collect()
     }
 
-    /// Lets a part of prompts reach endpoints again, on all hosts; returns `true` if it was blocked.
-    pub fn release_part(&self, part: &PromptPart) -> bool {
-        let was_blocked = self.crashes.borrow_mut().lift(part, self.now());
+    /// Lets a part of prompts, or a request, reach endpoints again, on all hosts; returns `true` if it
+    /// was blocked.
+    pub fn release_subject(&self, subject: &CrashSubject) -> bool {
+        let was_blocked = self.crashes.borrow_mut().lift(subject, self.now());
         self.judge_prompts();
         was_blocked
     }
@@ -688,10 +687,6 @@
         identity: &RequestIdentity,
         ends: u32,
     ) -> Option<MutexGuard<'_, ()>> {
-        // Without parts nothing tells a request from any other.
-        if identity.prefix().shared().is_empty() {
-            return None;
-        }
         let is_suspect = ends > 0 || self.crashes.borrow().is_suspect(identity);
         if !is_suspect {
             return None;
@@ -756,6 +751,31 @@
         self.crashes.borrow().may_repeat(identity, ends)
     }
 
+    /// Returns `true` if fingerprints of requests matter now.
+    #[must_use]
+    pub fn needs_fingerprints(&self) -> bool {
+        self.crashes.borrow().needs_fingerprints()
+    }
+
+    /// Returns `true` if a request must not be sent to a service now: it may have ended endpoints of it,
+    /// and the last one in use should serve the others.
+    #[must_use]
+    pub fn spares_last_endpoint(
+        &self,
+        service: &ServiceId,
+        identity: &RequestIdentity,
+        ends: u32,
+    ) -> bool {
+        let now = self.now();
+        let crashes = self.crashes.borrow();
+        let is_suspect = ends > 0 || crashes.is_suspect(identity);
+        if !is_suspect {
+            return false;
+        }
+        let (usable, listed) = self.directory.borrow().usable_count(service, now);
+        usable <= 1 && (listed > usable || crashes.has_just_ended_one(identity, now))
+    }
+
     /// Records that a request's answer got under way.
     pub fn record_survival(&self, identity: &RequestIdentity) {
         self.crashes.borrow_mut().record_survival(identity, self.now());
--- a/crates/cassiafield-gateway/src/process/verdict_keeper.rs
+++ b/crates/cassiafield-gateway/src/process/verdict_keeper.rs
@@ -4,20 +4,20 @@
         process::GatewayState,
     },
     cassiafield::process::LogEvent,
-    cassiafield_core::{ids::PromptPart, process::CrashReport},
+    cassiafield_core::{ids::CrashSubject, process::CrashReport},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
-/// Keeps the blocked parts of prompts in the store, for the case that all hosts restart.
+/// Keeps the blocked parts of prompts and requests in the store, for the case that all hosts restart.
 ///
 /// Every host reads them once at its start; the host that reads the store for all zones writes them
 /// when they change.
 pub(super) struct VerdictKeeper {
     state: Rc<GatewayState>,
     client: StoreClient,
-    /// The parts that the store holds, as far as this host knows.
-    stored: Option<BTreeSet<PromptPart>>,
+    /// The subjects that the store holds, as far as this host knows.
+    stored: Option<BTreeSet<CrashSubject>>,
 }
 
 impl VerdictKeeper {
@@ -70,7 +70,7 @@
             return;
         }
         let verdicts = state.crashes.borrow().verdicts(state.now());
-        let parts: BTreeSet<PromptPart> =
+        let parts: BTreeSet<CrashSubject> =
             verdicts.subjects.iter().map(|found| found.subject.clone()).collect();
         if self.stored.as_ref() == Some(&parts) {
             return;
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -23,10 +23,20 @@
     pub(super) request: CallerRequest,
     /// Counts the request as in flight.
     pub(super) in_flight: InFlightRequest,
+    /// What the request has in common with others.
     pub(super) identity: RequestIdentity,
 }
 
 impl CallContext {
+    /// Returns what the request has in common with others, its fingerprint included if that matters
+    /// now.
+    pub(super) fn known_identity(&self) -> &RequestIdentity {
+        if self.state.needs_fingerprints() {
+            return self.full_identity();
+        }
+        &self.identity
+    }
+
     /// Returns what the request has in common with others, its fingerprint included.
     pub(super) fn full_identity(&self) -> &RequestIdentity {
         self.identity.identify(|| self.request.fingerprint(self.state.codec.header_names()));
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -53,6 +53,9 @@
     const SHORT_TURN_WAIT: Duration = Duration::from_millis(20);
     /// Maximum time that a request waits for a turn at an endpoint that takes a limited rate.
     const MAX_TURN_WAIT: Duration = Duration::from_millis(250);
+    /// Minimum retry delay of a request under which endpoints have just ended; jitter raises it up to
+    /// twofold.
+    const SUSPECT_RETRY_DELAY: Duration = Duration::from_secs(2);
     /// Minimum retry delay advised to callers; jitter raises it up to twofold.
     const RETRY_AFTER: Duration = Duration::from_millis(60);
 
@@ -71,15 +74,19 @@
             {
                 break;
             }
-            let blocked = self.context.state.blocked_part(&self.context.identity);
+            let blocked = self.context.state.blocked_subject(self.context.known_identity());
             if let Some(blocked) = blocked {
                 return self.refuse_blocked(verdict, &blocked);
             }
-            if !self.context.state.may_repeat(&self.context.identity, self.ends.get()) {
+            if !self.context.state.may_repeat(self.context.known_identity(), self.ends.get()) {
                 break;
             }
-            let Some((entry, turn)) = self.choose_with_turn(&excluded).await else { break };
             let service = &self.context.service.service;
+            let identity = self.context.known_identity();
+            if self.context.state.spares_last_endpoint(service, identity, self.ends.get()) {
+                return self.refuse_suspect(verdict);
+            }
+            let Some((entry, turn)) = self.choose_with_turn(&excluded).await else { break };
             if sends > 0 && !self.context.state.acquire_retry(service).await {
                 break;
             }
@@ -127,17 +134,32 @@
         blocked: &BlockedSubject,
     ) -> Response<ResponseBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
-        let cause =
-            if is_not_run { RefusalCause::PromptBlocked } else { RefusalCause::EndpointFailed };
+        let cause = if is_not_run { blocked.refusal_cause() } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.count_refusal(cause);
         self.context
             .decision(LogEvent::RequestRefused)
             .cause(cause)
             .verdict(verdict)
-            .log(format_args!("part {blocked}; route {}", self.context.rule.name));
+            .log(format_args!("blocked: {blocked}; route {}", self.context.rule.name));
         refusal_response(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY))
     }
 
+    /// Refuses a request that may have ended all endpoints of its service but one.
+    fn refuse_suspect(&self, verdict: RequestVerdict) -> Response<ResponseBody> {
+        let is_not_run = verdict == RequestVerdict::NotRun;
+        let cause =
+            if is_not_run { RefusalCause::Overloaded } else { RefusalCause::EndpointFailed };
+        self.context.state.metrics.count_refusal(cause);
+        self.context.decision(LogEvent::RequestRefused).cause(cause).verdict(verdict).log(
+            format_args!(
+                "route {}, endpoints ended under the request and one is left",
+                self.context.rule.name
+            ),
+        );
+        let retry_after = Self::SUSPECT_RETRY_DELAY.mul_f64(1.0 + fastrand::f64());
+        refusal_response(cause, is_not_run.then_some(retry_after))
+    }
+
     /// Refuses a request that got no response from any endpoint.
     fn refuse(&self, verdict: RequestVerdict, tried: usize) -> Response<ResponseBody> {
         let now = self.context.state.now();
@@ -212,8 +234,8 @@
         sends: &mut u32,
     ) -> EndpointOutcome {
         let _suspect_turn =
-            self.context.state.suspect_turn(&self.context.identity, self.ends.get()).await;
-        if self.context.state.blocked_part(&self.context.identity).is_some() {
+            self.context.state.suspect_turn(self.context.known_identity(), self.ends.get()).await;
+        if self.context.state.blocked_subject(self.context.known_identity()).is_some() {
             return EndpointOutcome::NotRun;
         }
         let guard = self.context.state.track_dispatch(&entry.endpoint);
@@ -331,7 +353,7 @@
             self.context.state.record_endpoint_refusal(&entry.endpoint, is_misdirected);
             return EndpointOutcome::NotRun;
         }
-        self.context.state.record_survival(&self.context.identity);
+        self.context.state.record_survival(self.context.known_identity());
         strip_hop_headers(&mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -57,7 +57,7 @@
     pub(super) model: ModelId,
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
-    /// The part of the prompt that is kept from endpoints, if that was found.
+    /// What of the request is kept from endpoints, if that was found.
     pub(super) blocked: Option<BlockedSubject>,
     pub(super) prompt_tokens: u32,
     /// Expected number of output tokens.
@@ -208,7 +208,7 @@
             Some(GiveUpReason::NotResumable)
         } else if self.sends >= Self::MAX_SENDS || !self.may_repeat() {
             Some(GiveUpReason::SendLimit)
-        } else if self.context.state.blocked_part(&self.context.identity).is_some() {
+        } else if self.context.state.blocked_subject(self.context.known_identity()).is_some() {
             Some(GiveUpReason::PromptBlocked)
         } else {
             None
@@ -227,11 +227,15 @@
 
     fn refuse(&self, verdict: RequestVerdict, cause: RefusalCause) -> Response<ResponseBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
-        let cause = if is_not_run { cause } else { RefusalCause::EndpointFailed };
+        let cause = match &self.blocked {
+            _ if !is_not_run => RefusalCause::EndpointFailed,
+            Some(blocked) if cause == RefusalCause::PromptBlocked => blocked.refusal_cause(),
+            _ => cause,
+        };
         self.context.state.metrics.count_refusal(cause);
         let retry_after = is_not_run.then(|| self.retry_delay(cause));
         let bottleneck = match (&self.blocked, self.bottleneck.get()) {
-            (Some(blocked), _) => format!("part {blocked}"),
+            (Some(blocked), _) => format!("blocked: {blocked}"),
             (None, Some(error)) => format!("{error}{}", self.describe_bottleneck(error)),
             (None, None) => self.refusal_reason().to_owned(),
         };
@@ -253,7 +257,7 @@
 
     /// Returns when the caller should return.
     fn retry_delay(&self, cause: RefusalCause) -> Duration {
-        if cause == RefusalCause::PromptBlocked {
+        if matches!(cause, RefusalCause::PromptBlocked | RefusalCause::RequestBlocked) {
             return Self::BLOCKED_RETRY_DELAY;
         }
         if let Some(PathError::Unavailable { until }) = self.bottleneck.get() {
@@ -296,7 +300,7 @@
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
         let state = Rc::clone(&self.context.state);
         // Held until the answer has begun or has failed to.
-        let _suspect_turn = state.suspect_turn(&self.context.identity, self.ends).await;
+        let _suspect_turn = state.suspect_turn(self.context.known_identity(), self.ends).await;
         if self.is_blocked() {
             return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
         }
@@ -445,12 +449,12 @@
 
     /// Returns `true` unless too many endpoints ended under this request and others like it.
     fn may_repeat(&self) -> bool {
-        self.context.state.may_repeat(&self.context.identity, self.ends)
+        self.context.state.may_repeat(self.context.known_identity(), self.ends)
     }
 
-    /// Returns `true` if a part of the prompt is kept from endpoints.
+    /// Returns `true` if the request, or a part of its prompt, is kept from endpoints.
     fn is_blocked(&mut self) -> bool {
-        self.blocked = self.context.state.blocked_part(&self.context.identity);
+        self.blocked = self.context.state.blocked_subject(self.context.known_identity());
         self.blocked.is_some()
     }
 
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -338,7 +338,10 @@
                     let has_events = !events.is_empty();
                     if let Some(attempt) = self.attempt.as_mut().filter(|_| has_events) {
                         if attempt.record_events(now) {
-                            self.call.context.state.record_survival(&self.call.context.identity);
+                            self.call
+                                .context
+                                .state
+                                .record_survival(self.call.context.known_identity());
                         }
                     }
                     if let Some(before) = self.relayed_at.replace(now) {
@@ -360,7 +363,7 @@
                     if let Some(attempt) = &self.attempt {
                         call.context.state.record_progress(&attempt.route);
                     }
-                    call.context.state.record_survival(&call.context.identity);
+                    call.context.state.record_survival(call.context.known_identity());
                     let gap = self.longest_gap.as_millis();
                     call.context.record_completion(
                         call.sends,
