fix(gateway): a request spares the last endpoint only after two ends under it

Found on rereading: after a single end, any request that had been in flight there was refused while one endpoint of its service was left, for up to five seconds. A single end has another reason far more often, and a popular sound request would be refused with it. Now two ends under the request, none answered since, are needed, one of them within five seconds.

--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -147,6 +147,8 @@
     const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
     /// The same for a request, which is sent to the next endpoint only after the end of one.
     const REQUEST_COMMON_CAUSE_TIME: Duration = Duration::from_millis(30);
+    /// Number of ends under a request after which it spares the last endpoint of its service.
+    const SEVERAL_ENDS: usize = 2;
     /// Time after an end in which the endpoint has not returned yet.
     const RETURN_TIME: Duration = Duration::from_secs(5);
     /// Number of ends at one moment of which a part must be under half to be their cause.
@@ -253,16 +255,19 @@
         self.records.keys().next_back().is_some_and(CrashSubject::is_request)
     }
 
-    /// Returns `true` if an endpoint ended under a request, or another one with the same subject, so
-    /// recently that it has not returned yet.
+    /// Returns `true` if several endpoints ended under a request, or others with one of its subjects,
+    /// none of which has been answered since, and one so recently that it has not returned yet.
+    ///
+    /// A single end has another reason far more often.
     #[must_use]
-    pub fn has_just_ended_one(&self, identity: &RequestIdentity, now: Moment) -> bool {
-        let records = subjects_of(identity);
-        let mut ends = records
-            .filter_map(|subject| self.records.get(&subject))
-            .filter(|record| record.survived_at.is_none())
-            .flat_map(|record| record.ends.values());
-        ends.any(|end| now.since(end.at) < Self::RETURN_TIME)
+    pub fn has_just_ended_several(&self, identity: &RequestIdentity, now: Moment) -> bool {
+        subjects_of(identity).any(|subject| {
+            let record = self.records.get(&subject).filter(|found| found.survived_at.is_none());
+            record.is_some_and(|record| {
+                let is_recent = |end: &SubjectEnd| now.since(end.at) < Self::RETURN_TIME;
+                record.ends.len() >= Self::SEVERAL_ENDS && record.ends.values().any(is_recent)
+            })
+        })
     }
 
     /// Sets the evidence against a subject aside, as an operator asks; returns `true` if it was blocked.
--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -207,13 +207,11 @@
         all.filter(move |entry| &entry.service == service && !entry.is_leaving)
     }
 
-    /// Returns how many endpoints of a service accept new work and are not avoided, and how many accept
-    /// new work.
+    /// Returns how many endpoints of a service accept new work and are not avoided.
     #[must_use]
-    pub fn usable_count(&self, service: &ServiceId, now: Moment) -> (usize, usize) {
-        let usable = self.live_entries(service);
-        let usable = usable.filter(|entry| !self.is_suspect(&entry.endpoint, now)).count();
-        (usable, self.live_entries(service).count())
+    pub fn usable_count(&self, service: &ServiceId, now: Moment) -> usize {
+        let live = self.live_entries(service);
+        live.filter(|entry| !self.is_suspect(&entry.endpoint, now)).count()
     }
 
     /// Returns all known endpoints, including those that are leaving.
--- a/crates/cassiafield-core/tests/crash_ledger.rs
+++ b/crates/cassiafield-core/tests/crash_ledger.rs
@@ -397,3 +397,16 @@
     end_under(&mut ledger, 1, &lookup("/bad", 1), at(10));
     assert!(ledger.needs_fingerprints());
 }
+
+/// Guards against a popular sound request that is refused because one endpoint of two has ended.
+#[test]
+fn one_end_spares_no_endpoint() {
+    let mut ledger = CrashLedger::default();
+    end_under(&mut ledger, 1, &lookup("/x", 1), at(0));
+    assert!(!ledger.has_just_ended_several(&lookup("/x", 2), at(10)));
+    end_under(&mut ledger, 2, &lookup("/x", 2), at(100));
+    assert!(ledger.has_just_ended_several(&lookup("/x", 3), at(110)));
+    assert!(!ledger.has_just_ended_several(&lookup("/x", 3), at(6_000)));
+    ledger.record_survival(&lookup("/x", 3), at(6_100));
+    assert!(!ledger.has_just_ended_several(&lookup("/x", 4), at(6_110)));
+}
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -757,23 +757,13 @@
         self.crashes.borrow().needs_fingerprints()
     }
 
-    /// Returns `true` if a request must not be sent to a service now: it may have ended endpoints of it,
-    /// and the last one in use should serve the others.
+    /// Returns `true` if a request must not be sent to a service now: endpoints of it have just ended
+    /// under it, and the last one in use should serve the others until they are back.
     #[must_use]
-    pub fn spares_last_endpoint(
-        &self,
-        service: &ServiceId,
-        identity: &RequestIdentity,
-        ends: u32,
-    ) -> bool {
+    pub fn spares_last_endpoint(&self, service: &ServiceId, identity: &RequestIdentity) -> bool {
         let now = self.now();
-        let crashes = self.crashes.borrow();
-        let is_suspect = ends > 0 || crashes.is_suspect(identity);
-        if !is_suspect {
-            return false;
-        }
-        let (usable, listed) = self.directory.borrow().usable_count(service, now);
-        usable <= 1 && (listed > usable || crashes.has_just_ended_one(identity, now))
+        self.crashes.borrow().has_just_ended_several(identity, now)
+            && self.directory.borrow().usable_count(service, now) <= 1
     }
 
     /// Records that a request's answer got under way.
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -83,7 +83,7 @@
             }
             let service = &self.context.service.service;
             let identity = self.context.known_identity();
-            if self.context.state.spares_last_endpoint(service, identity, self.ends.get()) {
+            if self.context.state.spares_last_endpoint(service, identity) {
                 return self.refuse_suspect(verdict);
             }
             let Some((entry, turn)) = self.choose_with_turn(&excluded).await else { break };
