--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -85,8 +85,8 @@
     1309 PlacerLeaseMissed Info "The host failed to acquire the placer's lease.";
     1310 EndpointPaused Info "An endpoint asked this host to send it nothing for a time.";
     1311 EndpointEnded Warning "An endpoint ended while requests without an answer were in flight there.";
-    1312 PromptPartBlocked Warning "A part of prompts is kept from endpoints, since endpoints ended under it.";
-    1313 PromptPartReleased Info "A part of prompts is no longer kept from endpoints.";
+    1312 PromptPartBlocked Warning "A part of prompts, or a request, is kept from endpoints, since endpoints ended under it.";
+    1313 PromptPartReleased Info "A part of prompts, or a request, is no longer kept from endpoints.";
     1314 EndpointLimited Info "An endpoint named the rate of requests that it takes from all hosts, or no longer does.";
     1401 StreamResumed Info "A stream resumed on another route.";
     1402 StreamGivenUp Warning "A stream ended before its answer was complete.";
