fix(gateway): a turn goes back if its caller has left before the grant came

Found on rereading: a request whose caller left while its query for a turn was under way lost the turn, so that an endpoint with a low limit stood idle for an interval. A reply that nobody waits for now gives its turn back; queries without a reply are forgotten above a bound.

--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -457,7 +457,7 @@
                 return;
             }
             PeerMessage::TurnReply { nonce, reply } => {
-                self.state.exchange.complete_turn_query(nonce, reply);
+                self.state.exchange.complete_turn_query(nonce, reply, from);
                 return;
             }
             PeerMessage::TurnReturn { life } => {
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -49,10 +49,17 @@
     zone_leaders: RefCell<ZoneLeaders>,
     pending: RefCell<HashMap<u64, oneshot::Sender<StateReply>>>,
     pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
-    pending_turns: RefCell<HashMap<u64, oneshot::Sender<Option<TurnReply>>>>,
+    pending_turns: RefCell<HashMap<u64, PendingTurn>>,
     next_nonce: Cell<u64>,
 }
 
+/// A query for a turn that has not been answered.
+#[derive(Debug)]
+struct PendingTurn {
+    life: EndpointLife,
+    sender: oneshot::Sender<Option<TurnReply>>,
+}
+
 /// A reply and the send time of its query.
 pub(super) struct ReceivedReply {
     pub(super) reply: StateReply,
@@ -69,6 +76,8 @@
 impl StateExchange {
     /// Timeout of a query for a turn; the caller waits meanwhile.
     const TURN_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
+    /// Number of queries for turns above which those are forgotten whose requests have gone.
+    const MAX_PENDING_TURNS: usize = 1_024;
     /// Timeout of a query for a retry; the caller waits meanwhile.
     const RETRY_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -181,9 +190,16 @@
         let socket = self.socket.borrow().clone()?;
         let nonce = self.next_nonce.get().wrapping_add(1);
         self.next_nonce.set(nonce);
+        let life = query.life.clone();
         let bytes = encode(&PeerMessage::TurnQuery { nonce, query })?;
         let (sender, receiver) = oneshot::channel();
-        self.pending_turns.borrow_mut().insert(nonce, sender);
+        {
+            let mut pending = self.pending_turns.borrow_mut();
+            if pending.len() >= Self::MAX_PENDING_TURNS {
+                pending.retain(|_, turn| !turn.sender.is_closed());
+            }
+            pending.insert(nonce, PendingTurn { life, sender });
+        }
         let reply = match socket.send_to(&bytes, granter).await {
             Ok(_) => timeout(Self::TURN_QUERY_TIMEOUT, receiver).await.ok().and_then(Result::ok),
             Err(error) => {
@@ -195,11 +211,19 @@
         reply
     }
 
-    /// Passes the reply to a query for a turn on; late replies are dropped.
-    pub(super) fn complete_turn_query(&self, nonce: u64, reply: Option<TurnReply>) {
-        if let Some(sender) = self.pending_turns.borrow_mut().remove(&nonce) {
-            // The query may have timed out meanwhile.
-            let _is_late = sender.send(reply).is_err();
+    /// Passes a granter's reply to a query for a turn on; the turn goes back if its request has gone.
+    pub(super) fn complete_turn_query(
+        &self,
+        nonce: u64,
+        reply: Option<TurnReply>,
+        granter: SocketAddr,
+    ) {
+        let Some(PendingTurn { life, sender }) = self.pending_turns.borrow_mut().remove(&nonce)
+        else {
+            return;
+        };
+        if let Err(Some(TurnReply::Granted { .. })) = sender.send(reply) {
+            self.return_turn(granter, life);
         }
     }
 
