fix(core): a new rate or the end of a limit frees an endpoint at once

Found on rereading: an endpoint that took nothing was left alone for up to ten seconds by hosts that had been told that no turn was free, although it took more meanwhile. What is known of free turns now ends with the word it belongs to. core endpoint_limits: the new test fails without the change by reading; 14 pass.

--- a/crates/cassiafield-core/src/process/endpoint_limits.rs
+++ b/crates/cassiafield-core/src/process/endpoint_limits.rs
@@ -96,9 +96,7 @@
         let Some(limit) = self.limits.get_mut(endpoint) else { return false };
         let is_news = limit.incarnation == incarnation && !limit.is_over && sent_at > limit.said_at;
         if is_news {
-            limit.is_over = true;
-            limit.said_at = sent_at;
-            limit.changed_at = sent_at;
+            *limit = EndpointLimit::new(incarnation, limit.rate, true, sent_at, sent_at);
         }
         is_news
     }
@@ -145,10 +143,8 @@
         }
         let is_news = said_at > limit.said_at || said_at == limit.said_at && !is_over;
         if is_news {
-            limit.rate = rate;
-            limit.is_over = is_over;
-            limit.said_at = said_at;
-            limit.changed_at = now;
+            // What was known of free turns held for the rate before.
+            *limit = EndpointLimit::new(incarnation, rate, is_over, said_at, now);
         }
         is_news
     }
--- a/crates/cassiafield-core/tests/endpoint_limits.rs
+++ b/crates/cassiafield-core/tests/endpoint_limits.rs
@@ -221,6 +221,18 @@
     assert_eq!(directory.service_unavailable_until(&service, now), Some(until));
 }
 
+/// Guards against an endpoint that is left alone after it takes more, since it had no turn free before.
+#[test]
+fn a_new_rate_or_the_end_of_a_limit_frees_the_endpoint() {
+    for (text, is_over) in [("50", false), ("0", true)] {
+        let mut limits = limited("0");
+        limits.record_full(&name(), at(9_000));
+        assert!(limits.full_until(&name(), FIRST, at(10)).is_some());
+        assert!(limits.merge(&name(), report(text, is_over, 0), at(500)));
+        assert_eq!(limits.full_until(&name(), FIRST, at(510)), None, "{text}");
+    }
+}
+
 /// Guards against a schedule that grants a burst when it begins, changes its rate or takes turns back.
 #[test]
 fn a_schedule_begins_with_nothing_and_keeps_one_turn_at_most() {
