--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod health_probe;
 mod in_flight_request;
 mod layer_placer;
+mod limit_tracking;
 mod log_writer;
 mod metric_builder;
 mod monitoring_server;
