docs(core): comments on limits and turns in the field's usual terms

Comments, and one private field (said_at to stated_at); no logic. Formatter, linter, the core's documentation tests, endpoint_limits and limit_model pass.

--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -305,7 +305,7 @@
         self.limits.merge(endpoint, report, now)
     }
 
-    /// Returns the last word of an endpoint on its limit, if there is one.
+    /// Returns the latest statement of an endpoint about its limit, if there is one.
     #[must_use]
     pub fn limit_report(&self, endpoint: &EndpointId, now: Moment) -> Option<LimitReport> {
         self.limits.report_of(endpoint, now)
--- a/crates/cassiafield-core/src/process/endpoint_limits.rs
+++ b/crates/cassiafield-core/src/process/endpoint_limits.rs
@@ -7,7 +7,7 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// The last words of endpoints on their limits, by endpoint.
+/// The latest statements of endpoints about their limits, by endpoint.
 pub type LimitReports = BTreeMap<EndpointId, LimitReport>;
 
 /// The rates of requests that endpoints take from all hosts together.
@@ -39,9 +39,9 @@
 struct EndpointLimit {
     incarnation: EndpointIncarnation,
     rate: RequestRate,
-    /// Time of the last word: when an answer with the limit came, or when the request was sent that
-    /// was answered without.
-    said_at: Moment,
+    /// Time of the latest statement: when an answer with the limit arrived, or when the request was
+    /// sent that was answered without one.
+    stated_at: Moment,
     is_over: bool,
     changed_at: Moment,
     /// Time until which no turn is free, as far as this host knows.
@@ -51,15 +51,15 @@
 }
 
 impl EndpointLimits {
-    /// The lowest rate: an endpoint that takes nothing is asked again from time to time, since
-    /// nothing else tells that it takes requests again.
+    /// The lowest rate in use: trial requests are the only way to learn that an endpoint with a limit
+    /// of zero accepts requests again.
     pub const TRIAL_RATE: RequestRate = RequestRate::per_million_seconds(100_000);
     /// Time in which requests return after a limit has ended.
     const RETURN_TIME: Duration = Duration::from_secs(2);
     /// Time in which the rate doubles meanwhile, and the rate at which that begins at least.
     const DOUBLING_TIME: Duration = Duration::from_millis(250);
     const MIN_RETURN_RATE: RequestRate = RequestRate::per_million_seconds(1_000_000);
-    /// Time for which the word of an endpoint that is not listed is kept.
+    /// Time for which the limit of an endpoint that is not listed is kept.
     const RETENTION: Duration = Duration::from_secs(600);
     /// Time for which a change is reported.
     const REPORT_TIME: Duration = Duration::from_secs(1);
@@ -94,7 +94,8 @@
         sent_at: Moment,
     ) -> bool {
         let Some(limit) = self.limits.get_mut(endpoint) else { return false };
-        let is_news = limit.incarnation == incarnation && !limit.is_over && sent_at > limit.said_at;
+        let is_news =
+            limit.incarnation == incarnation && !limit.is_over && sent_at > limit.stated_at;
         if is_news {
             *limit = EndpointLimit::new(incarnation, limit.rate, true, sent_at, sent_at);
         }
@@ -103,7 +104,7 @@
 
     /// Adds what a peer knows of an endpoint; returns `true` if that changes the limit.
     ///
-    /// An older word never overrides a newer one.
+    /// An older statement never overrides a newer one.
     pub fn merge(&mut self, endpoint: &EndpointId, report: LimitReport, now: Moment) -> bool {
         let age = Duration::from_millis(u64::from(report.age_ms));
         self.apply(endpoint, report, now.earlier_by(age), now)
@@ -113,38 +114,38 @@
         &mut self,
         endpoint: &EndpointId,
         report: LimitReport,
-        said_at: Moment,
+        stated_at: Moment,
         now: Moment,
     ) -> bool {
         let LimitReport { incarnation, rate, is_over, .. } = report;
         let Some(limit) = self.limits.get_mut(endpoint) else {
-            let is_past = is_over && now.since(said_at) >= Self::RETURN_TIME;
+            let is_past = is_over && now.since(stated_at) >= Self::RETURN_TIME;
             if is_past || self.limits.len() >= Self::MAX_LIMITS {
                 return false;
             }
-            let limit = EndpointLimit::new(incarnation, rate, is_over, said_at, now);
+            let limit = EndpointLimit::new(incarnation, rate, is_over, stated_at, now);
             self.limits.insert(endpoint.clone(), limit);
             return true;
         };
         if incarnation != limit.incarnation {
             if incarnation > limit.incarnation {
-                *limit = EndpointLimit::new(incarnation, rate, is_over, said_at, now);
+                *limit = EndpointLimit::new(incarnation, rate, is_over, stated_at, now);
             }
             return incarnation == limit.incarnation;
         }
         let is_same = rate == limit.rate && is_over == limit.is_over;
         if is_same {
-            // The own word may have come back from a peer.
-            let is_own = now == said_at;
-            if is_own || said_at > limit.said_at + Self::MESSAGE_DELAY {
-                limit.said_at = limit.said_at.max(said_at);
+            // A statement of this host may come back from a peer.
+            let is_own = now == stated_at;
+            if is_own || stated_at > limit.stated_at + Self::MESSAGE_DELAY {
+                limit.stated_at = limit.stated_at.max(stated_at);
             }
             return false;
         }
-        let is_news = said_at > limit.said_at || said_at == limit.said_at && !is_over;
+        let is_news = stated_at > limit.stated_at || stated_at == limit.stated_at && !is_over;
         if is_news {
             // What was known of free turns held for the rate before.
-            *limit = EndpointLimit::new(incarnation, rate, is_over, said_at, now);
+            *limit = EndpointLimit::new(incarnation, rate, is_over, stated_at, now);
         }
         is_news
     }
@@ -162,7 +163,7 @@
         if !limit.is_over {
             return Some(limit.rate.max(Self::TRIAL_RATE));
         }
-        let since_end = now.since(limit.said_at);
+        let since_end = now.since(limit.stated_at);
         (since_end < Self::RETURN_TIME).then(|| {
             let doublings = since_end.as_secs_f64() / Self::DOUBLING_TIME.as_secs_f64();
             limit.rate.max(Self::MIN_RETURN_RATE).scaled(doublings.exp2())
@@ -211,7 +212,7 @@
         limit.map_or(Duration::ZERO, |limit| limit.turn_at.since(now))
     }
 
-    /// Returns the last word of an endpoint, for the host that grants its turns.
+    /// Returns the latest statement of an endpoint, for the host that grants its turns.
     #[must_use]
     pub fn report_of(&self, endpoint: &EndpointId, now: Moment) -> Option<LimitReport> {
         self.limits.get(endpoint).map(|limit| limit.report(now))
@@ -233,10 +234,10 @@
         news.map(|(endpoint, limit)| (endpoint.clone(), limit.report(now))).collect()
     }
 
-    /// Forgets endpoints that are not listed and have said nothing for long.
+    /// Evicts endpoints that are not listed and have made no statement within the retention time.
     pub fn retain_listed(&mut self, is_listed: impl Fn(&EndpointId) -> bool, now: Moment) {
         self.limits.retain(|endpoint, limit| {
-            let is_recent = now.since(limit.said_at) < Self::RETENTION;
+            let is_recent = now.since(limit.stated_at) < Self::RETENTION;
             is_recent || !limit.is_over && is_listed(endpoint)
         });
     }
@@ -247,13 +248,13 @@
         incarnation: EndpointIncarnation,
         rate: RequestRate,
         is_over: bool,
-        said_at: Moment,
+        stated_at: Moment,
         now: Moment,
     ) -> Self {
         Self {
             incarnation,
             rate,
-            said_at,
+            stated_at,
             is_over,
             changed_at: now,
             full_until: Moment::ORIGIN,
@@ -266,7 +267,7 @@
             incarnation: self.incarnation,
             rate: self.rate,
             is_over: self.is_over,
-            age_ms: u32::try_from(now.since(self.said_at).as_millis()).unwrap_or(u32::MAX),
+            age_ms: u32::try_from(now.since(self.stated_at).as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/cassiafield-core/src/process/limit_report.rs
+++ b/crates/cassiafield-core/src/process/limit_report.rs
@@ -1,16 +1,16 @@
 use crate::{process::EndpointIncarnation, request::RequestRate};
 
-/// The last word of an endpoint on its limit, as hosts report it; it has an age since their clocks
-/// differ.
+/// The latest statement of an endpoint about its limit, as hosts report it; it has an age since their
+/// clocks differ.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct LimitReport {
-    /// The run of the endpoint whose word it is.
+    /// The run of the endpoint that made it.
     pub incarnation: EndpointIncarnation,
-    /// The rate that it named last.
+    /// The latest rate.
     pub rate: RequestRate,
-    /// Whether it has answered without a limit since.
+    /// Whether an answer without a limit followed.
     pub is_over: bool,
-    /// Time since that word, in milliseconds.
+    /// Time since the statement, in milliseconds.
     pub age_ms: u32,
 }
--- a/crates/cassiafield-core/src/process/turn_broker.rs
+++ b/crates/cassiafield-core/src/process/turn_broker.rs
@@ -24,9 +24,9 @@
 
 /// The turns at endpoints that take a limited rate, as one host sees them.
 ///
-/// The leader of an endpoint's availability zone grants its turns. A host that gets no answer for so
-/// long that the leader no longer counts it takes its own part of the limit without asking; a single
-/// lost message does not suffice.
+/// The leader of an endpoint's availability zone grants its turns. A host falls back to its own share
+/// of the limit once its queries have been unanswered for so long that the leader no longer counts it;
+/// a single lost message does not suffice.
 #[derive(Clone, Debug, Default)]
 pub struct TurnBroker {
     schedules: BTreeMap<EndpointLife, TurnSchedule>,
@@ -48,7 +48,7 @@
     const LEAD_TIME: Duration = Duration::from_millis(700);
     /// Silence after which the granter no longer counts this host, if messages to it are lost as well.
     const SILENCE_TIME: Duration = Duration::from_millis(1_500);
-    /// Time between two queries to a silent granter; requests do not wait for its answer meanwhile.
+    /// Interval between two queries to a silent granter; requests are refused in between.
     const QUERY_INTERVAL: Duration = Duration::from_millis(150);
     /// Upper bounds of the tables.
     const MAX_SCHEDULES: usize = 4_096;
@@ -117,7 +117,7 @@
         share.acquire(reach.own_rate(limit), spread, max_wait, now)
     }
 
-    /// Returns `true` if a granter may be asked now: it answers, or has not been asked just now.
+    /// Returns `true` if a granter may be queried now: it responds, or the query interval has passed.
     #[must_use]
     pub fn may_ask(&self, granter: SocketAddr, now: Moment) -> bool {
         let silence = self.silences.get(&granter);
@@ -137,7 +137,7 @@
         self.silences.entry(granter).or_insert(new).asked_at = asked_at;
     }
 
-    /// Forgets endpoints without a limit.
+    /// Evicts endpoints without a limit.
     pub fn retain_limited(&mut self, is_limited: impl Fn(&EndpointId) -> bool) {
         self.schedules.retain(|life, _| is_limited(&life.endpoint));
         self.shares.retain(|life, _| is_limited(&life.endpoint));
