--- a/crates/cassiafield-core/src/request/refusal_cause.rs
+++ b/crates/cassiafield-core/src/request/refusal_cause.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// No endpoint is available.
     NoEndpoint,
+    /// No endpoint could be reached from this host, nor another host that reaches one.
+    Unreachable,
     /// Endpoints have ended under requests with a part of this one's prompt.
     PromptBlocked,
     /// Endpoints have ended under this request each time it came.
@@ -45,7 +47,7 @@
 
 impl RefusalCause {
     /// All causes, for metrics and documentation.
-    pub const ALL: [RefusalCause; 18] = [
+    pub const ALL: [RefusalCause; 19] = [
         RefusalCause::BadRequest,
         RefusalCause::Unauthorised,
         RefusalCause::NotInPlan,
@@ -59,6 +61,7 @@
         RefusalCause::Concurrency,
         RefusalCause::Overloaded,
         RefusalCause::NoEndpoint,
+        RefusalCause::Unreachable,
         RefusalCause::PromptBlocked,
         RefusalCause::RequestBlocked,
         RefusalCause::EndpointFailed,
@@ -82,6 +85,7 @@
             RefusalCause::EndpointFailed => 502,
             RefusalCause::Overloaded
             | RefusalCause::NoEndpoint
+            | RefusalCause::Unreachable
             | RefusalCause::PromptBlocked
             | RefusalCause::RequestBlocked
             | RefusalCause::StoreUnavailable
@@ -106,6 +110,7 @@
             RefusalCause::Concurrency => "concurrency",
             RefusalCause::Overloaded => "overloaded",
             RefusalCause::NoEndpoint => "no-endpoint",
+            RefusalCause::Unreachable => "unreachable",
             RefusalCause::PromptBlocked => "prompt-blocked",
             RefusalCause::RequestBlocked => "request-blocked",
             RefusalCause::EndpointFailed => "endpoint-failed",
--- a/crates/cassiafield-gateway/src/connection/http_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/http_connection.rs
@@ -36,6 +36,19 @@
     }
 }
 
+impl ConnectionError {
+    /// Returns the label in metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            ConnectionError::Connect(_) => "connect",
+            ConnectionError::Unsent => "unsent",
+            ConnectionError::Broken(_) => "broken",
+            ConnectionError::TimedOut => "no-answer",
+        }
+    }
+}
+
 impl fmt::Display for ConnectionError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -53,6 +53,7 @@
     closed_connections: IntCounterVec,
     requests_cut: IntCounterVec,
     probes: IntCounter,
+    endpoint_failures: IntCounterVec,
     endpoint_pauses: IntCounter,
     sends_held_back: IntCounterVec,
     limit_changes: IntCounter,
@@ -179,6 +180,11 @@
             ),
             probes: builder
                 .counter("cassiafield_probes_total", "Endpoints asked whether they live"),
+            endpoint_failures: builder.counters(
+                "cassiafield_endpoint_failures_total",
+                "Failures of endpoints, by how this host noticed them",
+                &["failure"],
+            ),
             endpoint_pauses: builder
                 .counter("cassiafield_endpoint_pauses_total", "Pauses that endpoints asked for"),
             limit_changes: builder.counter(
@@ -315,6 +321,11 @@
         self.probes.inc();
     }
 
+    /// Counts a failure of an endpoint, which a host notices in the named way.
+    pub fn count_endpoint_failure(&self, failure: &'static str) {
+        self.endpoint_failures.with_label_values(&[failure]).inc();
+    }
+
     /// Counts a pause that an endpoint asked for.
     pub fn count_endpoint_pause(&self) {
         self.endpoint_pauses.inc();
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -410,6 +410,7 @@
 
     /// Records that a request to an endpoint failed without a response.
     pub fn record_endpoint_failure(&self, endpoint: &EndpointId, error: &ConnectionError) {
+        self.metrics.count_endpoint_failure(error.name());
         let is_model_endpoint =
             self.directory.borrow().entry(endpoint).is_some_and(|e| e.accelerator.is_some());
         if is_model_endpoint && matches!(error, ConnectionError::Connect(_)) {
@@ -512,6 +513,7 @@
 
     /// Records that a model endpoint did not respond to this host, and notifies peers.
     pub fn record_unresponsive(&self, endpoint: &EndpointId) {
+        self.metrics.count_endpoint_failure("no-response");
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response"));
         let mut directory = self.directory.borrow_mut();
         directory.record_unresponsive(endpoint, self.now());
@@ -536,6 +538,7 @@
         let is_own_zone = directory.entry(endpoint).is_some_and(|e| e.zone == self.settings.zone);
         drop(directory);
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response to a peer"));
+        self.metrics.count_endpoint_failure("peer-report");
         self.record_endpoint_end(endpoint);
         self.probe.notify_waiters();
         if is_own_zone && self.is_zone_leader() {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -34,6 +34,8 @@
     Failed(Response<ResponseBody>),
     /// The request did not run.
     NotRun,
+    /// The request did not run: no connection to the endpoint could be opened.
+    Unreachable,
     /// The request may have run, but there is no response.
     MayHaveRun,
 }
@@ -69,6 +71,7 @@
         let mut verdict = RequestVerdict::NotRun;
         let mut failed_response = None;
         let mut sends = 0;
+        let mut unreachable = 0;
         for _ in 0..Self::MAX_ENDPOINTS_TRIED {
             if sends >= self.context.rule.attempts.max(1) || self.context.remaining_time().is_zero()
             {
@@ -96,6 +99,7 @@
             match outcome {
                 EndpointOutcome::Response(response) => return response,
                 EndpointOutcome::NotRun => {}
+                EndpointOutcome::Unreachable => unreachable += 1,
                 EndpointOutcome::Failed(response) => {
                     verdict = RequestVerdict::Ran;
                     failed_response = Some(response);
@@ -106,7 +110,9 @@
                 break;
             }
         }
-        let Some(response) = failed_response else { return self.refuse(verdict, excluded.len()) };
+        let Some(response) = failed_response else {
+            return self.refuse(verdict, excluded.len(), unreachable);
+        };
         let status = response.status().as_u16();
         self.context.record_completion(sends, format_args!("status {status} forwarded"));
         response
@@ -161,7 +167,14 @@
     }
 
     /// Refuses a request that got no response from any endpoint.
-    fn refuse(&self, verdict: RequestVerdict, tried: usize) -> Response<ResponseBody> {
+    ///
+    /// To `unreachable` of the endpoints tried, no connection could be opened.
+    fn refuse(
+        &self,
+        verdict: RequestVerdict,
+        tried: usize,
+        unreachable: usize,
+    ) -> Response<ResponseBody> {
         let now = self.context.state.now();
         let service = &self.context.service.service;
         let blocked_until =
@@ -170,6 +183,9 @@
             RequestVerdict::NotRun if tried == 0 && blocked_until.is_none() => {
                 RefusalCause::NoEndpoint
             }
+            RequestVerdict::NotRun if tried > 0 && unreachable == tried => {
+                RefusalCause::Unreachable
+            }
             RequestVerdict::NotRun => RefusalCause::Overloaded,
             RequestVerdict::MayHaveRun | RequestVerdict::Ran => RefusalCause::EndpointFailed,
         };
@@ -297,6 +313,9 @@
     fn record_failure(&self, entry: &EndpointEntry, error: &ConnectionError) -> EndpointOutcome {
         self.context.state.record_endpoint_failure(&entry.endpoint, error);
         match error.verdict() {
+            RequestVerdict::NotRun if matches!(error, ConnectionError::Connect(_)) => {
+                EndpointOutcome::Unreachable
+            }
             RequestVerdict::NotRun => EndpointOutcome::NotRun,
             RequestVerdict::MayHaveRun | RequestVerdict::Ran => EndpointOutcome::MayHaveRun,
         }
@@ -371,7 +390,7 @@
     const fn verdict(&self) -> RequestVerdict {
         match self {
             EndpointOutcome::Response(_) | EndpointOutcome::Failed(_) => RequestVerdict::Ran,
-            EndpointOutcome::NotRun => RequestVerdict::NotRun,
+            EndpointOutcome::NotRun | EndpointOutcome::Unreachable => RequestVerdict::NotRun,
             EndpointOutcome::MayHaveRun => RequestVerdict::MayHaveRun,
         }
     }
@@ -383,6 +402,7 @@
             EndpointOutcome::Response(_) => f.write_str("answered"),
             EndpointOutcome::Failed(response) => write!(f, "failed with {}", response.status()),
             EndpointOutcome::NotRun => f.write_str("not run"),
+            EndpointOutcome::Unreachable => f.write_str("no connection"),
             EndpointOutcome::MayHaveRun => f.write_str("no answer"),
         }
     }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -70,6 +70,8 @@
     NoPath(RefusalCause),
     /// The endpoint did not run the request.
     NotRun,
+    /// No connection to the endpoint could be opened.
+    Unreachable,
     /// The request may have run, but there is no response.
     MayHaveRun,
     /// The endpoint responded with an error.
@@ -158,6 +160,7 @@
                     break;
                 }
                 Err(AttemptError::NotRun) => cause = RefusalCause::Overloaded,
+                Err(AttemptError::Unreachable) => cause = RefusalCause::Unreachable,
                 Err(AttemptError::MayHaveRun) => verdict = RequestVerdict::MayHaveRun,
                 Err(AttemptError::Failed(response)) => {
                     let status = response.status().as_u16();
@@ -267,7 +270,7 @@
                 + state.return_spread(&self.context.service.service);
             return until.since(state.now()) + spread;
         }
-        if cause == RefusalCause::NoEndpoint {
+        if matches!(cause, RefusalCause::NoEndpoint | RefusalCause::Unreachable) {
             return Self::UNAVAILABLE_RETRY_DELAY.mul_f64(1.0 + 2.0 * fastrand::f64());
         }
         let state = &self.context.state;
@@ -564,6 +567,9 @@
         self.context.state.record_endpoint_failure(endpoint, error);
         self.excluded.push(endpoint.clone());
         match error.verdict() {
+            RequestVerdict::NotRun if matches!(error, ConnectionError::Connect(_)) => {
+                AttemptError::Unreachable
+            }
             RequestVerdict::NotRun => AttemptError::NotRun,
             RequestVerdict::MayHaveRun | RequestVerdict::Ran => AttemptError::MayHaveRun,
         }
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -610,7 +610,7 @@
         call.acquire_resume().await?;
         match call.attempt(last_event, wait).await {
             Ok((_, attempt, events)) => return Ok((attempt, events)),
-            Err(AttemptError::NotRun | AttemptError::MayHaveRun) => {}
+            Err(AttemptError::NotRun | AttemptError::Unreachable | AttemptError::MayHaveRun) => {}
             Err(error) => return Err(give_up_reason(&error)),
         }
     }
@@ -621,8 +621,9 @@
         AttemptError::NoPath(RefusalCause::Overloaded) => GiveUpReason::Overloaded,
         AttemptError::NoPath(RefusalCause::PromptBlocked) => GiveUpReason::PromptBlocked,
         AttemptError::NoPath(_) => GiveUpReason::NoEndpoint,
-        AttemptError::NotRun | AttemptError::MayHaveRun | AttemptError::Failed(_) => {
-            GiveUpReason::EndpointFailed
-        }
+        AttemptError::NotRun
+        | AttemptError::Unreachable
+        | AttemptError::MayHaveRun
+        | AttemptError::Failed(_) => GiveUpReason::EndpointFailed,
     }
 }
--- a/crates/cassiafield/src/process/request_trace.rs
+++ b/crates/cassiafield/src/process/request_trace.rs
@@ -144,6 +144,9 @@
         Some(RefusalCause::NoEndpoint) => {
             format!("no endpoint in use could take it, {}", decision.detail)
         }
+        Some(RefusalCause::Unreachable) => {
+            format!("the host had no way to an endpoint, {}", decision.detail)
+        }
         Some(RefusalCause::EndpointFailed) => match failure {
             Some(line) => {
                 let endpoint = line.endpoint.as_deref().unwrap_or("an endpoint of its path");
@@ -195,7 +198,10 @@
     let is_any = |line: &LogRecord, events: &[LogEvent]| {
         events.iter().any(|event| event.number() == line.number)
     };
-    let lacks_capacity = matches!(cause, Some(RefusalCause::Overloaded | RefusalCause::NoEndpoint));
+    let lacks_capacity = matches!(
+        cause,
+        Some(RefusalCause::Overloaded | RefusalCause::NoEndpoint | RefusalCause::Unreachable)
+    );
     let is_related = |line: &&LogRecord| {
         line.host == decision.host
             && line.timestamp <= decision.timestamp
