--- a/crates/cassiafield-core/src/process/crash_ledger.rs
+++ b/crates/cassiafield-core/src/process/crash_ledger.rs
@@ -205,6 +205,18 @@
         self.breaks.push_back(broken);
     }
 
+    /// Forgets the broken connections to an endpoint: this host had lost its way to it.
+    pub fn forget_breaks(&mut self, endpoint: &EndpointId) {
+        self.breaks.retain(|broken| broken.lives.iter().all(|life| &life.endpoint != endpoint));
+    }
+
+    /// Returns `true` if connections to an endpoint broke lately under requests without an answer.
+    #[must_use]
+    pub fn has_breaks(&self, endpoint: &EndpointId) -> bool {
+        let is_at = |life: &EndpointLife| &life.endpoint == endpoint;
+        self.breaks.iter().any(|broken| broken.lives.iter().any(is_at))
+    }
+
     /// Records that an endpoint has ended; returns what was in flight there.
     pub fn record_end(&mut self, endpoint: &EndpointId, now: Moment) -> EndSummary {
         self.expire(now);
--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -466,6 +466,13 @@
         }
     }
 
+    /// Forgets the failures that this host found at a service's endpoints: it had no way to them.
+    pub fn forget_failures(&mut self, service: &ServiceId) {
+        for known in self.known.values_mut().filter(|known| &known.entry.service == service) {
+            known.clear_failures();
+        }
+    }
+
     /// Records that an endpoint responded to this host at `at`.
     pub fn record_response(&mut self, endpoint: &EndpointId, at: Moment) {
         if let Some(known) = self.known.get_mut(endpoint) {
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowance_ledger;
 mod allowance_share;
+mod carrier_directory;
 mod connection_activity;
 mod crash_ledger;
 mod crash_report;
@@ -12,6 +13,7 @@
 mod endpoint_health;
 mod endpoint_limits;
 mod endpoint_pauses;
+mod endpoint_reach;
 mod endpoint_record;
 mod endpoint_table;
 mod engine_load;
@@ -52,6 +54,7 @@
 pub use self::{
     allowance_ledger::{AllowanceLedger, AllowanceRefusal},
     allowance_share::{AllowanceKey, AllowanceKind, AllowanceLoan, AllowanceShare, LoanId},
+    carrier_directory::{CarrierDirectory, CarrierStatus, ListedHost, RequestCarrier},
     connection_activity::{ClosePolicy, CloseReason, ConnectionActivity, ConnectionPhase},
     crash_ledger::{BlockedSubject, CrashLedger, EndSummary},
     crash_report::{CrashReport, SubjectEndReport, SubjectReport},
@@ -61,6 +64,7 @@
     endpoint_health::EndpointHealth,
     endpoint_limits::{EndpointLimits, LimitReports},
     endpoint_pauses::EndpointPauses,
+    endpoint_reach::EndpointReach,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
     endpoint_table::EndpointTable,
     engine_load::{EngineLoad, EngineReading, EngineUsage, LoadReservation, SharedReading},
--- /dev/null
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -0,0 +1,125 @@
+use {
+    crate::ids::{EndpointId, HostId, IdError},
+    std::{fmt, num::ParseIntError, str::FromStr, time::Duration},
+};
+
+/// What a host tells another one about a request that it hands over.
+///
+/// ```
+/// use cassiafield_core::request::CarryNote;
+///
+/// let text = "host-1 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no sent-to=i-1";
+/// let note: CarryNote = text.parse()?;
+/// assert_eq!((note.elapsed.as_millis(), note.sends), (120, 1));
+/// assert_eq!(note.to_string(), text);
+/// # Ok::<(), cassiafield_core::request::CarryNoteError>(())
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CarryNote {
+    /// The host that took the request from its caller.
+    pub host: HostId,
+    /// Time since that host received the request, in whole milliseconds.
+    pub elapsed: Duration,
+    /// Number of times that it sent the request to endpoints.
+    pub sends: u32,
+    /// Number of endpoints that ended under the request.
+    pub ends: u32,
+    /// Revision of the configuration that it has.
+    pub revision: u64,
+    /// Whether it has counted the answer for the organisation.
+    pub is_counted: bool,
+    /// First endpoints of the paths that it sent the request over.
+    pub sent_to: Vec<EndpointId>,
+}
+
+/// Why a text is not a valid note.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CarryNoteError {
+    /// A field is missing, or another one stands in its place; holds the expected name.
+    Missing(&'static str),
+    /// A name is invalid.
+    Name(IdError),
+    /// A number is invalid; holds the field's name.
+    Number(&'static str, ParseIntError),
+    /// The field `counted` is neither `yes` nor `no`.
+    NotYesOrNo,
+    /// The note names more endpoints than a request can have been sent to.
+    TooManyEndpoints(usize),
+}
+
+impl CarryNote {
+    /// Largest number of endpoints in a note.
+    const MAX_ENDPOINTS: usize = 16;
+}
+
+impl fmt::Display for CarryNote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counted = if self.is_counted { "yes" } else { "no" };
+        write!(
+            f,
+            "{} elapsed-ms={} sends={} ends={} revision={} counted={counted} sent-to=",
+            self.host,
+            self.elapsed.as_millis(),
+            self.sends,
+            self.ends,
+            self.revision,
+        )?;
+        let names: Vec<&str> = self.sent_to.iter().map(EndpointId::as_str).collect();
+        f.write_str(&names.join(","))
+    }
+}
+
+impl FromStr for CarryNote {
+    type Err = CarryNoteError;
+
+    fn from_str(text: &str) -> Result<Self, CarryNoteError> {
+        let mut parts = text.split(' ');
+        let host = parts.next().unwrap_or_default().parse().map_err(CarryNoteError::Name)?;
+        let mut field = |name: &'static str| {
+            let value = parts.next().and_then(|part| part.strip_prefix(name)?.strip_prefix('='));
+            value.ok_or(CarryNoteError::Missing(name))
+        };
+        let elapsed_ms = parse_number("elapsed-ms", field("elapsed-ms")?)?;
+        let sends = parse_number("sends", field("sends")?)?;
+        let ends = parse_number("ends", field("ends")?)?;
+        let revision = parse_number("revision", field("revision")?)?;
+        let is_counted = match field("counted")? {
+            "yes" => true,
+            "no" => false,
+            _ => return Err(CarryNoteError::NotYesOrNo),
+        };
+        let names = field("sent-to")?.split(',').filter(|name| !name.is_empty());
+        let sent_to: Vec<EndpointId> =
+            names.map(str::parse).collect::<Result<_, _>>().map_err(CarryNoteError::Name)?;
+        if sent_to.len() > Self::MAX_ENDPOINTS {
+            return Err(CarryNoteError::TooManyEndpoints(sent_to.len()));
+        }
+        let elapsed = Duration::from_millis(elapsed_ms);
+        Ok(Self { host, elapsed, sends, ends, revision, is_counted, sent_to })
+    }
+}
+
+fn parse_number<T>(name: &'static str, text: &str) -> Result<T, CarryNoteError>
+where
+    T: FromStr<Err = ParseIntError>,
+{
+    text.parse().map_err(|error| CarryNoteError::Number(name, error))
+}
+
+impl fmt::Display for CarryNoteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CarryNoteError::Missing(name) => write!(f, "the field {name} is missing"),
+            CarryNoteError::Name(error) => error.fmt(f),
+            CarryNoteError::Number(name, error) => write!(f, "the field {name}: {error}"),
+            CarryNoteError::NotYesOrNo => f.write_str("the field counted is neither yes nor no"),
+            CarryNoteError::TooManyEndpoints(count) => write!(
+                f,
+                "the field sent-to has {count} endpoints, at most {} are taken",
+                CarryNote::MAX_ENDPOINTS
+            ),
+        }
+    }
+}
+
+impl std::error::Error for CarryNoteError {}
--- a/crates/cassiafield-core/src/request/give_up_reason.rs
+++ b/crates/cassiafield-core/src/request/give_up_reason.rs
@@ -19,11 +19,13 @@
     EndpointFailed,
     /// Endpoints have ended under requests with a part of this one's prompt.
     PromptBlocked,
+    /// This host has lost its way to endpoints, and the one that handed the stream over goes on elsewhere.
+    OutOfReach,
 }
 
 impl GiveUpReason {
     /// All reasons, for metrics and documentation.
-    pub const ALL: [GiveUpReason; 8] = [
+    pub const ALL: [GiveUpReason; 9] = [
         GiveUpReason::DeadlineExceeded,
         GiveUpReason::NotResumable,
         GiveUpReason::SendLimit,
@@ -32,6 +34,7 @@
         GiveUpReason::Overloaded,
         GiveUpReason::EndpointFailed,
         GiveUpReason::PromptBlocked,
+        GiveUpReason::OutOfReach,
     ];
 
     /// Returns `true` if the stream will not be sent again however long its caller waits.
@@ -43,6 +46,7 @@
                 | GiveUpReason::NotResumable
                 | GiveUpReason::SendLimit
                 | GiveUpReason::PromptBlocked
+                | GiveUpReason::OutOfReach
         )
     }
 
@@ -58,6 +62,7 @@
             GiveUpReason::Overloaded => "overloaded",
             GiveUpReason::EndpointFailed => "endpoint-failed",
             GiveUpReason::PromptBlocked => "prompt-blocked",
+            GiveUpReason::OutOfReach => "out-of-reach",
         }
     }
 }
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_assembly;
 mod call_claim;
+mod carry_note;
 mod event_splitter;
 mod give_up_reason;
 mod layer_span;
@@ -20,6 +21,7 @@
 pub use self::{
     answer_assembly::{AnswerAssembly, DropReason, FrameAction},
     call_claim::{CallClaim, CallOutcome, ClaimEvent, ClaimRecord, ClaimState, ClaimStep},
+    carry_note::{CarryNote, CarryNoteError},
     event_splitter::{EventError, EventSplitter, StreamEvent},
     give_up_reason::GiveUpReason,
     layer_span::{LayerSpan, SpanError},
--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -3,6 +3,7 @@
 mod body_budget;
 mod caller_connection;
 mod caller_listener;
+mod carrier_connector;
 mod connection_pool;
 mod connection_registry;
 mod http_connection;
@@ -15,6 +16,7 @@
     body_budget::{BodyBudget, BodyError},
     caller_connection::{CallerConnection, RequestLabel, ResponseGuard},
     caller_listener::{CallerListener, CallerService},
+    carrier_connector::{CarriedRequest, CarriedResponse, CarrierConnector, HttpCarrierConnector},
     connection_pool::{ConnectionPool, PooledConnection},
     connection_registry::ConnectionRegistry,
     http_connection::{ConnectionError, HttpConnection},
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -40,7 +40,7 @@
             let rest = Self::POLL_INTERVAL - Self::MIN_POLL_INTERVAL;
             // The poll follows in either case.
             drop(timeout(rest, self.state.poll_requested.notified()).await);
-            if self.state.is_zone_leader() {
+            if self.state.is_zone_leader() && !self.state.gives_up_lead() {
                 self.poll_all().await;
             } else {
                 self.connections.clear();
@@ -91,11 +91,14 @@
     if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
         state.load.borrow_mut().record_reading(endpoint.clone(), report.reading, now);
         state.directory.borrow_mut().record_response(&endpoint, now);
+        if let Some(service) = state.service_of(&endpoint) {
+            state.record_answer(&service);
+        }
     } else {
         connection = None;
         // An endpoint that refuses its report and asks for a pause has responded.
         if !state.is_paused(&endpoint) {
-            state.record_unresponsive(&endpoint);
+            state.record_probe_failure(&endpoint, now).await;
         }
     }
     (endpoint, connection)
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -54,6 +54,9 @@
     requests_cut: IntCounterVec,
     probes: IntCounter,
     endpoint_failures: IntCounterVec,
+    way_losses: IntCounter,
+    carried: IntCounterVec,
+    carried_for_others: IntCounterVec,
     endpoint_pauses: IntCounter,
     sends_held_back: IntCounterVec,
     limit_changes: IntCounter,
@@ -185,6 +188,20 @@
                 "Failures of endpoints, by how this host noticed them",
                 &["failure"],
             ),
+            way_losses: builder.counter(
+                "cassiafield_way_losses_total",
+                "Times that this host lost its way to a service's endpoints",
+            ),
+            carried: builder.counters(
+                "cassiafield_carried_total",
+                "Requests handed to other hosts, by what came of it",
+                &["outcome"],
+            ),
+            carried_for_others: builder.counters(
+                "cassiafield_carried_for_others_total",
+                "Requests that other hosts handed over, by whether they were taken",
+                &["taken"],
+            ),
             endpoint_pauses: builder
                 .counter("cassiafield_endpoint_pauses_total", "Pauses that endpoints asked for"),
             limit_changes: builder.counter(
@@ -326,6 +343,21 @@
         self.endpoint_failures.with_label_values(&[failure]).inc();
     }
 
+    /// Counts the loss of this host's way to a service's endpoints.
+    pub fn count_way_loss(&self) {
+        self.way_losses.inc();
+    }
+
+    /// Counts a request that was handed to another host.
+    pub fn count_carried(&self, outcome: &'static str) {
+        self.carried.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a request that another host handed over.
+    pub fn count_carried_for_other(&self, is_taken: bool) {
+        self.carried_for_others.with_label_values(&[if is_taken { "yes" } else { "no" }]).inc();
+    }
+
     /// Counts a pause that an endpoint asked for.
     pub fn count_endpoint_pause(&self) {
         self.endpoint_pauses.inc();
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -8,7 +8,7 @@
             verdict_keeper::VerdictKeeper, EngineMonitor, GatewaySettings, GatewayState,
             LayerPlacer, PeerLink, ProcessSignals, StoreSync,
         },
-        request::HostService,
+        request::{CarrierService, HostService},
     },
     anyhow::Context as _,
     cassiafield::process::{LogEvent, RequestDecision},
@@ -88,14 +88,39 @@
             "host {} zone {} callers {caller_address} store {}",
             settings.host, settings.zone, settings.store_address,
         ));
-        Self::spawn_background(&state, readiness_server).await;
         let service = Rc::new(HostService::new(Rc::clone(&state)));
         let connections = Rc::new(ConnectionRegistry::default());
+        Self::serve_hosts(&state, &service, &connections, max_connections);
+        Self::spawn_background(&state, readiness_server).await;
         let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
         let listener = spawn_local(serving);
         Ok(RunningHost { state, service, connections, listener, caller_address, ready_address })
     }
 
+    /// Serves the requests that other hosts hand over.
+    ///
+    /// A host that cannot listen there serves its callers, and the others hand their requests elsewhere.
+    fn serve_hosts(
+        state: &Rc<GatewayState>,
+        service: &Rc<HostService>,
+        connections: &Rc<ConnectionRegistry>,
+        max_connections: usize,
+    ) {
+        let address = state.settings.carry_address;
+        let bound = CallerListener::bind(address, max_connections);
+        let bound = bound.and_then(|listener| Ok((listener.address()?, listener)));
+        match bound {
+            Ok((SocketAddr::V4(address), listener)) => {
+                state.carry_address.set(Some(address));
+                let service = Rc::new(CarrierService::new(Rc::clone(service)));
+                spawn_local(listener.serve(service, Rc::clone(connections)));
+            }
+            Ok((SocketAddr::V6(_), _)) => unreachable!("bound to an IPv4 address"),
+            Err(error) => LogEvent::AcceptFailed
+                .log(format_args!("requests of other hosts at {address}: {error}")),
+        }
+    }
+
     async fn spawn_background(state: &Rc<GatewayState>, readiness_server: MonitoringServer) {
         let readiness = Rc::clone(state);
         spawn_local(readiness_server.serve(Rc::new(move |_, _| {
@@ -119,6 +144,7 @@
         spawn_local(LayerPlacer::new(Rc::clone(state)).run());
         spawn_local(EngineMonitor::new(Rc::clone(state)).run());
         spawn_local(HealthProbe::run_trials(Rc::clone(state)));
+        spawn_local(Rc::clone(state).run_reach_trials());
         spawn_local(VerdictKeeper::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
--- a/crates/cassiafield-gateway/src/process/gateway_settings.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_settings.rs
@@ -19,6 +19,8 @@
     pub ready_address: SocketAddrV4,
     /// UDP address that receives messages of peers.
     pub peer_address: SocketAddrV4,
+    /// TCP address at which other hosts hand over requests; with port 0 any port.
+    pub carry_address: SocketAddrV4,
     /// Address that serves metrics.
     pub metrics_address: SocketAddrV4,
     /// Address of the platform's store.
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -1,29 +1,36 @@
 use {
     crate::{
-        connection::{BodyBudget, ConnectionError, ConnectionPool, HttpConnection, PlatformCodec},
+        connection::{
+            BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
+        },
         process::{
-            dropped_line_count, health_probe::HealthProbe, in_flight_request::DispatchedRequest,
-            retry_broker::RetryBroker, state_exchange::StateExchange, AdmissionQueue, BootClock,
-            GatewayMetrics, GatewaySettings, GaugeValues, InFlightRequest, ReservedLoad, SendTurn,
-            SenderKind,
+            dropped_line_count,
+            health_probe::{HealthProbe, PathFailure},
+            in_flight_request::DispatchedRequest,
+            reach_tracking::{EndpointFate, ReachChecks},
+            retry_broker::RetryBroker,
+            state_exchange::StateExchange,
+            AdmissionQueue, BootClock, GatewayMetrics, GatewaySettings, GaugeValues,
+            InFlightRequest, ReservedLoad, SendTurn, SenderKind,
         },
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
         ids::{CrashSubject, EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
-            BlockedSubject, CrashLedger, CrashReport, DataAge, EndpointDirectory, EndpointLife,
-            EngineLoad, FailureReport, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
-            VersionOrder, VersionVerdict, ZoneMembers,
+            BlockedSubject, CarrierDirectory, CrashLedger, CrashReport, DataAge, EndpointDirectory,
+            EndpointLife, EndpointReach, EngineLoad, FailureReport, ListedEntries,
+            OrganisationLoad, RevisionNotice, TurnBroker, VersionOrder, VersionVerdict,
+            ZoneMembers,
         },
-        request::{RequestIdentity, RetryAfter, StageRoute},
+        request::{RequestIdentity, RetryAfter, RouteStage, StageRoute},
         version::{CallerLimits, RouteTable, ServiceRule},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
         cell::{Cell, RefCell},
         fmt,
-        net::SocketAddr,
+        net::{SocketAddr, SocketAddrV4},
         rc::Rc,
         time::Duration,
     },
@@ -49,6 +56,15 @@
     pub load: RefCell<EngineLoad>,
     /// The other hosts of the availability zone.
     pub(super) members: RefCell<ZoneMembers>,
+    /// The hosts that may carry requests for this one.
+    pub carriers: RefCell<CarrierDirectory>,
+    /// The address at which this host takes requests of others, once it does.
+    pub(super) carry_address: Cell<Option<SocketAddrV4>>,
+    /// Opens connections to hosts that carry requests.
+    pub connector: Box<dyn CarrierConnector>,
+    /// The ways of this host to endpoints.
+    pub(super) reach: RefCell<EndpointReach>,
+    pub(super) reach_checks: RefCell<ReachChecks>,
     /// What speaks for and against the parts of prompts.
     pub(super) crashes: RefCell<CrashLedger>,
     /// Held by the one request under suspicion that is being sent.
@@ -60,6 +76,8 @@
     /// Streams that wait for memory at model endpoints.
     pub admission_queue: AdmissionQueue,
     pub(super) in_flight: Cell<u32>,
+    /// Requests in flight that other hosts have handed over.
+    pub(super) carried: Cell<u32>,
     pub(super) live_hosts: Cell<usize>,
     pub(super) exchange: StateExchange,
     pub(super) endpoint_list: RefCell<ListedEntries>,
@@ -121,12 +139,18 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             members: RefCell::default(),
+            carriers: RefCell::default(),
+            carry_address: Cell::default(),
+            connector: Box::new(HttpCarrierConnector),
+            reach: RefCell::default(),
+            reach_checks: RefCell::default(),
             crashes: RefCell::default(),
             suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
             in_flight: Cell::new(0),
+            carried: Cell::new(0),
             live_hosts: Cell::new(1),
             exchange: StateExchange::default(),
             endpoint_list: RefCell::default(),
@@ -209,7 +233,7 @@
     /// Records that the peer at `address` has a revision of the configuration.
     ///
     /// Returns `true` if it is newer than all that this host knows of.
-    pub(super) fn record_revision(&self, revision: u64, what: &str, address: SocketAddr) -> bool {
+    pub fn record_revision(&self, revision: u64, what: &str, address: SocketAddr) -> bool {
         let own = self.configuration_revision();
         let mut notice = self.revision_notice.get();
         let is_news = notice.record(revision, own, self.now());
@@ -297,6 +321,7 @@
             && self.table.borrow().is_some()
             && self.configuration_age.get().is_within(max_age, self.now())
             && !self.directory.borrow().is_empty()
+            && !self.is_cut_off()
     }
 
     /// Returns `true` if callers should reconnect to other hosts.
@@ -349,10 +374,11 @@
         self.in_flight.get()
     }
 
-    /// Counts a request as in flight until the guard is dropped.
+    /// Counts a request as in flight until the guard is dropped; `is_carried` if another host handed
+    /// it over.
     #[must_use]
-    pub fn track_request(self: &Rc<Self>) -> InFlightRequest {
-        InFlightRequest::new(Rc::clone(self))
+    pub fn track_request(self: &Rc<Self>, is_carried: bool) -> InFlightRequest {
+        InFlightRequest::new(Rc::clone(self), is_carried)
     }
 
     /// Counts a request as in flight at an endpoint until the guard is dropped.
@@ -408,23 +434,6 @@
         self.retries.grant(service, self.live_hosts.get(), self.now())
     }
 
-    /// Records that a request to an endpoint failed without a response.
-    pub fn record_endpoint_failure(&self, endpoint: &EndpointId, error: &ConnectionError) {
-        self.metrics.count_endpoint_failure(error.name());
-        let is_model_endpoint =
-            self.directory.borrow().entry(endpoint).is_some_and(|e| e.accelerator.is_some());
-        if is_model_endpoint && matches!(error, ConnectionError::Connect(_)) {
-            self.record_unresponsive(endpoint);
-            return;
-        }
-        LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: {error}"));
-        let mut directory = self.directory.borrow_mut();
-        directory.record_failure(endpoint, self.now());
-        if let Some(entry) = directory.entry(endpoint) {
-            self.pool.remove(entry.address);
-        }
-    }
-
     /// Records that an endpoint did not run a request and said so.
     ///
     /// The endpoint is avoided only if another instance answers at its address; a full endpoint is
@@ -530,7 +539,11 @@
     ///
     /// If the endpoint is unresponsive, the leader of its availability zone polls the zone's
     /// endpoints at once.
-    pub(super) fn record_peer_failure(&self, endpoint: &EndpointId, report: FailureReport) {
+    pub(super) fn record_peer_failure(
+        self: &Rc<Self>,
+        endpoint: &EndpointId,
+        report: FailureReport,
+    ) {
         let mut directory = self.directory.borrow_mut();
         if !directory.record_peer_failure(endpoint, report, self.now()) {
             return;
@@ -539,7 +552,7 @@
         drop(directory);
         LogEvent::EndpointFailed.log(format_args!("endpoint {endpoint}: no response to a peer"));
         self.metrics.count_endpoint_failure("peer-report");
-        self.record_endpoint_end(endpoint);
+        self.confirm_end(endpoint);
         self.probe.notify_waiters();
         if is_own_zone && self.is_zone_leader() {
             self.poll_requested.notify_one();
@@ -644,7 +657,7 @@
     ///
     /// `route` is empty for a plain service. Any endpoint of a route may have ended.
     pub async fn record_request_break(
-        &self,
+        self: &Rc<Self>,
         endpoint: &EndpointId,
         route: Option<&StageRoute>,
         identity: &RequestIdentity,
@@ -663,31 +676,15 @@
             };
             endpoints.into_iter().filter_map(life).collect()
         };
-        self.crashes.borrow_mut().record_break(lives, identity, self.now());
-        self.has_ended(endpoint).await
-    }
-
-    /// Finds out whether an endpoint whose connection has just ended or broken has ended itself.
-    pub async fn has_ended(&self, endpoint: &EndpointId) -> bool {
-        let (address, is_unresponsive) = {
-            let directory = self.directory.borrow();
-            let address = directory.entry(endpoint).map(|entry| entry.address);
-            (address, directory.is_unresponsive(endpoint, self.now()))
-        };
-        let Some(address) = address else { return true };
-        if is_unresponsive {
-            self.record_endpoint_end(endpoint);
-            return true;
+        if self.is_endpoint_out_of_reach(endpoint) {
+            return false;
         }
-        // A process that has ended accepts no connection; this asks it nothing.
-        match HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await {
-            Ok(_) => false,
-            Err(error) => {
-                self.record_endpoint_failure(endpoint, &error);
-                self.record_endpoint_end(endpoint);
-                true
-            }
+        self.crashes.borrow_mut().record_break(lives, identity, self.now());
+        let fate = self.endpoint_fate(endpoint).await;
+        if fate == EndpointFate::Unknown {
+            self.crashes.borrow_mut().forget_breaks(endpoint);
         }
+        fate == EndpointFate::Ended
     }
 
     /// Returns `true` if a request may be sent again under which `ends` endpoints have ended.
@@ -717,25 +714,25 @@
         self.log_released_parts();
     }
 
-    /// Records that all endpoints of a route have just made progress.
-    pub fn record_progress(&self, route: &StageRoute) {
+    /// Records that all endpoints of a path have just made progress.
+    pub fn record_progress(&self, stages: &[RouteStage]) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
-        for stage in route.stages() {
+        for stage in stages {
             directory.record_progress(&stage.endpoint, now);
         }
     }
 
-    /// Records that a stream has made no progress on a route since `since` although all endpoints
-    /// of the route respond to probes.
-    pub fn record_stall(&self, route: &StageRoute, since: Moment) {
-        let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
+    /// Records that a stream has made no progress on a path since `since` although all its endpoints
+    /// respond to probes.
+    pub fn record_stall(&self, stages: &[RouteStage], since: Moment) {
+        let endpoints = stages.iter().map(|stage| &stage.endpoint);
         self.directory.borrow_mut().record_stall(endpoints, since, self.now());
         self.urgent_message.notify_one();
     }
 
     /// Probes an endpoint and returns `true` if it responds; an unresponsive endpoint is avoided.
-    pub async fn is_responsive(&self, endpoint: &EndpointId) -> bool {
+    pub async fn is_responsive(self: &Rc<Self>, endpoint: &EndpointId) -> bool {
         let address = self.directory.borrow().entry(endpoint).map(|entry| entry.address);
         match address {
             Some(address) => self.probe.is_responsive(self, endpoint, address).await,
@@ -743,19 +740,18 @@
         }
     }
 
-    /// Starts to probe the endpoints of a route that have not been probed since `since`.
-    pub fn start_probes(self: &Rc<Self>, route: &StageRoute, since: Moment) {
-        HealthProbe::start_probes(self, route, since);
+    /// Starts to probe the endpoints of a path that have not been probed since `since`.
+    pub fn start_probes(self: &Rc<Self>, stages: &[RouteStage], since: Moment) {
+        HealthProbe::start_probes(self, stages, since);
     }
 
-    /// Waits until endpoints of a route are known to be unresponsive, but at least for `delay`;
-    /// returns them.
-    pub async fn wait_for_unresponsive(
+    /// Waits until a path is known to have failed, but at least for `delay`.
+    pub async fn wait_for_path_failure(
         &self,
-        route: &StageRoute,
+        stages: &[RouteStage],
         delay: Duration,
-    ) -> Vec<EndpointId> {
-        self.probe.wait_for_unresponsive(self, route, delay).await
+    ) -> PathFailure {
+        self.probe.wait_for_path_failure(self, stages, delay).await
     }
 
     /// Returns how many idle connections this host may keep to one endpoint of a service.
@@ -768,7 +764,7 @@
     #[must_use]
     pub fn zone_leader(&self) -> HostId {
         let members = self.members.borrow();
-        members.leader(&self.settings.host, self.is_stopping(), self.now()).clone()
+        members.leader(&self.settings.host, self.gives_up_lead(), self.now()).clone()
     }
 
     /// Returns `true` if this host leads its availability zone.
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -6,7 +6,7 @@
     bytes::Bytes,
     cassiafield_core::{
         ids::{EndpointId, Moment},
-        request::StageRoute,
+        request::RouteStage,
     },
     http::{header, Request},
     http_body_util::Full,
@@ -26,6 +26,15 @@
     unresponsive_found: Notify,
 }
 
+/// Why a path makes no progress.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PathFailure {
+    /// These of its endpoints do not respond.
+    Unresponsive(Vec<EndpointId>),
+    /// This host has no way to its endpoints.
+    OutOfReach,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ProbeResult {
     started_at: Moment,
@@ -49,27 +58,32 @@
     /// Interval between two checks for endpoints that are due to be probed again.
     const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
-    /// Waits until endpoints of a route are known to be unresponsive, and returns them.
+    /// Waits until a path is known to have failed.
     ///
     /// It first waits for `delay`, a time in which a working path makes progress: a probe can fail
     /// although its endpoint works.
-    pub(super) async fn wait_for_unresponsive(
+    pub(super) async fn wait_for_path_failure(
         &self,
         state: &GatewayState,
-        route: &StageRoute,
+        stages: &[RouteStage],
         delay: Duration,
-    ) -> Vec<EndpointId> {
+    ) -> PathFailure {
         sleep(delay).await;
         loop {
             let found = self.unresponsive_found.notified();
-            let unresponsive = known_unresponsive(state, route);
-            if !unresponsive.is_empty() {
-                return unresponsive;
+            if let Some(failure) = known_failure(state, stages) {
+                return failure;
             }
             found.await;
         }
     }
 
+    /// Forgets failed probes: this host had no way to the endpoints.
+    pub(super) fn forget_failures(&self) {
+        let mut results = self.results.borrow_mut();
+        results.retain(|_, result| result.outcome != ProbeOutcome::Unresponsive);
+    }
+
     /// Wakes the requests that wait for data from a path.
     pub(super) fn notify_waiters(&self) {
         self.unresponsive_found.notify_waiters();
@@ -78,7 +92,7 @@
     /// Returns `true` if an endpoint responds to a probe; reuses a recent result.
     pub(super) async fn is_responsive(
         &self,
-        state: &GatewayState,
+        state: &Rc<GatewayState>,
         endpoint: &EndpointId,
         address: SocketAddrV4,
     ) -> bool {
@@ -90,13 +104,14 @@
         }
     }
 
-    /// Starts to probe the endpoints of a route that have not been probed since `since`.
+    /// Starts to probe the endpoints of a path that have not been probed since `since`.
     ///
-    /// Requests that wait in [`HealthProbe::wait_for_unresponsive`] learn about failures.
-    pub(super) fn start_probes(state: &Rc<GatewayState>, route: &StageRoute, since: Moment) {
-        for stage in route.stages() {
+    /// Requests that wait in [`HealthProbe::wait_for_path_failure`] learn about failures.
+    pub(super) fn start_probes(state: &Rc<GatewayState>, stages: &[RouteStage], since: Moment) {
+        for stage in stages {
             let Ok(address) = stage.address.parse::<SocketAddrV4>() else { continue };
             if state.is_paused(&stage.endpoint)
+                || state.is_endpoint_out_of_reach(&stage.endpoint)
                 || !state.probe.is_needed(&stage.endpoint, since, state.now())
             {
                 continue;
@@ -122,7 +137,7 @@
 
     async fn probe(
         &self,
-        state: &GatewayState,
+        state: &Rc<GatewayState>,
         endpoint: &EndpointId,
         address: SocketAddrV4,
     ) -> bool {
@@ -147,10 +162,10 @@
         let is_responsive = matches!(result, Ok(Ok(_))) || state.is_paused(endpoint);
         if is_responsive {
             set_outcome(ProbeOutcome::Responsive);
-            state.directory.borrow_mut().record_response(endpoint, started_at);
+            state.record_probe_answer(endpoint, started_at);
         } else {
             set_outcome(ProbeOutcome::Unresponsive);
-            state.record_unresponsive(endpoint);
+            state.record_probe_failure(endpoint, started_at).await;
         }
         is_responsive
     }
@@ -163,6 +178,7 @@
             let due: Vec<(EndpointId, SocketAddrV4)> = {
                 let directory = state.directory.borrow();
                 let due = directory.due_trials(now);
+                let due = due.filter(|entry| !state.is_out_of_reach(&entry.service));
                 due.map(|entry| (entry.endpoint.clone(), entry.address)).collect()
             };
             for (endpoint, address) in due {
@@ -175,10 +191,16 @@
     }
 }
 
-fn known_unresponsive(state: &GatewayState, route: &StageRoute) -> Vec<EndpointId> {
+fn known_failure(state: &GatewayState, stages: &[RouteStage]) -> Option<PathFailure> {
+    let mut endpoints = stages.iter().map(|stage| &stage.endpoint);
+    if endpoints.clone().any(|endpoint| state.is_endpoint_out_of_reach(endpoint)) {
+        return Some(PathFailure::OutOfReach);
+    }
     let (directory, now) = (state.directory.borrow(), state.now());
-    let endpoints = route.stages().iter().map(|stage| &stage.endpoint);
-    endpoints.filter(|endpoint| directory.is_unresponsive(endpoint, now)).cloned().collect()
+    let is_unresponsive = |endpoint: &EndpointId| directory.is_unresponsive(endpoint, now);
+    let unresponsive: Vec<EndpointId> =
+        endpoints.by_ref().filter(|endpoint| is_unresponsive(endpoint)).cloned().collect();
+    (!unresponsive.is_empty()).then_some(PathFailure::Unresponsive(unresponsive))
 }
 
 /// Fetches an endpoint's report, over `connection` if it is open.
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -12,12 +12,15 @@
 pub struct InFlightRequest {
     state: Rc<GatewayState>,
     is_complete: Cell<bool>,
+    /// Whether another host handed the request over.
+    is_carried: bool,
 }
 
 impl InFlightRequest {
-    pub(super) fn new(state: Rc<GatewayState>) -> Self {
+    pub(super) fn new(state: Rc<GatewayState>, is_carried: bool) -> Self {
         state.in_flight.set(state.in_flight.get() + 1);
-        Self { state, is_complete: Cell::new(false) }
+        state.carried.set(state.carried.get() + u32::from(is_carried));
+        Self { state, is_complete: Cell::new(false), is_carried }
     }
 
     /// Records that the response is complete.
@@ -34,7 +37,9 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        self.state.in_flight.set(self.state.in_flight.get().saturating_sub(1));
+        let Self { state, is_carried, .. } = self;
+        state.in_flight.set(state.in_flight.get().saturating_sub(1));
+        state.carried.set(state.carried.get().saturating_sub(u32::from(*is_carried)));
     }
 }
 
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -135,6 +135,11 @@
     /// Renews the lease or attempts to acquire it; returns `true` if the host may act on it.
     async fn ensure_lease(&mut self) -> bool {
         let requested_at = self.state.now();
+        if self.state.gives_up_lead() {
+            // A host that reaches endpoints places layers instead.
+            self.release_lease().await;
+            return false;
+        }
         if let Some(held) = self.lease {
             if requested_at.since(held.renewed_at) < Self::LEASE_TTL / 4 {
                 return true;
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -18,6 +18,7 @@
 mod monitoring_server;
 mod peer_link;
 mod process_signals;
+mod reach_tracking;
 mod retry_broker;
 mod send_turn;
 mod sender_kind;
@@ -34,11 +35,13 @@
     gateway_server::{GatewayServer, RunningHost},
     gateway_settings::GatewaySettings,
     gateway_state::GatewayState,
+    health_probe::PathFailure,
     in_flight_request::{InFlightRequest, ReservedLoad},
     layer_placer::LayerPlacer,
     log_writer::{dropped_line_count, json_subscriber, start_json_log},
     peer_link::PeerLink,
     process_signals::ProcessSignals,
+    reach_tracking::EndpointFate,
     send_turn::SendTurn,
     sender_kind::SenderKind,
     store_sync::StoreSync,
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -12,8 +12,9 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId, ZoneId},
         process::{
-            CrashReport, EndpointLife, EngineUsage, FailureReport, FleetIntervals, LimitReports,
-            LinkUsage, OrganisationUsage, SharedReading, SyncIntervals, TurnReply,
+            CarrierStatus, CrashReport, EndpointLife, EngineUsage, FailureReport, FleetIntervals,
+            LimitReports, LinkUsage, ListedHost, OrganisationUsage, SharedReading, SyncIntervals,
+            TurnReply,
         },
     },
     std::{
@@ -25,6 +26,7 @@
     },
     tokio::{
         net::UdpSocket,
+        task::spawn_local,
         time::{sleep, timeout},
     },
 };
@@ -36,6 +38,9 @@
     host: HostId,
     zone: ZoneId,
     peer_address: SocketAddrV4,
+    /// The address at which the host takes requests of others, if it does.
+    #[serde(default)]
+    carry_address: Option<SocketAddrV4>,
 }
 
 /// A message between hosts.
@@ -73,6 +78,9 @@
         /// What the host knows of the limits of endpoints.
         #[serde(default)]
         limits: LimitReports,
+        /// Whether the host can send requests of others to endpoints.
+        #[serde(default)]
+        carrier_status: CarrierStatus,
     },
     /// The load that all hosts of an availability zone have reserved, sent to the hosts of other
     /// zones.
@@ -99,6 +107,9 @@
         /// Number of hosts of the zone whose messages arrive at its leader, itself included.
         #[serde(default)]
         hosts: usize,
+        /// Hosts of the zone that cannot send requests of others to endpoints.
+        #[serde(default)]
+        unfit_carriers: BTreeMap<HostId, CarrierStatus>,
     },
     /// A query for the peer's data from the store.
     Query(StateQuery),
@@ -114,6 +125,10 @@
     TurnReply { nonce: u64, reply: Option<TurnReply> },
     /// Gives a turn back that was not used.
     TurnReturn { life: EndpointLife },
+    /// Asks whether the host reaches a service's endpoints.
+    ReachQuery { nonce: u64, service: ServiceId },
+    /// The reply to that question.
+    ReachReply { nonce: u64, is_reached: bool },
 }
 
 /// Readings that endpoints reported to the zone's leader.
@@ -199,6 +214,7 @@
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             peer_address: settings.peer_address,
+            carry_address: self.state.carry_address.get(),
         };
         let value = match rmp_serde::to_vec_named(&entry) {
             Ok(value) => value,
@@ -227,12 +243,21 @@
         };
         let (mut peers, mut other_zone_hosts) = (BTreeMap::new(), Vec::new());
         let mut hosts = 0;
+        let mut carriers = BTreeMap::new();
         for item in items {
             match rmp_serde::from_slice::<HostEntry>(&item.value) {
                 Ok(entry) => {
                     hosts += 1;
                     let settings = &self.state.settings;
                     let address = SocketAddr::V4(entry.peer_address);
+                    if entry.host != settings.host {
+                        let listed = ListedHost {
+                            zone: entry.zone.clone(),
+                            peer_address: entry.peer_address,
+                            carry_address: entry.carry_address,
+                        };
+                        carriers.insert(entry.host.clone(), listed);
+                    }
                     if entry.zone != settings.zone {
                         other_zone_hosts.push(address);
                     } else if entry.host != settings.host {
@@ -243,6 +268,7 @@
             }
         }
         self.state.live_hosts.set(hosts.max(1));
+        self.state.carriers.borrow_mut().set_hosts(carriers);
         // The leader tells a host that has just started what it must know before it sends.
         if self.state.exchange.peer_addresses().is_empty() {
             self.state.urgent_message.notify_one();
@@ -317,6 +343,7 @@
                 configuration_revision,
                 crashes: crashes.clone(),
                 limits: limits.clone(),
+                carrier_status: self.state.carrier_status(),
             };
             let peers = self.state.exchange.peer_addresses();
             send_to_all(socket, &message, &peers).await;
@@ -335,6 +362,7 @@
                     crashes,
                     limits,
                     hosts: self.state.live_members(),
+                    unfit_carriers: self.unfit_carriers(),
                 };
                 let other_zone_hosts = self.other_zone_hosts.borrow().clone();
                 send_to_all(socket, &message, &other_zone_hosts).await;
@@ -348,11 +376,37 @@
         let failures = directory.recent_failures(Self::FAILURE_REPORT_TIME, self.state.now());
         failures
             .filter(|(entry, _)| zone.is_none_or(|zone| zone == &entry.zone))
+            .filter(|(entry, _)| !self.state.is_out_of_reach(&entry.service))
             .map(|(entry, report)| (entry.endpoint.clone(), report))
             .collect()
     }
 
-    async fn receive_messages(&self, socket: &UdpSocket) {
+    /// Returns the hosts of the own zone that cannot send requests of others to endpoints.
+    fn unfit_carriers(&self) -> BTreeMap<HostId, CarrierStatus> {
+        let (settings, now) = (&self.state.settings, self.state.now());
+        let mut unfit = self.state.carriers.borrow().unfit(&settings.zone, now);
+        let own = self.state.carrier_status();
+        if !own.is_fit() {
+            unfit.insert(settings.host.clone(), own);
+        }
+        unfit
+    }
+
+    /// Answers whether this host reaches a service, once that is known.
+    fn answer_reach_query(
+        &self,
+        socket: &Rc<UdpSocket>,
+        (nonce, service): (u64, ServiceId),
+        from: SocketAddr,
+    ) {
+        let (state, socket) = (Rc::clone(&self.state), Rc::clone(socket));
+        spawn_local(async move {
+            let is_reached = state.reaches(&service).await;
+            send_to_all(&socket, &PeerMessage::ReachReply { nonce, is_reached }, &[from]).await;
+        });
+    }
+
+    async fn receive_messages(&self, socket: &Rc<UdpSocket>) {
         let mut buffer = vec![0; Self::MAX_MESSAGE_BYTES];
         loop {
             match socket.recv_from(&mut buffer).await {
@@ -371,6 +425,9 @@
                         let message = PeerMessage::TurnReply { nonce, reply };
                         send_to_all(socket, &message, &[from]).await;
                     }
+                    Ok(PeerMessage::ReachQuery { nonce, service }) => {
+                        self.answer_reach_query(socket, (nonce, service), from);
+                    }
                     Ok(message) => {
                         match &message {
                             PeerMessage::Host { host, .. } => {
@@ -424,8 +481,11 @@
                 configuration_revision,
                 crashes,
                 limits,
+                carrier_status,
             } => {
-                self.state.members.borrow_mut().record(&host, is_stopping, now);
+                let gives_up_lead = is_stopping || self.state.gives_up_lead_with(&carrier_status);
+                self.state.members.borrow_mut().record(&host, gives_up_lead, now);
+                self.state.carriers.borrow_mut().record_host(&host, carrier_status, now);
                 let mut organisation_load = self.state.organisations.borrow_mut();
                 organisation_load.record_peer(host.clone(), organisations, now);
                 load.links.record_peer(host.clone(), links, now);
@@ -443,7 +503,9 @@
                 crashes,
                 limits,
                 hosts: _,
+                unfit_carriers,
             } => {
+                self.state.carriers.borrow_mut().record_zone(&zone, &unfit_carriers, now);
                 load.links.record_zone(zone.clone(), links, now);
                 load.record_zone_usage(zone, used, now);
                 (readings, failures, configuration_revision, crashes, limits)
@@ -464,10 +526,15 @@
                 self.state.take_turn_back(&life);
                 return;
             }
+            PeerMessage::ReachReply { nonce, is_reached } => {
+                self.state.exchange.complete_reach_query(nonce, is_reached);
+                return;
+            }
             // Queries are answered in `receive_messages`.
             PeerMessage::Query(_)
             | PeerMessage::RetryQuery { .. }
-            | PeerMessage::TurnQuery { .. } => return,
+            | PeerMessage::TurnQuery { .. }
+            | PeerMessage::ReachQuery { .. } => return,
         };
         let at = |age_ms: u32| now.earlier_by(Duration::from_millis(u64::from(age_ms)));
         for (endpoint, reading) in readings {
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -50,6 +50,7 @@
     pending: RefCell<HashMap<u64, oneshot::Sender<StateReply>>>,
     pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     pending_turns: RefCell<HashMap<u64, PendingTurn>>,
+    pending_reach: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     next_nonce: Cell<u64>,
 }
 
@@ -74,6 +75,8 @@
 }
 
 impl StateExchange {
+    /// Timeout of the question whether a host reaches a service, which may have to try.
+    const REACH_QUERY_TIMEOUT: Duration = Duration::from_millis(250);
     /// Timeout of a query for a turn; the caller waits meanwhile.
     const TURN_QUERY_TIMEOUT: Duration = Duration::from_millis(60);
     /// Number of queries for turns above which those are forgotten whose requests have gone.
@@ -180,6 +183,34 @@
         is_granted
     }
 
+    /// Asks a host whether it reaches a service's endpoints; returns `false` if it does not reply.
+    pub(super) async fn query_reach(&self, host: SocketAddr, service: &ServiceId) -> bool {
+        let Some(socket) = self.socket.borrow().clone() else { return false };
+        let nonce = self.next_nonce.get().wrapping_add(1);
+        self.next_nonce.set(nonce);
+        let query = PeerMessage::ReachQuery { nonce, service: service.clone() };
+        let Some(bytes) = encode(&query) else { return false };
+        let (sender, receiver) = oneshot::channel();
+        self.pending_reach.borrow_mut().insert(nonce, sender);
+        let is_reached = match socket.send_to(&bytes, host).await {
+            Ok(_) => matches!(timeout(Self::REACH_QUERY_TIMEOUT, receiver).await, Ok(Ok(true))),
+            Err(error) => {
+                LogEvent::PeerFailed.log(format_args!("peer {host}: {error}"));
+                false
+            }
+        };
+        self.pending_reach.borrow_mut().remove(&nonce);
+        is_reached
+    }
+
+    /// Passes a reply on to the question whether a host reaches a service; late replies are dropped.
+    pub(super) fn complete_reach_query(&self, nonce: u64, is_reached: bool) {
+        if let Some(sender) = self.pending_reach.borrow_mut().remove(&nonce) {
+            // The question may have timed out meanwhile.
+            let _is_late = sender.send(is_reached).is_err();
+        }
+    }
+
     /// Asks the host that grants an endpoint's turns for one; `None` if it does not reply, and if it
     /// does not grant them.
     pub(super) async fn query_turn(
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -1,18 +1,21 @@
 use {
     crate::{
         process::{GatewayState, InFlightRequest},
-        request::CallerRequest,
+        request::{
+            carried_call::REFUSAL_HEADER, refusal_response::refusal_response, CallerRequest,
+            ResponseBody,
+        },
     },
     bytes::Bytes,
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::EndpointId,
-        request::RequestIdentity,
+        request::{CarryNote, RefusalCause, RequestIdentity},
         version::{RouteRule, ServiceRule},
     },
-    http::{HeaderMap, Request},
+    http::{HeaderMap, HeaderValue, Request, Response},
     http_body_util::Full,
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// A caller's request together with its route and service.
@@ -25,6 +28,10 @@
     pub(super) in_flight: InFlightRequest,
     /// What the request has in common with others.
     pub(super) identity: RequestIdentity,
+    /// What the host said that handed the request over, if one did.
+    pub(super) note: Option<CarryNote>,
+    /// Whether another host carries the request, and counts its answer.
+    pub(super) is_carried: Cell<bool>,
 }
 
 impl CallContext {
@@ -76,11 +83,35 @@
         self.state.metrics.record_send(self.rule.kind, time);
     }
 
+    /// Returns the response to a request that was refused or failed.
+    ///
+    /// If another host handed the request over and this one has lost its way too, the other host learns
+    /// that.
+    pub(super) fn refusal(
+        &self,
+        cause: RefusalCause,
+        retry_after: Option<Duration>,
+    ) -> Response<ResponseBody> {
+        let mut response = refusal_response(cause, retry_after);
+        if cause == RefusalCause::Unreachable && self.note.is_some() {
+            let reason = HeaderValue::from_static("out of reach");
+            response.headers_mut().insert(REFUSAL_HEADER, reason);
+        }
+        response
+    }
+
+    /// Returns `true` if this host counts the request's answer for its organisation.
+    pub(super) fn counts_answer(&self) -> bool {
+        !self.is_carried.get() && self.note.as_ref().is_none_or(|note| !note.is_counted)
+    }
+
     /// Records that the request got a complete response.
     pub(super) fn record_completion(&self, sends: u32, detail: impl std::fmt::Display) {
         let time = self.state.now().since(self.request.received_at);
         let organisation = self.request.organisation.as_ref();
-        self.state.metrics.record_completion(organisation, self.rule.kind, time);
+        if self.counts_answer() {
+            self.state.metrics.record_completion(organisation, self.rule.kind, time);
+        }
         self.decision(LogEvent::RequestAnswered).sends(sends).log(format_args!(
             "route {}, {detail}, {} ms after its arrival",
             self.rule.name,
--- a/crates/cassiafield-gateway/src/request/caller_request.rs
+++ b/crates/cassiafield-gateway/src/request/caller_request.rs
@@ -26,6 +26,8 @@
     pub target: CompactString,
     /// Headers to forward, without hop-by-hop headers and those that the host sets.
     pub headers: HeaderMap,
+    /// The caller's credentials, which no endpoint gets.
+    pub credentials: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
     /// How long the caller waits, counted from `received_at`.
--- /dev/null
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -0,0 +1,123 @@
+//! Streams that another host carries.
+
+use {
+    crate::request::{
+        caller_request::strip_hop_headers,
+        carried_call::{
+            is_promise, CarriedAnswer, CarryError, CarryProgress, REFUSAL_HEADER, REVISION_HEADER,
+        },
+        host_service::CarriedMark,
+        stream_call::{AttemptError, StreamCall},
+        stream_relay::{ReadOutcome, StreamAttempt},
+        stream_source::StreamSource,
+        ResponseBody,
+    },
+    bytes::Bytes,
+    cassiafield::process::LogEvent,
+    cassiafield_core::request::{EventSplitter, RefusalCause},
+    http::{header, Response, StatusCode},
+    hyper::body::Incoming,
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+impl StreamCall {
+    /// Hands the stream to another host and waits for the first events after `last_event`.
+    pub(super) async fn attempt_elsewhere(
+        &mut self,
+        last_event: u64,
+    ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
+        let may_leave = self.may_leave_stalled_path();
+        let response_timeout =
+            if may_leave { self.timeouts().head_timeout() } else { Duration::MAX };
+        let progress = CarryProgress {
+            sends: self.sends,
+            ends: self.ends,
+            sent_to: self.sent_to.clone(),
+            last_event: Some(last_event),
+            is_counted: self.has_begun.get() && !self.context.is_carried.get(),
+            excluded: self.failed_carriers.clone(),
+            response_timeout,
+        };
+        let CarriedAnswer { response, mut connection, load } =
+            match self.context.carry(&progress).await {
+                Ok(answer) => answer,
+                Err(CarryError::NoCarrier) => return Err(AttemptError::OutOfReach),
+                Err(CarryError::NoAnswer(host)) => {
+                    self.sends += 1;
+                    self.failed_carriers.push(host);
+                    return Err(AttemptError::MayHaveRun);
+                }
+            };
+        let is_reusable = connection.apply_response_head(response.headers());
+        if response.status() != StatusCode::OK {
+            return Err(self.read_carried_error(response).await);
+        }
+        let (mut parts, body) = response.into_parts();
+        let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        parts.headers.remove(&REVISION_HEADER);
+        parts.extensions.insert(CarriedMark);
+        let splitter = if last_event == 0 {
+            EventSplitter::with_unknown_start()
+        } else {
+            EventSplitter::after(last_event)
+        };
+        let host = load.carrier.host.clone();
+        let mut attempt = StreamAttempt {
+            connection,
+            is_reusable,
+            body,
+            is_framed,
+            splitter,
+            source: StreamSource::Carrier(load),
+            reservation: None,
+            timeouts: self.timeouts(),
+            typical_gap: self.context.rule.event_gap_objective.unwrap_or_default(),
+            began_at: None,
+            is_under_way: false,
+        };
+        let remaining_time = self.context.remaining_time();
+        match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
+            ReadOutcome::Events(first) => Ok((Response::from_parts(parts, ()), attempt, first)),
+            ReadOutcome::End => Ok((Response::from_parts(parts, ()), attempt, Bytes::new())),
+            ReadOutcome::Failed(error) => {
+                self.context
+                    .decision(LogEvent::StreamBroken)
+                    .sends(self.sends)
+                    .log(format_args!("{error}; carried by host {host}"));
+                self.sends += 1;
+                self.failed_carriers.push(host);
+                Err(AttemptError::MayHaveRun)
+            }
+        }
+    }
+
+    /// Reads the response of another host that is not a stream.
+    async fn read_carried_error(&self, response: Response<Incoming>) -> AttemptError {
+        let (mut parts, body) = response.into_parts();
+        if self.has_begun.get() && is_promise(parts.status) {
+            // The caller has a part of the stream; it may go on later.
+            return AttemptError::NoPath(RefusalCause::Overloaded);
+        }
+        let body_timeout = self.timeouts().head_timeout().min(self.context.remaining_time());
+        let reading = self.context.state.bodies.collect(body, Self::MAX_ERROR_BYTES);
+        let Ok(Ok(body)) = timeout(body_timeout, reading).await else {
+            return AttemptError::MayHaveRun;
+        };
+        strip_hop_headers(&mut parts.headers);
+        for name in [&REVISION_HEADER, &REFUSAL_HEADER] {
+            parts.headers.remove(name);
+        }
+        parts.extensions.insert(CarriedMark);
+        let body = ResponseBody::from_bytes(body);
+        AttemptError::Failed(Box::new(Response::from_parts(parts, body)))
+    }
+
+    /// Records that the request's answer got under way, unless the host that carries it does.
+    pub(super) fn record_survival(&self) {
+        if !self.context.is_carried.get() {
+            self.context.state.record_survival(self.context.known_identity());
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -3,22 +3,26 @@
         connection::{CallerConnection, CallerService, RequestLabel},
         process::GatewayState,
         request::{
-            call_context::CallContext, caller_request::strip_hop_headers, plain_call::PlainCall,
-            refusal_response::refusal_response, stream_call::StreamCall, CallerRequest,
-            ResponseBody,
+            call_context::CallContext,
+            caller_request::strip_hop_headers,
+            carried_call::{CARRY_HEADER, REFUSAL_HEADER, REVISION_HEADER},
+            plain_call::PlainCall,
+            refusal_response::refusal_response,
+            stream_call::StreamCall,
+            CallerRequest, ResponseBody,
         },
     },
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::{Moment, OrganisationId},
         process::CloseReason,
-        request::{RefusalCause, RequestVerdict},
+        request::{CarryNote, RefusalCause, RequestVerdict},
         version::{RouteRule, RouteTable},
     },
     http::{header, request::Parts, Request, Response},
     http_body_util::{BodyExt as _, LengthLimitError, Limited},
     hyper::body::Incoming,
-    std::{future::Future, pin::Pin, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, pin::Pin, rc::Rc, time::Duration},
 };
 
 /// Serves the requests of callers on one host.
@@ -31,6 +35,32 @@
     table: Rc<RouteTable>,
     rule: RouteRule,
     request: CallerRequest,
+    /// What the host said that handed the request over, if one did.
+    note: Option<CarryNote>,
+}
+
+/// Marks a response that another host has counted for the organisation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CarriedMark;
+
+/// Why this host does not carry a request of another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CarryRefusal {
+    Stopping,
+    Full,
+    OutdatedConfiguration,
+    OutOfReach,
+}
+
+impl CarryRefusal {
+    const fn name(self) -> &'static str {
+        match self {
+            CarryRefusal::Stopping => "stopping",
+            CarryRefusal::Full => "full",
+            CarryRefusal::OutdatedConfiguration => "outdated configuration",
+            CarryRefusal::OutOfReach => "out of reach",
+        }
+    }
 }
 
 impl HostService {
@@ -50,15 +80,92 @@
     ) -> Response<ResponseBody> {
         let received_at = self.state.now();
         let (parts, body) = request.into_parts();
-        let admitted = match self.admit(&parts, received_at) {
-            Ok(admitted) => admitted,
-            Err(cause) => return self.refuse(&parts, cause),
+        match self.admit(&parts, received_at) {
+            Ok(admitted) => self.serve(&parts, body, admitted, connection).await,
+            Err(cause) => self.refuse(&parts, cause),
+        }
+    }
+
+    /// Handles a request that another host hands over.
+    pub(super) async fn handle_carried(
+        &self,
+        request: Request<Incoming>,
+        connection: &CallerConnection,
+    ) -> Response<ResponseBody> {
+        let (parts, body) = request.into_parts();
+        let note = parts.headers.get(&CARRY_HEADER).and_then(|value| value.to_str().ok());
+        let note = match note.unwrap_or_default().parse::<CarryNote>() {
+            Ok(note) => note,
+            Err(error) => {
+                LogEvent::PeerRefused.log(format_args!("a request that is handed over: {error}"));
+                return self.refuse(&parts, RefusalCause::BadRequest);
+            }
         };
-        let mut admitted = admitted;
+        let mut response = match self.carry_refusal(&parts, &note) {
+            Some(refusal) => self.refuse_to_carry(refusal),
+            None => {
+                self.state.metrics.count_carried_for_other(true);
+                let received_at = self.state.now().earlier_by(note.elapsed);
+                match self.admit(&parts, received_at) {
+                    Ok(mut admitted) => {
+                        admitted.note = Some(note.clone());
+                        self.serve(&parts, body, admitted, connection).await
+                    }
+                    Err(cause) => self.refuse(&parts, cause),
+                }
+            }
+        };
+        let revision = self.state.configuration_revision();
+        if revision > note.revision {
+            response.headers_mut().insert(REVISION_HEADER, header::HeaderValue::from(revision));
+        }
+        response
+    }
+
+    /// Returns why this host cannot carry a request, if it cannot.
+    fn carry_refusal(&self, parts: &Parts, note: &CarryNote) -> Option<CarryRefusal> {
+        let state = &self.state;
+        if state.is_stopping() {
+            return Some(CarryRefusal::Stopping);
+        }
+        if state.is_full_of_carried() {
+            return Some(CarryRefusal::Full);
+        }
+        let address = state.settings.peer_address.into();
+        if state.record_revision(note.revision, "carried request", address) {
+            state.wake_synchronisation();
+        }
+        if state.configuration_revision() < note.revision || !state.keys_are_fresh() {
+            return Some(CarryRefusal::OutdatedConfiguration);
+        }
+        let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+        let table = state.route_table()?;
+        let rule = table.route(host.unwrap_or_default(), parts.uri.path())?;
+        let mut services = rule.targets.iter().map(|target| &target.service);
+        services.any(|service| state.is_out_of_reach(service)).then_some(CarryRefusal::OutOfReach)
+    }
+
+    fn refuse_to_carry(&self, refusal: CarryRefusal) -> Response<ResponseBody> {
+        self.state.metrics.count_carried_for_other(false);
+        let mut response =
+            refusal_response(RefusalCause::NotReady, Some(Self::NOT_READY_RETRY_AFTER));
+        let reason = header::HeaderValue::from_static(refusal.name());
+        response.headers_mut().insert(REFUSAL_HEADER, reason);
+        response
+    }
+
+    /// Reads the body of an admitted request, and answers it.
+    async fn serve(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        mut admitted: AdmittedRequest,
+        connection: &CallerConnection,
+    ) -> Response<ResponseBody> {
         connection.set_request(RequestLabel {
             id: admitted.request.id.clone(),
             route: admitted.rule.name.as_str().into(),
-            received_at,
+            received_at: admitted.request.received_at,
         });
         let limit = admitted.table.limits().max_body_bytes;
         match Limited::new(body, limit).collect().await {
@@ -67,15 +174,15 @@
                 let is_too_large = error.downcast_ref::<LengthLimitError>().is_some();
                 let cause =
                     if is_too_large { RefusalCause::TooLarge } else { RefusalCause::BadRequest };
-                return self.refuse(&parts, cause);
+                return self.refuse(parts, cause);
             }
         }
         connection.record_body_end();
         // The body may have taken so long that the response no longer fits before the exit.
         if !self.fits_remaining_service(&admitted.request, &admitted.rule) {
-            return self.refuse(&parts, RefusalCause::NotReady);
+            return self.refuse(parts, RefusalCause::NotReady);
         }
-        self.dispatch(&parts, admitted).await
+        self.dispatch(parts, admitted).await
     }
 
     /// Sets `Connection: close` if the caller should reconnect to another host.
@@ -110,18 +217,22 @@
         let mut headers = parts.headers.clone();
         strip_hop_headers(&mut headers);
         headers.remove(header::EXPECT);
-        for name in [&names.expected_endpoint, &names.organisation, &names.layer_path] {
+        for name in
+            [&names.expected_endpoint, &names.organisation, &names.layer_path, &CARRY_HEADER]
+        {
             headers.remove(name);
         }
-        if organisation.is_some() {
-            headers.remove(header::AUTHORIZATION);
-        }
+        let credentials = match &organisation {
+            Some(_) => headers.remove(header::AUTHORIZATION),
+            None => None,
+        };
         let request = CallerRequest {
             id,
             received_at,
             method: parts.method.clone(),
             target,
             headers,
+            credentials,
             body: bytes::Bytes::new(),
             timeout: timeout.map(Duration::from_millis),
             organisation,
@@ -129,7 +240,7 @@
         if !self.fits_remaining_service(&request, &rule) {
             return Err(RefusalCause::NotReady);
         }
-        Ok(AdmittedRequest { table, rule, request })
+        Ok(AdmittedRequest { table, rule, request, note: None })
     }
 
     /// Returns `true` if the host will serve long enough for the request's deadline.
@@ -155,7 +266,7 @@
     }
 
     async fn dispatch(&self, parts: &Parts, admitted: AdmittedRequest) -> Response<ResponseBody> {
-        let AdmittedRequest { table, rule, request } = admitted;
+        let AdmittedRequest { table, rule, request, note } = admitted;
         let draw = fastrand::u64(..);
         let Some(service) = rule.target(draw).and_then(|service| table.service(service)) else {
             return self.refuse(parts, RefusalCause::NoEndpoint);
@@ -165,9 +276,12 @@
         let received_at = request.received_at;
         let is_stream = service.engine.is_some() && kind.is_stream();
         let state = Rc::clone(&self.state);
-        let in_flight = self.state.track_request();
+        let in_flight = self.state.track_request(note.is_some());
         let identity = request.identity(state.codec.header_names());
-        let context = CallContext { state, rule, service, request, in_flight, identity };
+        let is_counted_elsewhere = note.as_ref().is_some_and(|note| note.is_counted);
+        let is_carried = Cell::new(false);
+        let context =
+            CallContext { state, rule, service, request, in_flight, identity, note, is_carried };
         let response = if is_stream {
             StreamCall::new(context).run().await
         } else {
@@ -175,7 +289,10 @@
         };
         let time = self.state.now().since(received_at);
         let status = response.status().as_u16();
-        self.state.metrics.record_response(organisation.as_ref(), kind, status, time);
+        let is_carried = response.extensions().get::<CarriedMark>().is_some();
+        if !is_carried && !is_counted_elsewhere {
+            self.state.metrics.record_response(organisation.as_ref(), kind, status, time);
+        }
         response
     }
 
--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -2,6 +2,9 @@
 
 mod call_context;
 mod caller_request;
+mod carried_call;
+mod carried_stream;
+mod carrier_service;
 mod host_service;
 mod plain_call;
 mod refusal_response;
@@ -9,9 +12,11 @@
 mod stream_call;
 mod stream_path;
 mod stream_relay;
+mod stream_source;
 
 pub use self::{
     caller_request::CallerRequest,
+    carrier_service::CarrierService,
     host_service::HostService,
     response_body::{ResponseAborted, ResponseBody},
 };
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -1,22 +1,29 @@
 use {
     crate::{
         connection::{BodyError, ConnectionError, PooledConnection},
-        process::{SendTurn, SenderKind},
+        process::{EndpointFate, SendTurn, SenderKind},
         request::{
-            call_context::CallContext, caller_request::strip_hop_headers,
-            refusal_response::refusal_response, stream_call::StreamCall, ResponseBody,
+            call_context::CallContext,
+            caller_request::strip_hop_headers,
+            carried_call::{is_promise, CarriedAnswer, CarryError, CarryProgress, REVISION_HEADER},
+            host_service::CarriedMark,
+            stream_call::StreamCall,
+            ResponseBody,
         },
     },
+    bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
         process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
+        version::RequestKind,
     },
-    http::{header, HeaderValue, Response, StatusCode},
+    http::{header, HeaderValue, Request, Response, StatusCode},
+    http_body_util::Full,
     hyper::body::Incoming,
-    std::{cell::Cell, fmt, time::Duration},
-    tokio::time::timeout,
+    std::{cell::Cell, fmt, pin::pin, rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::timeout},
 };
 
 /// A request to a plain service, whose response is buffered completely.
@@ -40,6 +47,26 @@
     MayHaveRun,
 }
 
+/// What has become of a request so far.
+struct CallProgress {
+    verdict: RequestVerdict,
+    /// The response of an endpoint that failed.
+    failed_response: Option<Response<ResponseBody>>,
+    /// Number of sends to endpoints.
+    sends: u32,
+    /// Number of endpoints to which no connection could be opened.
+    unreachable: usize,
+    /// Endpoints that were tried.
+    excluded: Vec<EndpointId>,
+}
+
+impl CallProgress {
+    /// Returns `true` if the request may go to another endpoint.
+    fn may_go_on(&self, kind: RequestKind) -> bool {
+        self.verdict == RequestVerdict::NotRun || kind.is_retryable()
+    }
+}
+
 impl PlainCall {
     /// Timeout of opening a connection to an endpoint.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -66,20 +93,30 @@
     }
 
     pub(super) async fn run(self) -> Response<ResponseBody> {
-        self.context.state.record_request(&self.context.service.service);
-        let mut excluded: Vec<EndpointId> = Vec::new();
-        let mut verdict = RequestVerdict::NotRun;
-        let mut failed_response = None;
-        let mut sends = 0;
-        let mut unreachable = 0;
+        let note = self.context.note.as_ref();
+        if note.is_none() {
+            self.context.state.record_request(&self.context.service.service);
+        }
+        self.ends.set(note.map_or(0, |note| note.ends));
+        let mut progress = CallProgress {
+            verdict: RequestVerdict::NotRun,
+            failed_response: None,
+            sends: note.map_or(0, |note| note.sends),
+            unreachable: 0,
+            excluded: Vec::new(),
+        };
         for _ in 0..Self::MAX_ENDPOINTS_TRIED {
+            if self.context.state.is_out_of_reach(&self.context.service.service) {
+                break;
+            }
+            let sends = progress.sends;
             if sends >= self.context.rule.attempts.max(1) || self.context.remaining_time().is_zero()
             {
                 break;
             }
             let blocked = self.context.state.blocked_subject(self.context.known_identity());
             if let Some(blocked) = blocked {
-                return self.refuse_blocked(verdict, &blocked);
+                return self.refuse_blocked(progress.verdict, &blocked);
             }
             if !self.context.state.may_repeat(self.context.known_identity(), self.ends.get()) {
                 break;
@@ -87,37 +124,105 @@
             let service = &self.context.service.service;
             let identity = self.context.known_identity();
             if self.context.state.spares_last_endpoint(service, identity) {
-                return self.refuse_suspect(verdict);
+                return self.refuse_suspect(progress.verdict);
             }
-            let Some((entry, turn)) = self.choose_with_turn(&excluded).await else { break };
+            let Some((entry, turn)) = self.choose_with_turn(&progress.excluded).await else {
+                break;
+            };
             if sends > 0 && !self.context.state.acquire_retry(service).await {
                 break;
             }
-            excluded.push(entry.endpoint.clone());
-            let outcome = self.attempt(&entry, turn, &mut sends).await;
-            self.log_attempt(sends, &entry, &outcome);
+            progress.excluded.push(entry.endpoint.clone());
+            let outcome = self.attempt(&entry, turn, &mut progress.sends).await;
+            self.log_attempt(progress.sends, &entry, &outcome);
             match outcome {
                 EndpointOutcome::Response(response) => return response,
                 EndpointOutcome::NotRun => {}
-                EndpointOutcome::Unreachable => unreachable += 1,
+                EndpointOutcome::Unreachable => progress.unreachable += 1,
                 EndpointOutcome::Failed(response) => {
-                    verdict = RequestVerdict::Ran;
-                    failed_response = Some(response);
+                    progress.verdict = RequestVerdict::Ran;
+                    progress.failed_response = Some(response);
                 }
-                EndpointOutcome::MayHaveRun => verdict = RequestVerdict::MayHaveRun,
+                EndpointOutcome::MayHaveRun => progress.verdict = RequestVerdict::MayHaveRun,
             }
-            if verdict != RequestVerdict::NotRun && !self.context.rule.kind.is_retryable() {
+            if !progress.may_go_on(self.context.rule.kind) {
                 break;
             }
         }
-        let Some(response) = failed_response else {
-            return self.refuse(verdict, excluded.len(), unreachable);
-        };
+        if self.context.needs_carrier() && progress.may_go_on(self.context.rule.kind) {
+            if let Some(response) = self.hand_over(&mut progress).await {
+                return response;
+            }
+        }
+        let Some(response) = progress.failed_response.take() else { return self.refuse(&progress) };
         let status = response.status().as_u16();
-        self.context.record_completion(sends, format_args!("status {status} forwarded"));
+        self.context.record_completion(progress.sends, format_args!("status {status} forwarded"));
         response
     }
 
+    /// Hands the request to another host, and returns the answer if there is one.
+    async fn hand_over(&self, progress: &mut CallProgress) -> Option<Response<ResponseBody>> {
+        let mut carry = CarryProgress {
+            sends: progress.sends,
+            ends: self.ends.get(),
+            response_timeout: Duration::MAX,
+            ..CarryProgress::default()
+        };
+        while !self.context.remaining_time().is_zero() {
+            let failed = match self.context.carry(&carry).await {
+                Ok(answer) => {
+                    let host = answer.load.carrier.host.clone();
+                    match self.read_carried(answer, progress.verdict).await {
+                        Some(response) => return Some(response),
+                        None => host,
+                    }
+                }
+                Err(CarryError::NoAnswer(host)) => host,
+                Err(CarryError::NoCarrier) => return None,
+            };
+            progress.verdict = RequestVerdict::MayHaveRun;
+            if !self.context.rule.kind.is_retryable() {
+                return None;
+            }
+            carry.sends += 1;
+            carry.excluded.push(failed);
+        }
+        None
+    }
+
+    /// Reads the answer of another host to its end; `None` if that does not come.
+    async fn read_carried(
+        &self,
+        answer: CarriedAnswer,
+        verdict: RequestVerdict,
+    ) -> Option<Response<ResponseBody>> {
+        let CarriedAnswer { response, mut connection, load } = answer;
+        let state = &self.context.state;
+        let is_reusable = connection.apply_response_head(response.headers());
+        let (mut parts, body) = response.into_parts();
+        let reading = state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
+        let body = match timeout(self.context.remaining_time(), reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) | Err(_) => return None,
+        };
+        if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
+            let max_idle = CallContext::MAX_IDLE_CARRIER_CONNECTIONS;
+            connection.return_to(&state.pool, max_idle, state.now());
+        }
+        if verdict != RequestVerdict::NotRun && is_promise(parts.status) {
+            // It holds for what the other host did, not for what this one had done before.
+            return None;
+        }
+        strip_hop_headers(&mut parts.headers);
+        parts.headers.remove(&REVISION_HEADER);
+        parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        parts.extensions.insert(CarriedMark);
+        let status = parts.status.as_u16();
+        let host = &load.carrier.host;
+        self.context.record_completion(0, format_args!("status {status} from host {host}"));
+        Some(Response::from_parts(parts, ResponseBody::from_bytes(body)))
+    }
+
     fn log_attempt(&self, sends: u32, entry: &EndpointEntry, outcome: &EndpointOutcome) {
         if let EndpointOutcome::Response(response) = outcome {
             let status = response.status().as_u16();
@@ -147,7 +252,7 @@
             .cause(cause)
             .verdict(verdict)
             .log(format_args!("blocked: {blocked}; route {}", self.context.rule.name));
-        refusal_response(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY))
+        self.context.refusal(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY))
     }
 
     /// Refuses a request that may have ended all endpoints of its service but one.
@@ -163,27 +268,24 @@
             ),
         );
         let retry_after = Self::SUSPECT_RETRY_DELAY.mul_f64(1.0 + fastrand::f64());
-        refusal_response(cause, is_not_run.then_some(retry_after))
+        self.context.refusal(cause, is_not_run.then_some(retry_after))
     }
 
     /// Refuses a request that got no response from any endpoint.
-    ///
-    /// To `unreachable` of the endpoints tried, no connection could be opened.
-    fn refuse(
-        &self,
-        verdict: RequestVerdict,
-        tried: usize,
-        unreachable: usize,
-    ) -> Response<ResponseBody> {
+    fn refuse(&self, progress: &CallProgress) -> Response<ResponseBody> {
+        let CallProgress { verdict, unreachable, excluded, .. } = progress;
+        let (verdict, tried) = (*verdict, excluded.len());
         let now = self.context.state.now();
         let service = &self.context.service.service;
         let blocked_until =
             self.context.state.directory.borrow().service_unavailable_until(service, now);
+        let is_out_of_reach = self.context.state.is_out_of_reach(service);
         let cause = match verdict {
+            RequestVerdict::NotRun if is_out_of_reach => RefusalCause::Unreachable,
             RequestVerdict::NotRun if tried == 0 && blocked_until.is_none() => {
                 RefusalCause::NoEndpoint
             }
-            RequestVerdict::NotRun if tried > 0 && unreachable == tried => {
+            RequestVerdict::NotRun if tried > 0 && *unreachable == tried => {
                 RefusalCause::Unreachable
             }
             RequestVerdict::NotRun => RefusalCause::Overloaded,
@@ -198,10 +300,12 @@
             ),
         );
         // Callers that were refused at the same time return apart.
-        let spread = Self::RETRY_AFTER.mul_f64(1.0 + fastrand::f64())
-            + self.context.state.return_spread(service);
+        let min_delay =
+            if is_out_of_reach { StreamCall::OUT_OF_REACH_RETRY_DELAY } else { Self::RETRY_AFTER };
+        let spread =
+            min_delay.mul_f64(1.0 + fastrand::f64()) + self.context.state.return_spread(service);
         let retry_after = blocked_until.unwrap_or(now).since(now) + spread;
-        refusal_response(cause, (verdict == RequestVerdict::NotRun).then_some(retry_after))
+        self.context.refusal(cause, (verdict == RequestVerdict::NotRun).then_some(retry_after))
     }
 
     fn choice<'a>(&'a self, excluded: &'a [EndpointId]) -> ServiceChoice<'a> {
@@ -266,10 +370,11 @@
             .await;
         let mut connection = match opened {
             Ok(connection) => connection,
-            Err(error) => return self.record_failure(entry, &error),
+            Err(error) => return self.record_failure(entry, error, started_at).await,
         };
         if !connection.is_reused {
             self.context.state.metrics.count_connection();
+            self.context.state.record_connection(&self.context.service.service, started_at);
         }
         let Some(request) = self.context.endpoint_request(&entry.endpoint) else {
             return EndpointOutcome::NotRun;
@@ -283,7 +388,11 @@
         *sends += 1;
         self.context.record_send();
         let sent_at = state.now();
-        let response = match connection.http.send(request, self.context.remaining_time()).await {
+        let Some(sent) = self.send(&mut connection, request, entry, sent_at).await else {
+            // Another host may still answer in time; nobody is blamed.
+            return EndpointOutcome::MayHaveRun;
+        };
+        let response = match sent {
             Ok(response) => response,
             Err(ConnectionError::Unsent) => {
                 *sends -= 1;
@@ -294,9 +403,10 @@
                 if matches!(error, ConnectionError::Broken(_)) {
                     self.record_break(entry).await;
                 }
-                return self.record_failure(entry, &error);
+                return self.record_failure(entry, error, sent_at).await;
             }
         };
+        state.record_answer(&self.context.service.service);
         let outcome = self.read_response(entry, connection, response, sent_at).await;
         if let EndpointOutcome::Response(_) = &outcome {
             let latency = self.context.state.now().since(started_at);
@@ -310,12 +420,50 @@
         outcome
     }
 
-    fn record_failure(&self, entry: &EndpointEntry, error: &ConnectionError) -> EndpointOutcome {
-        self.context.state.record_endpoint_failure(&entry.endpoint, error);
-        match error.verdict() {
-            RequestVerdict::NotRun if matches!(error, ConnectionError::Connect(_)) => {
-                EndpointOutcome::Unreachable
-            }
+    /// Sends the request and waits for the response head; `None` if the request may be sent again and
+    /// the host turns out to have no way to the endpoint.
+    async fn send(
+        &self,
+        connection: &mut PooledConnection,
+        request: Request<Full<Bytes>>,
+        entry: &EndpointEntry,
+        sent_at: Moment,
+    ) -> Option<Result<Response<Incoming>, ConnectionError>> {
+        let may_leave = self.context.rule.kind.is_retryable();
+        let mut sending = pin!(connection.http.send(request, self.context.remaining_time()));
+        tokio::select! {
+            sent = sending.as_mut() => return Some(sent),
+            () = self.context.state.wait_for_loss(&entry.endpoint, sent_at) => {}
+        }
+        if may_leave {
+            None
+        } else {
+            Some(sending.await)
+        }
+    }
+
+    async fn record_failure(
+        &self,
+        entry: &EndpointEntry,
+        error: ConnectionError,
+        started_at: Moment,
+    ) -> EndpointOutcome {
+        let verdict = error.verdict();
+        let is_unreachable = matches!(error, ConnectionError::Connect(_));
+        let has_timed_out = matches!(error, ConnectionError::TimedOut);
+        let (state, endpoint) = (Rc::clone(&self.context.state), entry.endpoint.clone());
+        let recording =
+            async move { state.record_endpoint_failure(&endpoint, &error, started_at).await };
+        if has_timed_out {
+            // The caller need not wait until it is known whose failure it is.
+            spawn_local(recording);
+        } else {
+            recording.await;
+        }
+        if is_unreachable {
+            return EndpointOutcome::Unreachable;
+        }
+        match verdict {
             RequestVerdict::NotRun => EndpointOutcome::NotRun,
             RequestVerdict::MayHaveRun | RequestVerdict::Ran => EndpointOutcome::MayHaveRun,
         }
@@ -339,7 +487,7 @@
         let state = &self.context.state;
         state.record_pause(&entry.endpoint, response.status(), response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
-            return self.record_failure(entry, &ConnectionError::TimedOut);
+            return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
         }
         state.record_limit(&entry.endpoint, SenderKind::Call, response.headers(), sent_at);
         let is_reusable = connection.apply_response_head(response.headers());
@@ -349,18 +497,20 @@
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::Broken(_))) => {
                 self.record_break(entry).await;
-                return self.record_failure(entry, &ConnectionError::TimedOut);
+                return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
             }
             Ok(Err(BodyError::TooLarge | BodyError::NoMemory)) | Err(_) => {
-                return self.record_failure(entry, &ConnectionError::TimedOut)
+                return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
             }
         };
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
-        if !is_framed && self.context.state.has_ended(&entry.endpoint).await {
+        if !is_framed
+            && self.context.state.endpoint_fate(&entry.endpoint).await != EndpointFate::Running
+        {
             // The end of the connection may be that of the endpoint in the middle of its answer.
             self.record_break(entry).await;
-            return self.record_failure(entry, &ConnectionError::TimedOut);
+            return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
         }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -5,19 +5,21 @@
         request::{
             call_context::CallContext,
             caller_request::strip_hop_headers,
-            refusal_response::refusal_response,
+            carried_call::is_promise,
             stream_path::QueueWait,
             stream_relay::{ReadOutcome, StreamAttempt, StreamRelay},
+            stream_source::{StallCause, StreamSource},
             ResponseBody,
         },
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{EndpointId, ModelId},
+        ids::{EndpointId, HostId, ModelId, Moment},
         process::{BlockedSubject, PathError, PlannedPath},
         request::{
-            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
+            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, RouteStage, StageRoute,
+            StreamTimeouts,
         },
         version::{RequestKind, ServiceRule},
     },
@@ -57,6 +59,10 @@
     pub(super) model: ModelId,
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
+    /// Whether the caller has got a part of the answer.
+    pub(super) has_begun: Cell<bool>,
+    /// Hosts that failed to carry this request.
+    pub(super) failed_carriers: Vec<HostId>,
     /// What of the request is kept from endpoints, if that was found.
     pub(super) blocked: Option<BlockedSubject>,
     pub(super) prompt_tokens: u32,
@@ -68,6 +74,8 @@
 pub(super) enum AttemptError {
     /// No path is available.
     NoPath(RefusalCause),
+    /// No host carries the request, and this one has no way to endpoints.
+    OutOfReach,
     /// The endpoint did not run the request.
     NotRun,
     /// No connection to the endpoint could be opened.
@@ -82,7 +90,7 @@
     /// Timeout of opening a connection to an endpoint.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
     /// Maximum size of an endpoint's description of an error, in bytes.
-    const MAX_ERROR_BYTES: usize = 256 * 1_024;
+    pub(super) const MAX_ERROR_BYTES: usize = 256 * 1_024;
     /// Maximum number of sends of a request, over all endpoints.
     const MAX_SENDS: u32 = 5;
     /// Time after which callers may return whose prompt is kept from endpoints.
@@ -91,6 +99,9 @@
     ///
     /// The rest is left for the first event.
     const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
+    /// Minimum retry delay advised to callers while this host has no way to endpoints; jitter raises it
+    /// up to twofold. Callers return to other hosts.
+    pub(super) const OUT_OF_REACH_RETRY_DELAY: Duration = Duration::from_millis(400);
     /// Minimum retry delay advised to callers while layers have no endpoint; jitter raises it up to
     /// threefold.
     const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
@@ -119,16 +130,21 @@
             .and_then(|name| name.parse().ok());
         // Paths are planned per service; the model name only labels the route.
         let model = model.unwrap_or_else(|| fallback_model(service));
+        let note = context.note.as_ref();
+        let (sends, ends) = note.map_or((0, 0), |note| (note.sends, note.ends));
+        let sent_to = note.map(|note| note.sent_to.clone()).unwrap_or_default();
         Self {
             context,
             excluded: Vec::new(),
             suspects: Vec::new(),
-            sends: 0,
-            sent_to: Vec::new(),
+            sends,
+            sent_to,
             replaced: RefCell::default(),
             bottleneck: Cell::new(None),
             model,
-            ends: 0,
+            ends,
+            has_begun: Cell::new(false),
+            failed_carriers: Vec::new(),
             blocked: None,
             prompt_tokens,
             output_tokens,
@@ -136,7 +152,9 @@
     }
 
     pub(super) async fn run(mut self) -> Response<ResponseBody> {
-        self.context.state.record_request(&self.context.service.service);
+        if self.context.note.is_none() {
+            self.context.state.record_request(&self.context.service.service);
+        }
         let start = self
             .context
             .request
@@ -148,7 +166,12 @@
             return self.refuse(verdict, RefusalCause::PromptBlocked);
         }
         for number in 0..Self::MAX_SENDS {
-            if !self.acquire_send().await {
+            if self.context.needs_carrier() {
+                // The other host asks for a retry once it has a path.
+                if self.context.remaining_time().is_zero() {
+                    break;
+                }
+            } else if !self.acquire_send().await {
                 break;
             }
             match self.attempt(start, QueueWait::First(self.initial_queue_wait())).await {
@@ -161,7 +184,17 @@
                 }
                 Err(AttemptError::NotRun) => cause = RefusalCause::Overloaded,
                 Err(AttemptError::Unreachable) => cause = RefusalCause::Unreachable,
+                Err(AttemptError::OutOfReach) => {
+                    cause = RefusalCause::Unreachable;
+                    break;
+                }
                 Err(AttemptError::MayHaveRun) => verdict = RequestVerdict::MayHaveRun,
+                Err(AttemptError::Failed(response))
+                    if verdict != RequestVerdict::NotRun && is_promise(response.status()) =>
+                {
+                    // It holds for what another host did, not for what this one had done before.
+                    break;
+                }
                 Err(AttemptError::Failed(response)) => {
                     let status = response.status().as_u16();
                     self.context
@@ -213,6 +246,10 @@
             Some(GiveUpReason::SendLimit)
         } else if self.context.state.blocked_subject(self.context.known_identity()).is_some() {
             Some(GiveUpReason::PromptBlocked)
+        } else if self.context.note.is_some()
+            && self.context.state.is_out_of_reach(&self.context.service.service)
+        {
+            Some(GiveUpReason::OutOfReach)
         } else {
             None
         }
@@ -255,7 +292,7 @@
                 self.organisation_excess(),
                 retry_after.unwrap_or_default().as_millis(),
             ));
-        refusal_response(cause, retry_after)
+        self.context.refusal(cause, retry_after)
     }
 
     /// Returns when the caller should return.
@@ -270,7 +307,10 @@
                 + state.return_spread(&self.context.service.service);
             return until.since(state.now()) + spread;
         }
-        if matches!(cause, RefusalCause::NoEndpoint | RefusalCause::Unreachable) {
+        if cause == RefusalCause::Unreachable {
+            return Self::OUT_OF_REACH_RETRY_DELAY.mul_f64(1.0 + fastrand::f64());
+        }
+        if cause == RefusalCause::NoEndpoint {
             return Self::UNAVAILABLE_RETRY_DELAY.mul_f64(1.0 + 2.0 * fastrand::f64());
         }
         let state = &self.context.state;
@@ -282,6 +322,8 @@
     fn refusal_reason(&self) -> &'static str {
         if self.context.remaining_time().is_zero() {
             "the deadline has passed"
+        } else if self.context.state.is_out_of_reach(&self.context.service.service) {
+            "no endpoint is in reach of this host, nor a host that carries the request"
         } else if !self.may_repeat() {
             "endpoints ended under the request"
         } else if self.sends >= Self::MAX_SENDS {
@@ -301,6 +343,13 @@
         last_event: u64,
         wait: QueueWait,
     ) -> Result<(Response<()>, StreamAttempt, Bytes), AttemptError> {
+        if self.context.needs_carrier() {
+            return self.attempt_elsewhere(last_event).await;
+        }
+        if self.context.state.is_out_of_reach(&self.context.service.service) {
+            return Err(AttemptError::OutOfReach);
+        }
+        self.context.is_carried.set(false);
         let state = Rc::clone(&self.context.state);
         // Held until the answer has begun or has failed to.
         let _suspect_turn = state.suspect_turn(self.context.known_identity(), self.ends).await;
@@ -322,10 +371,13 @@
         let opened = self.context.state.pool.checkout(address, false, now, connect_timeout).await;
         let mut connection = match opened {
             Ok(connection) => connection,
-            Err(error) => return Err(self.record_connection_failure(&first.endpoint, &error)),
+            Err(error) => {
+                return Err(self.record_connection_failure(&first.endpoint, error, now).await)
+            }
         };
         if !connection.is_reused {
             self.context.state.metrics.count_connection();
+            self.context.state.record_connection(&self.context.service.service, now);
         }
         let request = self
             .stream_request(&path, last_event)
@@ -357,6 +409,9 @@
                 turn.close();
                 return Err(AttemptError::NotRun);
             }
+            Err(ConnectionError::TimedOut) if self.context.needs_carrier() => {
+                return Err(AttemptError::MayHaveRun)
+            }
             // Any endpoint of the path may be the cause; those that failed a probe are in `excluded`
             // already.
             Err(ConnectionError::TimedOut) => {
@@ -371,19 +426,21 @@
                     !stages.clone().any(|stage| self.excluded.contains(&stage.endpoint));
                 self.suspects.extend(stages.map(|stage| stage.endpoint.clone()));
                 if is_unexplained {
-                    self.context.state.record_stall(&path.route, sent_at);
+                    self.context.state.record_stall(path.route.stages(), sent_at);
                 }
                 return Err(AttemptError::MayHaveRun);
             }
             Err(error) => {
                 self.record_break(&first.endpoint, &path.route).await;
-                return Err(self.record_connection_failure(&first.endpoint, &error));
+                return Err(self.record_connection_failure(&first.endpoint, error, sent_at).await);
             }
         };
+        self.context.state.record_answer(&self.context.service.service);
         let status = response.status();
         self.context.state.record_pause(&first.endpoint, status, response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
-            return Err(self.record_connection_failure(&first.endpoint, &ConnectionError::TimedOut));
+            let error = ConnectionError::TimedOut;
+            return Err(self.record_connection_failure(&first.endpoint, error, sent_at).await);
         }
         let headers = response.headers();
         self.context.state.record_limit(&first.endpoint, SenderKind::Stream, headers, sent_at);
@@ -405,7 +462,7 @@
             body,
             is_framed,
             splitter,
-            route: path.route.clone(),
+            source: StreamSource::Path(path.route.clone()),
             reservation: Some(reservation),
             timeouts: self.timeouts(),
             typical_gap: self.expected_gap(&path),
@@ -418,7 +475,7 @@
         match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
-                self.context.state.record_progress(&path.route);
+                self.context.state.record_progress(path.route.stages());
                 self.context.decision(LogEvent::StreamStarted).sends(self.sends).log(format_args!(
                     "{} ms after its arrival, {} ms after it was sent; planned first {:.1} ms, token {:.1} ms; tokens {}+{}; route {}",
                     now.since(self.context.request.received_at).as_millis(),
@@ -427,7 +484,7 @@
                     path.token_ms,
                     self.prompt_tokens,
                     self.output_tokens,
-                    attempt.describe_route(),
+                    attempt.source,
                 ));
                 Ok((head, attempt, first))
             }
@@ -487,29 +544,31 @@
         let state = Rc::clone(&self.context.state);
         let started_at = state.now();
         let mut sending = pin!(connection.http.send(request, response_timeout));
-        let mut unresponsive = pin!(state.wait_for_unresponsive(route, probe_delay));
+        let mut failure = pin!(state.wait_for_path_failure(route.stages(), probe_delay));
         let mut has_stalled = false;
         loop {
-            let unresponsive = tokio::select! {
+            let failure = tokio::select! {
                 result = sending.as_mut() => return result,
-                unresponsive = unresponsive.as_mut(), if may_leave => unresponsive,
+                failure = failure.as_mut(), if may_leave => failure,
                 () = sleep(probe_delay) => {
-                    state.start_probes(route, started_at);
+                    state.start_probes(route.stages(), started_at);
                     let is_late = state.now().since(started_at) >= timeouts.head_timeout();
                     if is_late && !has_stalled {
                         has_stalled = true;
-                        state.record_stall(route, started_at);
+                        state.record_stall(route.stages(), started_at);
                     }
                     continue;
                 }
             };
-            let time = state.now().since(started_at);
-            self.context.decision(LogEvent::StreamBroken).sends(self.sends).log(format_args!(
-                "no answer after {} ms; unresponsive: {}",
-                time.as_millis(),
-                join_ids(&unresponsive),
-            ));
-            self.excluded.extend(unresponsive);
+            let time = state.now().since(started_at).as_millis();
+            let cause = StallCause::from(failure);
+            self.context
+                .decision(LogEvent::StreamBroken)
+                .sends(self.sends)
+                .log(format_args!("no answer after {time} ms; {cause}"));
+            if let StallCause::Unresponsive(endpoints) = cause {
+                self.excluded.extend(endpoints);
+            }
             return Err(ConnectionError::TimedOut);
         }
     }
@@ -559,13 +618,16 @@
         Some(request)
     }
 
-    fn record_connection_failure(
+    async fn record_connection_failure(
         &mut self,
         endpoint: &EndpointId,
-        error: &ConnectionError,
+        error: ConnectionError,
+        started_at: Moment,
     ) -> AttemptError {
-        self.context.state.record_endpoint_failure(endpoint, error);
-        self.excluded.push(endpoint.clone());
+        let state = &self.context.state;
+        if !state.record_endpoint_failure(endpoint, &error, started_at).await {
+            self.excluded.push(endpoint.clone());
+        }
         match error.verdict() {
             RequestVerdict::NotRun if matches!(error, ConnectionError::Connect(_)) => {
                 AttemptError::Unreachable
@@ -647,6 +709,7 @@
         attempt: StreamAttempt,
         first: Bytes,
     ) -> Response<ResponseBody> {
+        self.has_begun.set(true);
         let (sender, receiver) = mpsc::channel(Self::MAX_BUFFERED_CHUNKS);
         let (mut parts, ()) = head.into_parts();
         let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
@@ -659,12 +722,12 @@
     }
 
     /// Records that a path on which the stream had stalled delivers again.
-    pub(super) fn record_return(&mut self, route: &StageRoute) {
-        let is_on_route =
-            |endpoint: &EndpointId| route.stages().iter().any(|stage| &stage.endpoint == endpoint);
-        self.excluded.retain(|endpoint| !is_on_route(endpoint));
-        self.suspects.retain(|endpoint| !is_on_route(endpoint));
-        self.context.state.record_progress(route);
+    pub(super) fn record_return(&mut self, stages: &[RouteStage]) {
+        let is_on_path =
+            |endpoint: &EndpointId| stages.iter().any(|stage| &stage.endpoint == endpoint);
+        self.excluded.retain(|endpoint| !is_on_path(endpoint));
+        self.suspects.retain(|endpoint| !is_on_path(endpoint));
+        self.context.state.record_progress(stages);
     }
 
     pub(super) fn record_stream_error(
@@ -677,14 +740,19 @@
             "{error} after event {}; {} ms without events; route {}",
             attempt.splitter.last_id().unwrap_or(0),
             waited.as_millis(),
-            attempt.describe_route(),
+            attempt.source,
         ));
-        self.excluded.extend(error.endpoints_to_exclude(attempt));
+        if let Some(load) = attempt.source.carrier() {
+            self.failed_carriers.push(load.carrier.host.clone());
+        }
+        if !self.context.needs_carrier() {
+            self.excluded.extend(error.endpoints_to_exclude(attempt));
+        }
         if error.is_unexplained_stall() {
             let now = self.context.state.now();
             let since = now.earlier_by(attempt.timeouts.stall_timeout());
-            self.context.state.record_stall(&attempt.route, since);
-            let stages = attempt.route.stages().iter();
+            self.context.state.record_stall(attempt.source.stages(), since);
+            let stages = attempt.source.stages().iter();
             self.suspects.extend(stages.map(|stage| stage.endpoint.clone()));
         }
     }
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -1,10 +1,11 @@
 use {
     crate::{
         connection::PooledConnection,
-        process::{GatewayState, ReservedLoad},
+        process::{EndpointFate, GatewayState, ReservedLoad},
         request::{
-            stream_call::{describe_route, join_ids, AttemptError, StreamCall},
+            stream_call::{AttemptError, StreamCall},
             stream_path::QueueWait,
+            stream_source::{StallCause, StreamSource},
             ResponseAborted,
         },
     },
@@ -12,9 +13,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
-        request::{
-            EventError, EventSplitter, GiveUpReason, RefusalCause, StageRoute, StreamTimeouts,
-        },
+        request::{EventError, EventSplitter, GiveUpReason, RefusalCause, StreamTimeouts},
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
@@ -39,7 +38,7 @@
     /// Whether the body has a length or comes in chunks.
     pub(super) is_framed: bool,
     pub(super) splitter: EventSplitter,
-    pub(super) route: StageRoute,
+    pub(super) source: StreamSource,
     /// `None` while a replacement for this path is planned.
     pub(super) reservation: Option<ReservedLoad>,
     pub(super) timeouts: StreamTimeouts,
@@ -73,8 +72,8 @@
     Empty,
     /// The connection ended with its endpoint, and nothing else marks the end of the stream.
     EndpointEnded,
-    /// No events arrived in time; the given endpoints are unresponsive.
-    Stalled(Vec<EndpointId>),
+    /// No events arrived in time.
+    Stalled(StallCause),
     /// The deadline of the request has passed.
     DeadlineExceeded,
 }
@@ -99,25 +98,23 @@
 
     /// Returns `true` if the stream stalled although all endpoints of its path respond to probes.
     pub(super) fn is_unexplained_stall(&self) -> bool {
-        matches!(self, StreamError::Stalled(unresponsive) if unresponsive.is_empty())
+        matches!(self, StreamError::Stalled(StallCause::Unresponsive(found)) if found.is_empty())
     }
 
     /// Returns the endpoints that the next path must avoid.
     pub(super) fn endpoints_to_exclude(&self, attempt: &StreamAttempt) -> Vec<EndpointId> {
         match self {
-            StreamError::Stalled(unresponsive) => unresponsive.clone(),
+            StreamError::Stalled(StallCause::Unresponsive(unresponsive)) => unresponsive.clone(),
             StreamError::Broken(_)
             | StreamError::Event(_)
             | StreamError::Truncated
             | StreamError::Empty
-            | StreamError::EndpointEnded => attempt
-                .route
-                .stages()
-                .first()
-                .map(|stage| stage.endpoint.clone())
-                .into_iter()
-                .collect(),
-            StreamError::DeadlineExceeded => Vec::new(),
+            | StreamError::EndpointEnded => {
+                attempt.source.first_endpoint().cloned().into_iter().collect()
+            }
+            StreamError::Stalled(StallCause::OutOfReach) | StreamError::DeadlineExceeded => {
+                Vec::new()
+            }
         }
     }
 }
@@ -130,12 +127,7 @@
             StreamError::Truncated => f.write_str("ended within an event"),
             StreamError::EndpointEnded => f.write_str("ended with its endpoint"),
             StreamError::Empty => f.write_str("ended before its first event"),
-            StreamError::Stalled(unresponsive) if unresponsive.is_empty() => {
-                f.write_str("stalled although all its endpoints respond")
-            }
-            StreamError::Stalled(unresponsive) => {
-                write!(f, "stalled; unresponsive: {}", join_ids(unresponsive))
-            }
+            StreamError::Stalled(cause) => cause.fmt(f),
             StreamError::DeadlineExceeded => f.write_str("deadline exceeded"),
         }
     }
@@ -165,15 +157,20 @@
     ) -> ReadOutcome {
         let waiting_since = state.now();
         let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
-        let stall_timeout = self.timeouts.stall_timeout();
-        let mut unresponsive = pin!(state.wait_for_unresponsive(&self.route, probe_delay));
+        let stall_timeout = match &self.source {
+            StreamSource::Path(_) => self.timeouts.stall_timeout(),
+            // The other host looks for another path first.
+            StreamSource::Carrier(_) => self.timeouts.head_timeout(),
+        };
+        let stages = self.source.stages();
+        let mut failure = pin!(state.wait_for_path_failure(stages, probe_delay));
         let mut reading = pin!(read_events(&mut self.body, &mut self.splitter, self.is_framed));
         let mut has_stalled = false;
         let outcome = loop {
             tokio::select! {
                 outcome = reading.as_mut() => break outcome,
-                unresponsive = unresponsive.as_mut(), if may_leave => {
-                    return ReadOutcome::Failed(StreamError::Stalled(unresponsive));
+                failure = failure.as_mut(), if may_leave => {
+                    return ReadOutcome::Failed(StreamError::Stalled(failure.into()));
                 }
                 () = sleep(probe_delay) => {
                     let waited = state.now().since(waiting_since);
@@ -182,14 +179,15 @@
                     }
                     if waited >= stall_timeout {
                         if may_leave {
-                            return ReadOutcome::Failed(StreamError::Stalled(Vec::new()));
+                            let cause = StallCause::Unresponsive(Vec::new());
+                            return ReadOutcome::Failed(StreamError::Stalled(cause));
                         }
                         if !has_stalled {
-                            state.record_stall(&self.route, waiting_since);
+                            state.record_stall(stages, waiting_since);
                         }
                         has_stalled = true;
                     }
-                    state.start_probes(&self.route, waiting_since);
+                    state.start_probes(stages, waiting_since);
                 }
             }
         };
@@ -197,7 +195,7 @@
             let gap = state.now().since(waiting_since);
             self.typical_gap = moving_average(self.typical_gap, gap);
             if has_stalled {
-                state.record_progress(&self.route);
+                state.record_progress(stages);
             }
         }
         outcome
@@ -210,11 +208,6 @@
         outcome.unwrap_or(ReadOutcome::Failed(StreamError::DeadlineExceeded))
     }
 
-    /// Returns the path's endpoints and layers, for the log.
-    pub(super) fn describe_route(&self) -> String {
-        describe_route(&self.route)
-    }
-
     async fn release(mut self, state: &GatewayState, max_idle: usize) {
         /// Time for a connection to become ready again after its response was read.
         const READY_TIMEOUT: Duration = Duration::from_millis(2);
@@ -338,10 +331,7 @@
                     let has_events = !events.is_empty();
                     if let Some(attempt) = self.attempt.as_mut().filter(|_| has_events) {
                         if attempt.record_events(now) {
-                            self.call
-                                .context
-                                .state
-                                .record_survival(self.call.context.known_identity());
+                            self.call.record_survival();
                         }
                     }
                     if let Some(before) = self.relayed_at.replace(now) {
@@ -361,9 +351,9 @@
                     let last_event = self.last_event.unwrap_or(0);
                     let call = &self.call;
                     if let Some(attempt) = &self.attempt {
-                        call.context.state.record_progress(&attempt.route);
+                        call.context.state.record_progress(attempt.source.stages());
                     }
-                    call.context.state.record_survival(call.context.known_identity());
+                    call.record_survival();
                     let gap = self.longest_gap.as_millis();
                     call.context.record_completion(
                         call.sends,
@@ -393,9 +383,11 @@
     /// Returns `true` if the stream ended with its connection because its endpoint has ended.
     async fn has_endpoint_ended(&self) -> bool {
         let unframed = self.attempt.as_ref().filter(|attempt| !attempt.is_framed);
-        let first = unframed.and_then(|attempt| attempt.route.stages().first());
-        match first {
-            Some(stage) => self.call.context.state.has_ended(&stage.endpoint).await,
+        match unframed.and_then(|attempt| attempt.source.first_endpoint()) {
+            Some(endpoint) => {
+                let fate = self.call.context.state.endpoint_fate(endpoint).await;
+                fate != EndpointFate::Running
+            }
             None => false,
         }
     }
@@ -417,8 +409,10 @@
             let waited = self.time_without_events();
             self.call.record_stream_error(&attempt, &error, waited);
             if error.is_break() && !attempt.is_under_way {
-                if let Some(first) = attempt.route.stages().first() {
-                    self.call.record_break(&first.endpoint, &attempt.route).await;
+                if let StreamSource::Path(route) = &attempt.source {
+                    if let Some(first) = route.stages().first() {
+                        self.call.record_break(&first.endpoint, route).await;
+                    }
                 }
             }
             if error.is_stall() {
@@ -494,7 +488,7 @@
     fn record_resumption(&mut self, attempt: StreamAttempt, events: Bytes) -> ReadOutcome {
         let (call, last_event) = (&self.call, self.last_event.unwrap_or(0));
         call.context.state.metrics.count_broken_stream(true);
-        let path = attempt.describe_route();
+        let path = attempt.source.to_string();
         call.context
             .decision(LogEvent::StreamResumed)
             .sends(call.sends)
@@ -515,13 +509,13 @@
             return Err((error, GiveUpReason::DeadlineExceeded));
         }
         attempt.reservation = self.call.replaced.take();
-        self.call.record_return(&attempt.route);
+        self.call.record_return(attempt.source.stages());
         let call = &self.call;
         call.context.decision(LogEvent::StreamReturned).sends(call.sends).log(format_args!(
             "{} ms after event {}; {error}; route {}",
             self.time_without_events().as_millis(),
             self.last_event.unwrap_or(0),
-            attempt.describe_route(),
+            attempt.source,
         ));
         self.attempt = Some(attempt);
         Ok(outcome)
@@ -603,11 +597,14 @@
         if let Some(reason) = call.resume_refusal() {
             return Err(reason);
         }
-        // A retry without a path would waste the budget.
-        if let Err(error) = call.plan_with_wait(wait).await {
-            return Err(give_up_reason(&error));
+        // A host that carries the stream asks for the retry itself.
+        if !call.context.needs_carrier() {
+            // A retry without a path would waste the budget.
+            if let Err(error) = call.plan_with_wait(wait).await {
+                return Err(give_up_reason(&error));
+            }
+            call.acquire_resume().await?;
         }
-        call.acquire_resume().await?;
         match call.attempt(last_event, wait).await {
             Ok((_, attempt, events)) => return Ok((attempt, events)),
             Err(AttemptError::NotRun | AttemptError::Unreachable | AttemptError::MayHaveRun) => {}
@@ -625,5 +622,6 @@
         | AttemptError::Unreachable
         | AttemptError::MayHaveRun
         | AttemptError::Failed(_) => GiveUpReason::EndpointFailed,
+        AttemptError::OutOfReach => GiveUpReason::NoEndpoint,
     }
 }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -88,6 +88,8 @@
     1312 PromptPartBlocked Warning "A part of prompts, or a request, is kept from endpoints, since endpoints ended under it.";
     1313 PromptPartReleased Info "A part of prompts, or a request, is no longer kept from endpoints.";
     1314 EndpointLimited Info "An endpoint named the rate of requests that it takes from all hosts, or no longer does.";
+    1315 EndpointsOutOfReach Warning "This host has no way to the endpoints of a service, which other hosts reach; those carry its requests.";
+    1316 EndpointsInReach Info "This host reaches the endpoints of a service again.";
     1401 StreamResumed Info "A stream resumed on another route.";
     1402 StreamGivenUp Warning "A stream ended before its answer was complete.";
     1403 FrameDropped Info "A token frame was dropped: late, duplicate or of another stream.";
@@ -97,6 +99,8 @@
     1407 StreamStarted Info "The first events of a stream arrived.";
     1408 RequestAnswered Info "A request was answered completely.";
     1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
+    1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
+    1411 CarryFailed Info "A host did not carry a request of another one.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
