--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -131,6 +131,12 @@
     }
 }
 
+impl AsMut<HttpConnection> for PooledConnection {
+    fn as_mut(&mut self) -> &mut HttpConnection {
+        &mut self.http
+    }
+}
+
 impl PooledConnection {
     /// Updates the idle timeout from a response head.
     ///
--- a/crates/cassiafield-gateway/src/connection/http_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/http_connection.rs
@@ -147,6 +147,12 @@
     }
 }
 
+impl AsMut<HttpConnection> for HttpConnection {
+    fn as_mut(&mut self) -> &mut HttpConnection {
+        self
+    }
+}
+
 impl Drop for HttpConnection {
     fn drop(&mut self) {
         self.driver.abort();
--- /dev/null
+++ b/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
@@ -0,0 +1,88 @@
+use {
+    crate::{
+        connection::{ConnectionError, HttpConnection},
+        process::{GatewayState, SenderKind},
+    },
+    bytes::Bytes,
+    cassiafield_core::ids::{EndpointId, Moment},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    std::{pin::pin, rc::Rc, time::Duration},
+    tokio::{sync::oneshot, task::spawn_local, time::timeout},
+};
+
+/// Sends to an endpoint, and records what the answer says of the next requests.
+///
+/// What an endpoint says of the next requests outlives the one that it answers: it is also heard if the
+/// caller has left, or its deadline has passed, before the answer came.
+pub struct EndpointExchange {
+    /// The state of the host.
+    pub state: Rc<GatewayState>,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// What sends to it.
+    pub sender: SenderKind,
+    /// Identifies the request; an answer to another one says nothing of limits. `None` for reports and
+    /// orders.
+    pub request_id: Option<HeaderValue>,
+}
+
+impl EndpointExchange {
+    /// Time for which an answer is awaited that nobody waits for any more.
+    ///
+    /// A refusal comes at once; an endpoint that is at work learns soon that it need not go on.
+    const LATE_ANSWER_TIME: Duration = Duration::from_millis(100);
+
+    /// Sends a request and returns the response head, with the connection, if it arrives in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response.
+    pub async fn send<C>(
+        self,
+        mut connection: C,
+        request: Request<Full<Bytes>>,
+        response_timeout: Duration,
+    ) -> Result<(Response<Incoming>, C), ConnectionError>
+    where
+        C: AsMut<HttpConnection> + 'static,
+    {
+        let (mut sender, receiver) = oneshot::channel();
+        spawn_local(async move {
+            let sent_at = self.state.now();
+            let result = {
+                let mut sending = pin!(connection.as_mut().send(request, Duration::MAX));
+                tokio::select! {
+                    result = sending.as_mut() => result,
+                    () = sender.closed() => {
+                        let late = timeout(Self::LATE_ANSWER_TIME, sending).await;
+                        late.unwrap_or(Err(ConnectionError::TimedOut))
+                    }
+                }
+            };
+            if let Ok(response) = &result {
+                self.hear(response.status(), response.headers(), sent_at);
+            }
+            // Nobody waits for an answer that comes late; its connection is closed.
+            drop(sender.send(result.map(|response| (response, connection))));
+        });
+        match timeout(response_timeout, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(ConnectionError::TimedOut),
+        }
+    }
+
+    /// Records what a response head says of the next requests.
+    fn hear(&self, status: StatusCode, headers: &HeaderMap, sent_at: Moment) {
+        let Self { state, endpoint, sender, request_id } = self;
+        let names = state.codec.header_names();
+        let is_other = request_id.as_ref().is_some_and(|id| {
+            headers.get(&names.request_id).is_some_and(|echoed| echoed.as_bytes() != id.as_bytes())
+        });
+        state.record_pause(endpoint, status, headers);
+        if !is_other {
+            state.record_limit(endpoint, *sender, headers, sent_at);
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::{EndpointReport, HttpConnection},
-        process::{GatewayState, SenderKind},
+        process::{EndpointExchange, GatewayState, SenderKind},
     },
     bytes::Bytes,
     cassiafield_core::{
@@ -209,12 +209,12 @@
 ///
 /// Returns why there is no report; the connection is dropped then.
 pub(super) async fn fetch_report(
-    state: &GatewayState,
+    state: &Rc<GatewayState>,
     endpoint: &EndpointId,
     address: SocketAddrV4,
     connection: &mut Option<HttpConnection>,
 ) -> anyhow::Result<EndpointReport> {
-    let mut open = match connection.take() {
+    let open = match connection.take() {
         Some(open) if open.is_ready() => open,
         _ => HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await?,
     };
@@ -224,10 +224,13 @@
         .uri(wire.target)
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))?;
-    let sent_at = state.now();
-    let response = open.send(request, HealthProbe::PROBE_TIMEOUT).await?;
-    state.record_pause(endpoint, response.status(), response.headers());
-    state.record_limit(endpoint, SenderKind::Probe, response.headers(), sent_at);
+    let exchange = EndpointExchange {
+        state: Rc::clone(state),
+        endpoint: endpoint.clone(),
+        sender: SenderKind::Probe,
+        request_id: None,
+    };
+    let (response, open) = exchange.send(open, request, HealthProbe::PROBE_TIMEOUT).await?;
     let body = state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES).await?;
     let report = state.codec.parse_report(&body)?;
     *connection = Some(open);
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -4,7 +4,7 @@
             BodyError, ConnectionError, EndpointReport, HttpConnection, StoreCall, StoreClient,
             StoreResponse, WireRequest,
         },
-        process::{GatewayState, SenderKind},
+        process::{EndpointExchange, GatewayState, SenderKind},
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
@@ -300,16 +300,13 @@
         entry: &EndpointEntry,
         span: LayerSpan,
     ) -> Result<StatusCode, ConnectionError> {
-        let mut connection = HttpConnection::connect(entry.address, Self::ORDER_TIMEOUT).await?;
-        let orders = self.current_orders(&mut connection, entry).await?;
+        let connection = HttpConnection::connect(entry.address, Self::ORDER_TIMEOUT).await?;
+        let (orders, connection) = self.current_orders(connection, entry).await?;
         self.begin_send(entry)?;
         let wire = self.state.codec.placement_order(span, orders);
         let request = self.endpoint_request(entry, wire)?;
-        let sent_at = self.state.now();
-        let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
-        let (endpoint, headers) = (&entry.endpoint, response.headers());
-        self.state.record_pause(endpoint, response.status(), headers);
-        self.state.record_limit(endpoint, SenderKind::Order, headers, sent_at);
+        let exchange = self.exchange(entry);
+        let (response, _) = exchange.send(connection, request, Self::ORDER_TIMEOUT).await?;
         Ok(response.status())
     }
 
@@ -322,19 +319,17 @@
     /// Fetches the number of orders that an endpoint has accepted.
     async fn current_orders(
         &self,
-        connection: &mut HttpConnection,
+        connection: HttpConnection,
         entry: &EndpointEntry,
-    ) -> Result<u64, ConnectionError> {
+    ) -> Result<(u64, HttpConnection), ConnectionError> {
         if entry.orders == 0 {
-            return Ok(0);
+            return Ok((0, connection));
         }
         self.begin_send(entry)?;
         let request = self.endpoint_request(entry, self.state.codec.report_request())?;
-        let sent_at = self.state.now();
-        let response = connection.send(request, Self::ORDER_TIMEOUT).await?;
-        let (endpoint, headers) = (&entry.endpoint, response.headers());
-        self.state.record_pause(endpoint, response.status(), headers);
-        self.state.record_limit(endpoint, SenderKind::Order, headers, sent_at);
+        let exchange = self.exchange(entry);
+        let (response, connection) =
+            exchange.send(connection, request, Self::ORDER_TIMEOUT).await?;
         let reading =
             self.state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES);
         let body = match reading.await {
@@ -350,7 +345,16 @@
                 None
             }
         };
-        Ok(report.map_or(entry.orders, |report| report.orders))
+        Ok((report.map_or(entry.orders, |report| report.orders), connection))
+    }
+
+    fn exchange(&self, entry: &EndpointEntry) -> EndpointExchange {
+        EndpointExchange {
+            state: Rc::clone(&self.state),
+            endpoint: entry.endpoint.clone(),
+            sender: SenderKind::Order,
+            request_id: None,
+        }
     }
 
     fn endpoint_request(
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod admission_queue;
 mod boot_clock;
 mod configuration_sync;
+mod endpoint_exchange;
 mod endpoint_sync;
 mod engine_monitor;
 mod gateway_metrics;
@@ -30,6 +31,7 @@
 pub use self::{
     admission_queue::AdmissionQueue,
     boot_clock::BootClock,
+    endpoint_exchange::EndpointExchange,
     engine_monitor::EngineMonitor,
     gateway_metrics::{GatewayMetrics, GaugeValues},
     gateway_server::{GatewayServer, RunningHost},
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        process::{GatewayState, InFlightRequest},
+        process::{EndpointExchange, GatewayState, InFlightRequest, SenderKind},
         request::{
             carried_call::REFUSAL_HEADER, refusal_response::refusal_response, CallerRequest,
             ResponseBody,
@@ -71,6 +71,16 @@
         Some(request)
     }
 
+    /// Returns the exchange of the request with an endpoint.
+    pub(super) fn exchange(&self, endpoint: &EndpointId, sender: SenderKind) -> EndpointExchange {
+        EndpointExchange {
+            state: Rc::clone(&self.state),
+            endpoint: endpoint.clone(),
+            sender,
+            request_id: HeaderValue::from_str(&self.request.id).ok(),
+        }
+    }
+
     /// Returns `true` if a response head carries the identifier of another request.
     pub(super) fn belongs_to_other_request(&self, head: &HeaderMap) -> bool {
         let echoed = head.get(&self.state.codec.header_names().request_id);
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -368,7 +368,7 @@
             .pool
             .checkout(entry.address, at_most_once, started_at, connect_timeout)
             .await;
-        let mut connection = match opened {
+        let connection = match opened {
             Ok(connection) => connection,
             Err(error) => return self.record_failure(entry, error, started_at).await,
         };
@@ -388,12 +388,12 @@
         *sends += 1;
         self.context.record_send();
         let sent_at = state.now();
-        let Some(sent) = self.send(&mut connection, request, entry, sent_at).await else {
+        let Some(sent) = self.send(connection, request, entry, sent_at).await else {
             // Another host may still answer in time; nobody is blamed.
             return EndpointOutcome::MayHaveRun;
         };
-        let response = match sent {
-            Ok(response) => response,
+        let (response, connection) = match sent {
+            Ok(answered) => answered,
             Err(ConnectionError::Unsent) => {
                 *sends -= 1;
                 turn.close();
@@ -424,13 +424,14 @@
     /// the host turns out to have no way to the endpoint.
     async fn send(
         &self,
-        connection: &mut PooledConnection,
+        connection: PooledConnection,
         request: Request<Full<Bytes>>,
         entry: &EndpointEntry,
         sent_at: Moment,
-    ) -> Option<Result<Response<Incoming>, ConnectionError>> {
+    ) -> Option<Result<(Response<Incoming>, PooledConnection), ConnectionError>> {
         let may_leave = self.context.rule.kind.is_retryable();
-        let mut sending = pin!(connection.http.send(request, self.context.remaining_time()));
+        let exchange = self.context.exchange(&entry.endpoint, SenderKind::Call);
+        let mut sending = pin!(exchange.send(connection, request, self.context.remaining_time()));
         tokio::select! {
             sent = sending.as_mut() => return Some(sent),
             () = self.context.state.wait_for_loss(&entry.endpoint, sent_at) => {}
@@ -484,12 +485,9 @@
         response: Response<Incoming>,
         sent_at: Moment,
     ) -> EndpointOutcome {
-        let state = &self.context.state;
-        state.record_pause(&entry.endpoint, response.status(), response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
             return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
         }
-        state.record_limit(&entry.endpoint, SenderKind::Call, response.headers(), sent_at);
         let is_reusable = connection.apply_response_head(response.headers());
         let (mut parts, body) = response.into_parts();
         let reading = self.context.state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -369,7 +369,7 @@
         let now = self.context.state.now();
         let connect_timeout = Self::CONNECT_TIMEOUT.min(self.context.remaining_time());
         let opened = self.context.state.pool.checkout(address, false, now, connect_timeout).await;
-        let mut connection = match opened {
+        let connection = match opened {
             Ok(connection) => connection,
             Err(error) => {
                 return Err(self.record_connection_failure(&first.endpoint, error, now).await)
@@ -402,8 +402,9 @@
             self.sent_to.push(first.endpoint.clone());
         }
         let sent_at = self.context.state.now();
-        let response = match self.await_response_head(&mut connection, request, &path).await {
-            Ok(response) => response,
+        let answered = self.await_response_head(connection, request, &path).await;
+        let (response, mut connection) = match answered {
+            Ok(answered) => answered,
             Err(ConnectionError::Unsent) => {
                 self.sends -= 1;
                 turn.close();
@@ -437,13 +438,10 @@
         };
         self.context.state.record_answer(&self.context.service.service);
         let status = response.status();
-        self.context.state.record_pause(&first.endpoint, status, response.headers());
         if self.context.belongs_to_other_request(response.headers()) {
             let error = ConnectionError::TimedOut;
             return Err(self.record_connection_failure(&first.endpoint, error, sent_at).await);
         }
-        let headers = response.headers();
-        self.context.state.record_limit(&first.endpoint, SenderKind::Stream, headers, sent_at);
         let is_reusable = connection.apply_response_head(response.headers());
         if status != StatusCode::OK {
             return Err(self.handle_error_response(&path.route, response).await);
@@ -531,10 +529,10 @@
     /// while the path's endpoints respond to probes.
     async fn await_response_head(
         &mut self,
-        connection: &mut PooledConnection,
+        connection: PooledConnection,
         request: Request<Full<Bytes>>,
         path: &PlannedPath,
-    ) -> Result<Response<Incoming>, ConnectionError> {
+    ) -> Result<(Response<Incoming>, PooledConnection), ConnectionError> {
         let (route, timeouts) = (&path.route, self.timeouts());
         let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
         let probe_delay = timeouts.head_probe_delay(expected);
@@ -543,7 +541,9 @@
         let response_timeout = head_timeout.min(self.context.remaining_time());
         let state = Rc::clone(&self.context.state);
         let started_at = state.now();
-        let mut sending = pin!(connection.http.send(request, response_timeout));
+        let first = route.stages().first().ok_or(ConnectionError::Unsent)?;
+        let exchange = self.context.exchange(&first.endpoint, SenderKind::Stream);
+        let mut sending = pin!(exchange.send(connection, request, response_timeout));
         let mut failure = pin!(state.wait_for_path_failure(route.stages(), probe_delay));
         let mut has_stalled = false;
         loop {
