--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -3,7 +3,7 @@
         ids::{EndpointId, Moment, ServiceId, ZoneId},
         process::{
             EndpointEntry, EndpointIncarnation, EndpointLimits, EndpointPauses, FailureCause,
-            FailureReport, LimitReport, LimitReports, TurnReply,
+            FailureReport, LeavingEndpoints, LimitReport, LimitReports, TurnReply,
         },
         request::{LayerSpan, RequestRate, RetryAfter},
     },
@@ -88,6 +88,7 @@
     known: BTreeMap<EndpointId, KnownEndpoint>,
     pauses: EndpointPauses,
     limits: EndpointLimits,
+    leaving: LeavingEndpoints,
     /// Whether the latest read of the list failed.
     is_unreadable: bool,
     /// When the list was first requested with success after the last failure.
@@ -154,6 +155,7 @@
         });
         let known = &self.known;
         self.limits.retain_listed(|endpoint| known.contains_key(endpoint), requested_at);
+        self.leaving.retain_listed(|endpoint| known.contains_key(endpoint), requested_at);
         changes
     }
 
@@ -164,6 +166,8 @@
         changes: &mut Vec<DirectoryChange>,
     ) {
         let endpoint = entry.endpoint.clone();
+        let has_said_so = self.leaving.contains(&endpoint, entry.incarnation);
+        let entry = EndpointEntry { is_leaving: entry.is_leaving || has_said_so, ..entry };
         let Some(known) = self.known.get_mut(&endpoint) else {
             changes.push(DirectoryChange::Started(endpoint.clone(), entry.incarnation));
             if entry.is_leaving {
@@ -260,6 +264,19 @@
         self.known.get(endpoint).is_some_and(|known| known.is_unresponsive(now))
     }
 
+    /// Records that an endpoint said in an answer that it is leaving; returns `true` if that is news.
+    pub fn record_leaving(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
+        let Some(known) = self.known.get_mut(endpoint) else { return false };
+        self.leaving.record(endpoint, known.entry.incarnation, now);
+        !mem::replace(&mut known.entry.is_leaving, true)
+    }
+
+    /// Returns `true` if an endpoint is listed and accepts new work.
+    #[must_use]
+    pub fn accepts_work(&self, endpoint: &EndpointId) -> bool {
+        self.entry(endpoint).is_some_and(|entry| !entry.is_leaving)
+    }
+
     /// Records that an endpoint asked this host for a pause, and returns when it ends; `None` if the
     /// endpoint is unknown.
     ///
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -25,6 +25,7 @@
 mod floor_transition;
 mod inter_token_latency;
 mod layer_placement;
+mod leaving_endpoints;
 mod limit_report;
 mod link_load;
 mod listed_entries;
@@ -76,6 +77,7 @@
     floor_transition::FloorTransition,
     inter_token_latency::InterTokenLatency,
     layer_placement::{LayerAssignment, LayerPlacement, PlacementCandidate},
+    leaving_endpoints::LeavingEndpoints,
     limit_report::LimitReport,
     link_load::{LinkLoad, LinkUsage, ZonePair},
     listed_entries::{ListChanges, ListedEntries, ListedEntry},
--- /dev/null
+++ b/crates/cassiafield-core/tests/leaving_endpoints.rs
@@ -0,0 +1,37 @@
+//! Endpoints that say in their answers that they are leaving.
+
+use {
+    cassiafield_core::{
+        ids::{EndpointId, Moment},
+        process::{EndpointIncarnation, LeavingEndpoints},
+    },
+    std::time::Duration,
+};
+
+fn endpoint() -> EndpointId {
+    "i-1".parse().expect("a name")
+}
+
+const NOW: Moment = Moment::from_millis(1_000);
+
+#[test]
+fn the_word_of_an_endpoint_holds_for_its_incarnation() {
+    let mut leaving = LeavingEndpoints::default();
+    leaving.record(&endpoint(), EndpointIncarnation(5), NOW);
+    assert!(leaving.contains(&endpoint(), EndpointIncarnation(5)));
+    assert!(leaving.contains(&endpoint(), EndpointIncarnation(4)));
+    assert!(!leaving.contains(&endpoint(), EndpointIncarnation(6)));
+    assert!(!leaving.contains(&"i-2".parse().expect("a name"), EndpointIncarnation(5)));
+}
+
+#[test]
+fn the_word_of_an_endpoint_outlives_its_entry() {
+    let mut leaving = LeavingEndpoints::default();
+    leaving.record(&endpoint(), EndpointIncarnation(5), NOW);
+    leaving.retain_listed(|_| false, NOW + Duration::from_secs(60));
+    assert!(leaving.contains(&endpoint(), EndpointIncarnation(5)));
+    leaving.retain_listed(|_| true, NOW + Duration::from_secs(6_000));
+    assert!(leaving.contains(&endpoint(), EndpointIncarnation(5)));
+    leaving.retain_listed(|_| false, NOW + Duration::from_secs(6_000));
+    assert!(!leaving.contains(&endpoint(), EndpointIncarnation(5)));
+}
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -167,6 +167,8 @@
     pub length_hint: HeaderName,
     /// Requests a second that an endpoint takes from all hosts together.
     pub request_limit: HeaderName,
+    /// Set by an endpoint that is leaving, in all its answers.
+    pub leaving: HeaderName,
     /// Set by an endpoint that did not run the request.
     pub not_run: HeaderName,
     /// Identifies the execution that produced a response.
--- a/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
@@ -4,6 +4,7 @@
         process::{GatewayState, SenderKind},
     },
     bytes::Bytes,
+    cassiafield::process::LogEvent,
     cassiafield_core::ids::{EndpointId, Moment},
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
@@ -83,6 +84,27 @@
         state.record_pause(endpoint, status, headers);
         if !is_other {
             state.record_limit(endpoint, *sender, headers, sent_at);
+            if state.says_leaving(headers) {
+                state.record_leaving(endpoint, sender.name());
+            }
+        }
+    }
+}
+
+impl GatewayState {
+    /// Returns `true` if a response head says that its endpoint is leaving.
+    #[must_use]
+    pub fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        let values = headers.get_all(&self.codec.header_names().leaving);
+        values.iter().any(|value| value.as_bytes().trim_ascii() != b"0")
+    }
+
+    /// Records that an endpoint has said in an answer that it is leaving: it gets no new work.
+    pub fn record_leaving(&self, endpoint: &EndpointId, source: &str) {
+        let now = self.now();
+        if self.directory.borrow_mut().record_leaving(endpoint, now) {
+            LogEvent::EndpointLeaving
+                .log(format_args!("endpoint {endpoint}, by its answer to a {source}"));
         }
     }
 }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -476,8 +476,8 @@
         ));
     }
 
-    /// Returns `true` if a request may be sent to an endpoint now: it has not asked for a pause, and
-    /// takes any rate of requests or the request has a turn.
+    /// Returns `true` if a request may be sent to an endpoint now: it is not leaving, has not asked for a
+    /// pause, and takes any rate of requests or the request has a turn.
     ///
     /// Every send of a request asks this right before its first byte: waiting for a connection takes
     /// time in which the endpoint may have asked.
@@ -490,7 +490,10 @@
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
         let is_limited = directory.request_rate(endpoint, now).is_some();
-        if directory.blocked_until(endpoint, now).is_some() || !turn.covers(endpoint, is_limited) {
+        let may_send = directory.accepts_work(endpoint)
+            && directory.blocked_until(endpoint, now).is_none()
+            && turn.covers(endpoint, is_limited);
+        if !may_send {
             self.metrics.count_send_held_back(sender);
             return false;
         }
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -2,8 +2,9 @@
     crate::{
         process::{EndpointExchange, GatewayState, InFlightRequest, SenderKind},
         request::{
-            carried_call::REFUSAL_HEADER, refusal_response::refusal_response, CallerRequest,
-            ResponseBody,
+            carried_call::{LEAVING_HEADER, REFUSAL_HEADER},
+            refusal_response::refusal_response,
+            CallerRequest, ResponseBody,
         },
     },
     bytes::Bytes,
@@ -81,6 +82,15 @@
         }
     }
 
+    /// Tells the host that handed the request over that its endpoint is leaving, if it said so.
+    pub(super) fn pass_leaving_on(&self, endpoint: &EndpointId, headers: &mut HeaderMap) {
+        if self.note.is_some() && self.state.says_leaving(headers) {
+            if let Ok(name) = HeaderValue::from_str(endpoint.as_str()) {
+                headers.insert(LEAVING_HEADER, name);
+            }
+        }
+    }
+
     /// Returns `true` if a response head carries the identifier of another request.
     pub(super) fn belongs_to_other_request(&self, head: &HeaderMap) -> bool {
         let echoed = head.get(&self.state.codec.header_names().request_id);
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -12,7 +12,7 @@
         process::RequestCarrier,
         request::{CarryNote, RequestVerdict},
     },
-    http::{header, HeaderName, HeaderValue, Request, Response, StatusCode},
+    http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
     hyper::body::Incoming,
     std::{rc::Rc, time::Duration},
@@ -28,6 +28,10 @@
 pub(super) const REVISION_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-revision");
 
+/// Header in which a host names the endpoint that said in its answer that it is leaving.
+pub(super) const LEAVING_HEADER: HeaderName =
+    HeaderName::from_static("x-cassiafield-internal-leaving");
+
 /// What became of a request before it is handed over.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CarryProgress {
@@ -161,6 +165,10 @@
         if self.belongs_to_other_request(response.headers()) {
             return Err(ConnectionError::TimedOut);
         }
+        let leaving = response.headers().get(&LEAVING_HEADER);
+        if let Some(endpoint) = leaving.and_then(|value| value.to_str().ok()?.parse().ok()) {
+            state.record_leaving(&endpoint, "request that another host carried");
+        }
         let revision = response.headers().get(&REVISION_HEADER);
         let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
         if let Some(revision) = revision {
@@ -213,6 +221,13 @@
     }
 }
 
+/// Removes what hosts tell each other from an answer.
+pub(super) fn strip_internal_headers(headers: &mut HeaderMap) {
+    for name in [&REFUSAL_HEADER, &REVISION_HEADER, &LEAVING_HEADER] {
+        headers.remove(name);
+    }
+}
+
 /// Returns `true` if a status promises that the request has not run and will not.
 pub(super) fn is_promise(status: StatusCode) -> bool {
     matches!(
--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -4,7 +4,7 @@
     crate::request::{
         caller_request::strip_hop_headers,
         carried_call::{
-            is_promise, CarriedAnswer, CarryError, CarryProgress, REFUSAL_HEADER, REVISION_HEADER,
+            is_promise, strip_internal_headers, CarriedAnswer, CarryError, CarryProgress,
         },
         host_service::CarriedMark,
         stream_call::{AttemptError, StreamCall},
@@ -56,7 +56,7 @@
         let (mut parts, body) = response.into_parts();
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
-        parts.headers.remove(&REVISION_HEADER);
+        strip_internal_headers(&mut parts.headers);
         parts.extensions.insert(CarriedMark);
         let splitter = if last_event == 0 {
             EventSplitter::with_unknown_start()
@@ -106,9 +106,7 @@
             return AttemptError::MayHaveRun;
         };
         strip_hop_headers(&mut parts.headers);
-        for name in [&REVISION_HEADER, &REFUSAL_HEADER] {
-            parts.headers.remove(name);
-        }
+        strip_internal_headers(&mut parts.headers);
         parts.extensions.insert(CarriedMark);
         let body = ResponseBody::from_bytes(body);
         AttemptError::Failed(Box::new(Response::from_parts(parts, body)))
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -5,7 +5,9 @@
         request::{
             call_context::CallContext,
             caller_request::strip_hop_headers,
-            carried_call::{is_promise, CarriedAnswer, CarryError, CarryProgress, REVISION_HEADER},
+            carried_call::{
+                is_promise, strip_internal_headers, CarriedAnswer, CarryError, CarryProgress,
+            },
             host_service::CarriedMark,
             stream_call::StreamCall,
             ResponseBody,
@@ -214,7 +216,7 @@
             return None;
         }
         strip_hop_headers(&mut parts.headers);
-        parts.headers.remove(&REVISION_HEADER);
+        strip_internal_headers(&mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         parts.extensions.insert(CarriedMark);
         let status = parts.status.as_u16();
@@ -522,6 +524,7 @@
         }
         self.context.state.record_survival(self.context.known_identity());
         strip_hop_headers(&mut parts.headers);
+        self.context.pass_leaving_on(&entry.endpoint, &mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
         let response = Response::from_parts(parts, ResponseBody::from_bytes(body));
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -446,7 +446,8 @@
         if status != StatusCode::OK {
             return Err(self.handle_error_response(&path.route, response).await);
         }
-        let (parts, body) = response.into_parts();
+        let (mut parts, body) = response.into_parts();
+        self.context.pass_leaving_on(&first.endpoint, &mut parts.headers);
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
         let splitter = if last_event == 0 {
