--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{ConnectionError, HttpConnection},
+        connection::ConnectionError,
         process::{health_probe::HealthProbe, GatewayState},
     },
     cassiafield::process::LogEvent,
@@ -168,23 +168,30 @@
         let mut attempts = JoinSet::new();
         for address in self.reach_candidates(service, except, count) {
             let (state, service) = (Rc::clone(self), service.clone());
-            attempts.spawn_local(async move {
-                let started_at = state.now();
-                let opened = state.pool.open(address, HealthProbe::PROBE_TIMEOUT).await;
-                let Ok(connection) = opened else { return false };
-                state.metrics.count_connection();
-                state.record_connection(&service, started_at);
-                let table = state.route_table();
-                if let Some(rule) = table.as_ref().and_then(|table| table.service(&service)) {
-                    let max_idle = state.max_idle_connections(rule);
-                    connection.return_to(&state.pool, max_idle, state.now());
-                }
-                true
-            });
+            let attempt = async move { state.open_connection(&service, address).await.is_ok() };
+            attempts.spawn_local(attempt);
         }
         any_true(attempts).await
     }
 
+    /// Opens a connection to an endpoint, which a request may use later; this asks the endpoint nothing.
+    async fn open_connection(
+        &self,
+        service: &ServiceId,
+        address: SocketAddrV4,
+    ) -> Result<(), ConnectionError> {
+        let started_at = self.now();
+        let connection = self.pool.open(address, HealthProbe::PROBE_TIMEOUT).await?;
+        self.metrics.count_connection();
+        self.record_connection(service, started_at);
+        let table = self.route_table();
+        if let Some(rule) = table.as_ref().and_then(|table| table.service(service)) {
+            let max_idle = self.max_idle_connections(rule);
+            connection.return_to(&self.pool, max_idle, self.now());
+        }
+        Ok(())
+    }
+
     /// Chooses endpoints of a service at random, those of different zones that are in use first.
     fn reach_candidates(
         &self,
@@ -364,8 +371,8 @@
             let entry = state.directory.borrow().entry(&endpoint).cloned();
             let Some(EndpointEntry { address, service, .. }) = entry else { return };
             let started_at = state.now();
-            match HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await {
-                Ok(_) => state.record_connection(&service, started_at),
+            match state.open_connection(&service, address).await {
+                Ok(()) => {}
                 Err(_) if state.is_own_failure(&service, Some(&endpoint), started_at).await => {}
                 Err(_) => state.record_endpoint_end(&endpoint),
             }
@@ -387,11 +394,8 @@
         }
         let started_at = self.now();
         // A process that has ended accepts no connection; this asks it nothing.
-        match HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await {
-            Ok(_) => {
-                self.record_connection(&service, started_at);
-                EndpointFate::Running
-            }
+        match self.open_connection(&service, address).await {
+            Ok(()) => EndpointFate::Running,
             Err(error) if self.record_endpoint_failure(endpoint, &error, started_at).await => {
                 EndpointFate::Unknown
             }
@@ -423,8 +427,8 @@
             let started_at = self.now();
             let address = self.directory.borrow().entry(endpoint).map(|entry| entry.address);
             let Some(address) = address else { return std::future::pending().await };
-            match HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await {
-                Ok(_) => self.record_connection(&service, started_at),
+            match self.open_connection(&service, address).await {
+                Ok(()) => {}
                 Err(_) if self.is_own_failure(&service, Some(endpoint), started_at).await => return,
                 Err(_) => {}
             }
