--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod refusal_response;
 mod response_body;
 mod stream_call;
+mod stream_failures;
 mod stream_path;
 mod stream_relay;
 mod stream_source;
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -15,11 +15,10 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{EndpointId, HostId, ModelId, Moment},
+        ids::{EndpointId, HostId, ModelId},
         process::{BlockedSubject, PathError, PlannedPath},
         request::{
-            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, RouteStage, StageRoute,
-            StreamTimeouts,
+            EventSplitter, GiveUpReason, RefusalCause, RequestVerdict, StageRoute, StreamTimeouts,
         },
         version::{RequestKind, ServiceRule},
     },
@@ -33,10 +32,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{
-        sync::mpsc,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::mpsc, time::sleep},
 };
 
 /// A request whose response is a stream of events from a path of model endpoints.
@@ -574,15 +570,6 @@
         }
     }
 
-    /// Records that the request's connection to the first endpoint of a path broke before its answer
-    /// was under way, and finds out whether the endpoint has ended.
-    pub(super) async fn record_break(&mut self, first: &EndpointId, route: &StageRoute) {
-        let state = &self.context.state;
-        if state.record_request_break(first, Some(route), self.context.full_identity()).await {
-            self.ends += 1;
-        }
-    }
-
     /// Records the activations that the stream will send between availability zones.
     fn record_transfers(&self, path: &PlannedPath) {
         let Some(engine) = &self.context.service.engine else { return };
@@ -619,90 +606,6 @@
         Some(request)
     }
 
-    async fn record_connection_failure(
-        &mut self,
-        endpoint: &EndpointId,
-        error: ConnectionError,
-        started_at: Moment,
-    ) -> AttemptError {
-        let state = &self.context.state;
-        if !state.record_endpoint_failure(endpoint, &error, started_at).await {
-            self.excluded.push(endpoint.clone());
-        }
-        match error.verdict() {
-            RequestVerdict::NotRun if matches!(error, ConnectionError::Connect(_)) => {
-                AttemptError::Unreachable
-            }
-            RequestVerdict::NotRun => AttemptError::NotRun,
-            RequestVerdict::MayHaveRun | RequestVerdict::Ran => AttemptError::MayHaveRun,
-        }
-    }
-
-    /// Handles a response that is not a stream.
-    async fn handle_error_response(
-        &mut self,
-        route: &StageRoute,
-        response: Response<Incoming>,
-    ) -> AttemptError {
-        let names = self.context.state.codec.header_names();
-        let address = response.headers().get(&names.failed_address);
-        let address = address.and_then(|value| value.to_str().ok()).map(str::trim);
-        // Matching by address within the route: another endpoint may be listed at the address of
-        // one that is gone.
-        let stages = route.stages();
-        let failed = stages.iter().find(|stage| Some(stage.address.as_str()) == address);
-        let Some(endpoint) = failed.or(stages.first()).map(|stage| stage.endpoint.clone()) else {
-            return AttemptError::MayHaveRun;
-        };
-        // The endpoint that answered may pass on the wish of one further down the path.
-        if failed.is_some_and(|stage| Some(stage) != stages.first()) {
-            self.context.state.record_pause(&endpoint, response.status(), response.headers());
-        }
-        let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        let not_run = is_misdirected || response.headers().contains_key(&names.not_run);
-        let verdict = if not_run { RequestVerdict::NotRun } else { RequestVerdict::Ran };
-        self.context
-            .decision(LogEvent::TryFailed)
-            .verdict(verdict)
-            .sends(self.sends)
-            .endpoint(&endpoint)
-            .log(format_args!(
-                "status {}; {}",
-                response.status(),
-                self.describe_endpoint(&endpoint)
-            ));
-        if not_run {
-            self.context.state.record_endpoint_refusal(&endpoint, is_misdirected);
-            if self.context.state.is_paused(&endpoint) {
-                // Its pause keeps all requests away, and its probes too.
-                return AttemptError::NotRun;
-            }
-            if is_misdirected || !self.context.state.is_responsive(&endpoint).await {
-                self.excluded.push(endpoint);
-            } else if self.is_nearly_full(&endpoint) {
-                let now = self.context.state.now();
-                self.context.state.load.borrow_mut().mark_full(endpoint, now);
-            } else {
-                // The list may be outdated: the endpoint may be leaving or giving up its layers.
-                let now = self.context.state.now();
-                self.context.state.directory.borrow_mut().record_failure(&endpoint, now);
-                self.excluded.push(endpoint);
-            }
-            return AttemptError::NotRun;
-        }
-        let (mut parts, body) = response.into_parts();
-        let body_timeout = self.timeouts().head_timeout().min(self.context.remaining_time());
-        let reading = self.context.state.bodies.collect(body, Self::MAX_ERROR_BYTES);
-        match timeout(body_timeout, reading).await {
-            Ok(Ok(body)) => {
-                strip_hop_headers(&mut parts.headers);
-                let body = ResponseBody::from_bytes(body);
-                AttemptError::Failed(Box::new(Response::from_parts(parts, body)))
-            }
-            Ok(Err(_)) | Err(_) => AttemptError::MayHaveRun,
-        }
-    }
-
     /// Returns a response that relays the stream, starting with the events received so far.
     fn start_relay(
         self,
@@ -721,42 +624,6 @@
         tokio::task::spawn_local(StreamRelay::new(self, attempt, sender).run(first));
         Response::from_parts(parts, ResponseBody::from_chunks(receiver))
     }
-
-    /// Records that a path on which the stream had stalled delivers again.
-    pub(super) fn record_return(&mut self, stages: &[RouteStage]) {
-        let is_on_path =
-            |endpoint: &EndpointId| stages.iter().any(|stage| &stage.endpoint == endpoint);
-        self.excluded.retain(|endpoint| !is_on_path(endpoint));
-        self.suspects.retain(|endpoint| !is_on_path(endpoint));
-        self.context.state.record_progress(stages);
-    }
-
-    pub(super) fn record_stream_error(
-        &mut self,
-        attempt: &StreamAttempt,
-        error: &super::stream_relay::StreamError,
-        waited: Duration,
-    ) {
-        self.context.decision(LogEvent::StreamBroken).sends(self.sends).log(format_args!(
-            "{error} after event {}; {} ms without events; route {}",
-            attempt.splitter.last_id().unwrap_or(0),
-            waited.as_millis(),
-            attempt.source,
-        ));
-        if let Some(load) = attempt.source.carrier() {
-            self.failed_carriers.push(load.carrier.host.clone());
-        }
-        if !self.context.needs_carrier() {
-            self.excluded.extend(error.endpoints_to_exclude(attempt));
-        }
-        if error.is_unexplained_stall() {
-            let now = self.context.state.now();
-            let since = now.earlier_by(attempt.timeouts.stall_timeout());
-            self.context.state.record_stall(attempt.source.stages(), since);
-            let stages = attempt.source.stages().iter();
-            self.suspects.extend(stages.map(|stage| stage.endpoint.clone()));
-        }
-    }
 }
 
 /// Returns a path's endpoints and layers, for the log.
