--- a/crates/cassiafield-core/src/process/carrier_directory.rs
+++ b/crates/cassiafield-core/src/process/carrier_directory.rs
@@ -47,6 +47,8 @@
     pub peer_address: SocketAddrV4,
     /// The address at which it takes requests of other hosts, if it does.
     pub carry_address: Option<SocketAddrV4>,
+    /// What its notes on requests that it hands over hold; 0 if it hands none over.
+    pub carry_token: u64,
 }
 
 /// The other hosts of the fleet, and which of them can send requests to endpoints for this one.
@@ -97,6 +99,13 @@
         }
     }
 
+    /// Returns `true` if a note with that token is the host's own.
+    #[must_use]
+    pub fn is_token_of(&self, host: &HostId, token: u64) -> bool {
+        let known = self.hosts.get(host).map(|known| known.listed.carry_token);
+        token != 0 && known == Some(token)
+    }
+
     /// Records a message of a host.
     pub fn record_host(&mut self, host: &HostId, status: CarrierStatus, now: Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
--- a/crates/cassiafield-core/src/request/carry_note.rs
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -8,7 +8,7 @@
 /// ```
 /// use cassiafield_core::request::CarryNote;
 ///
-/// let text = "host-1 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no sent-to=i-1";
+/// let text = "host-1 token=42 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no sent-to=i-1";
 /// let note: CarryNote = text.parse()?;
 /// assert_eq!((note.elapsed.as_millis(), note.sends), (120, 1));
 /// assert_eq!(note.to_string(), text);
@@ -18,6 +18,8 @@
 pub struct CarryNote {
     /// The host that took the request from its caller.
     pub host: HostId,
+    /// Shows that the note is that host's; the store tells it to the other hosts.
+    pub token: u64,
     /// Time since that host received the request, in whole milliseconds.
     pub elapsed: Duration,
     /// Number of times that it sent the request to endpoints.
@@ -57,8 +59,9 @@
         let counted = if self.is_counted { "yes" } else { "no" };
         write!(
             f,
-            "{} elapsed-ms={} sends={} ends={} revision={} counted={counted} sent-to=",
+            "{} token={} elapsed-ms={} sends={} ends={} revision={} counted={counted} sent-to=",
             self.host,
+            self.token,
             self.elapsed.as_millis(),
             self.sends,
             self.ends,
@@ -79,6 +82,7 @@
             let value = parts.next().and_then(|part| part.strip_prefix(name)?.strip_prefix('='));
             value.ok_or(CarryNoteError::Missing(name))
         };
+        let token = parse_number("token", field("token")?)?;
         let elapsed_ms = parse_number("elapsed-ms", field("elapsed-ms")?)?;
         let sends = parse_number("sends", field("sends")?)?;
         let ends = parse_number("ends", field("ends")?)?;
@@ -95,7 +99,7 @@
             return Err(CarryNoteError::TooManyEndpoints(sent_to.len()));
         }
         let elapsed = Duration::from_millis(elapsed_ms);
-        Ok(Self { host, elapsed, sends, ends, revision, is_counted, sent_to })
+        Ok(Self { host, token, elapsed, sends, ends, revision, is_counted, sent_to })
     }
 }
 
--- a/crates/cassiafield-core/tests/carrier_directory.rs
+++ b/crates/cassiafield-core/tests/carrier_directory.rs
@@ -40,6 +40,7 @@
         zone: zone(number % zones),
         peer_address: address(number),
         carry_address: Some(address(number)),
+        carry_token: 10 + u64::try_from(number).expect("a small number"),
     };
     others.map(|number| (host(number), entry(number))).collect()
 }
@@ -113,6 +114,18 @@
     assert_eq!(known.witnesses(&service(), &zone(0), 2, NOW).len(), 1);
 }
 
+#[test]
+fn only_the_token_of_a_listed_host_shows_that_a_note_is_its_own() {
+    let mut hosts = listed(3, 1, 0);
+    hosts.get_mut(&host(2)).expect("a host").carry_token = 0;
+    let mut known = CarrierDirectory::default();
+    known.set_hosts(hosts);
+    assert!(known.is_token_of(&host(1), 11));
+    assert!(!known.is_token_of(&host(1), 12));
+    assert!(!known.is_token_of(&host(2), 0));
+    assert!(!known.is_token_of(&host(7), 17));
+}
+
 #[test]
 fn a_host_that_refused_or_did_not_answer_is_left_alone_for_a_while() {
     let mut known = directory(3, 1, 0, &BTreeSet::from([0]));
--- a/crates/cassiafield-core/tests/carry_notes.rs
+++ b/crates/cassiafield-core/tests/carry_notes.rs
@@ -8,6 +8,7 @@
 fn note() -> CarryNote {
     CarryNote {
         host: "host-1".parse().expect("a name"),
+        token: 42,
         elapsed: Duration::from_millis(1_250),
         sends: 2,
         ends: 1,
@@ -22,7 +23,7 @@
     let text = note().to_string();
     assert_eq!(
         text,
-        "host-1 elapsed-ms=1250 sends=2 ends=1 revision=77 counted=yes sent-to=i-1,i-2"
+        "host-1 token=42 elapsed-ms=1250 sends=2 ends=1 revision=77 counted=yes sent-to=i-1,i-2"
     );
     assert_eq!(text.parse(), Ok(note()));
     let empty = CarryNote { sent_to: Vec::new(), is_counted: false, ..note() };
@@ -34,7 +35,8 @@
     let text = note().to_string();
     let cases = [
         ("", "a name must not be empty"),
-        ("host-1", "the field elapsed-ms is missing"),
+        ("host-1", "the field token is missing"),
+        ("host-1 token=1", "the field elapsed-ms is missing"),
         (&text.replace("sends=2", "sends=x"), "the field sends: invalid digit found in string"),
         (&text.replace("sends=2", "sends=-1"), "the field sends: invalid digit found in string"),
         (&text.replace("counted=yes", "counted=1"), "the field counted is neither yes nor no"),
--- a/crates/cassiafield-gateway/src/process/configuration_sync.rs
+++ b/crates/cassiafield-gateway/src/process/configuration_sync.rs
@@ -195,7 +195,7 @@
             if self.state.has_configuration(data.reply.version, revision) {
                 self.state.confirm_configuration(data.known_at(age));
                 reads.configuration = age > max_age_micros;
-            } else if self.state.record_revision(revision, "reply", address) {
+            } else if self.state.record_revision(revision, format_args!("reply of {address}")) {
                 self.schedule.record_notice();
             }
         }
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -194,6 +194,21 @@
         self.caller_address
     }
 
+    /// Returns the address at which other hosts hand over requests; the callers' address if there is none.
+    #[must_use]
+    pub fn carry_address(&self) -> SocketAddr {
+        self.state.carry_address.get().map_or(self.caller_address, SocketAddr::V4)
+    }
+
+    /// Returns the metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the metrics cannot be encoded.
+    pub fn metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
+        self.state.metrics.encode(self.state.gauge_values())
+    }
+
     /// Returns the address of the readiness endpoint.
     #[must_use]
     pub const fn ready_address(&self) -> SocketAddr {
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -28,7 +28,8 @@
     http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
         cell::{Cell, RefCell},
-        net::{SocketAddr, SocketAddrV4},
+        fmt,
+        net::SocketAddrV4,
         rc::Rc,
         time::Duration,
     },
@@ -55,6 +56,8 @@
     pub carriers: RefCell<CarrierDirectory>,
     /// The address at which this host takes requests of others, once it does.
     pub(super) carry_address: Cell<Option<SocketAddrV4>>,
+    /// Shows other hosts that a request is handed over by this one.
+    pub carry_token: u64,
     /// Opens connections to hosts that carry requests.
     pub connector: Box<dyn CarrierConnector>,
     /// The ways of this host to endpoints.
@@ -133,6 +136,7 @@
             members: RefCell::default(),
             carriers: RefCell::default(),
             carry_address: Cell::default(),
+            carry_token: fastrand::u64(1..),
             connector: Box::new(HttpCarrierConnector),
             reach: RefCell::default(),
             reach_checks: RefCell::default(),
@@ -222,18 +226,17 @@
         verdict
     }
 
-    /// Records that the peer at `address` has a revision of the configuration.
+    /// Records that a peer has a revision of the configuration, by what `source` says.
     ///
     /// Returns `true` if it is newer than all that this host knows of.
-    pub fn record_revision(&self, revision: u64, what: &str, address: SocketAddr) -> bool {
+    pub fn record_revision(&self, revision: u64, source: impl fmt::Display) -> bool {
         let own = self.configuration_revision();
         let mut notice = self.revision_notice.get();
         let is_news = notice.record(revision, own, self.now());
         self.revision_notice.set(notice);
         if is_news {
-            LogEvent::RevisionHeard.log(format_args!(
-                "{what} of {address} with revision {revision}; this host has {own}"
-            ));
+            LogEvent::RevisionHeard
+                .log(format_args!("{source} with revision {revision}; this host has {own}"));
         }
         is_news
     }
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -41,6 +41,9 @@
     /// The address at which the host takes requests of others, if it does.
     #[serde(default)]
     carry_address: Option<SocketAddrV4>,
+    /// What the host's notes on requests that it hands over hold.
+    #[serde(default)]
+    carry_token: u64,
 }
 
 /// A message between hosts.
@@ -215,6 +218,7 @@
             zone: settings.zone.clone(),
             peer_address: settings.peer_address,
             carry_address: self.state.carry_address.get(),
+            carry_token: self.state.carry_token,
         };
         let value = match rmp_serde::to_vec_named(&entry) {
             Ok(value) => value,
@@ -255,6 +259,7 @@
                             zone: entry.zone.clone(),
                             peer_address: entry.peer_address,
                             carry_address: entry.carry_address,
+                            carry_token: entry.carry_token,
                         };
                         carriers.insert(entry.host.clone(), listed);
                     }
@@ -543,7 +548,7 @@
             load.merge_reading(endpoint, reading, now);
         }
         drop(load);
-        if self.state.record_revision(revision, "message", from) {
+        if self.state.record_revision(revision, format_args!("message of {from}")) {
             self.state.revision_heard.notify_one();
         }
         for (endpoint, report) in failures {
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -7,15 +7,10 @@
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{EndpointId, Moment, ServiceId},
+        ids::{EndpointId, HostId, Moment, ServiceId},
         process::{CarrierStatus, EndpointEntry},
     },
-    std::{
-        collections::BTreeMap,
-        net::{SocketAddr, SocketAddrV4},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Mutex,
         task::{spawn_local, JoinSet},
@@ -82,8 +77,8 @@
     }
 
     /// Records that a host which carries a request has a revision of the configuration.
-    pub fn record_carrier_revision(&self, revision: u64, address: SocketAddr) {
-        if self.record_revision(revision, "carried answer", address) {
+    pub fn record_carrier_revision(&self, revision: u64, host: &HostId) {
+        if self.record_revision(revision, format_args!("answer of {host}")) {
             self.wake_synchronisation();
         }
     }
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -172,7 +172,7 @@
         let revision = response.headers().get(&REVISION_HEADER);
         let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
         if let Some(revision) = revision {
-            state.record_carrier_revision(revision, load.carrier.address.into());
+            state.record_carrier_revision(revision, &load.carrier.host);
         }
         Ok((response, connection))
     }
@@ -182,6 +182,7 @@
         let (state, names) = (&self.state, self.state.codec.header_names());
         let note = CarryNote {
             host: state.settings.host.clone(),
+            token: state.carry_token,
             elapsed: state.now().since(self.request.received_at),
             sends: progress.sends,
             ends: progress.ends,
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -95,7 +95,7 @@
         let (parts, body) = request.into_parts();
         let note = parts.headers.get(&CARRY_HEADER).and_then(|value| value.to_str().ok());
         let note = match note.unwrap_or_default().parse::<CarryNote>() {
-            Ok(note) => note,
+            Ok(note) => self.verified(note),
             Err(error) => {
                 LogEvent::PeerRefused.log(format_args!("a request that is handed over: {error}"));
                 return self.refuse(&parts, RefusalCause::BadRequest);
@@ -122,6 +122,12 @@
         response
     }
 
+    /// Returns a note without what only a host of the fleet may say: that the answer has been counted.
+    fn verified(&self, note: CarryNote) -> CarryNote {
+        let is_own = self.state.carriers.borrow().is_token_of(&note.host, note.token);
+        CarryNote { is_counted: note.is_counted && is_own, ..note }
+    }
+
     /// Returns why this host cannot carry a request, if it cannot.
     fn carry_refusal(&self, parts: &Parts, note: &CarryNote) -> Option<CarryRefusal> {
         let state = &self.state;
@@ -131,8 +137,7 @@
         if state.is_full_of_carried() {
             return Some(CarryRefusal::Full);
         }
-        let address = state.settings.peer_address.into();
-        if state.record_revision(note.revision, "carried request", address) {
+        if state.record_revision(note.revision, format_args!("request of {}", note.host)) {
             state.wake_synchronisation();
         }
         if state.configuration_revision() < note.revision || !state.keys_are_fresh() {
