--- a/crates/cassiafield-core/src/process/endpoint_reach.rs
+++ b/crates/cassiafield-core/src/process/endpoint_reach.rs
@@ -55,8 +55,6 @@
     const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
     /// Number of trials in a row that must reach an endpoint: a way may come and go.
     const MIN_SUCCESSES: u32 = 2;
-    /// Age up to which an answer shows that the way is there.
-    const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_000);
 
     /// Records that a connection to an endpoint of a service was opened, which began at `started_at`.
     pub fn record_connection(&mut self, service: &ServiceId, started_at: Moment) {
@@ -92,14 +90,17 @@
         self.services.get(service).is_some_and(|known| known.answered_at >= at)
     }
 
-    /// Returns whether the host reaches the service's endpoints; `None` if that must be tried.
+    /// Returns whether the host has reached the service's endpoints since a moment; `None` if that must
+    /// be tried.
+    ///
+    /// An earlier answer does not count: the endpoints may have ended since.
     #[must_use]
-    pub fn is_reached(&self, service: &ServiceId, now: Moment) -> Option<bool> {
+    pub fn is_reached_since(&self, service: &ServiceId, at: Moment) -> Option<bool> {
         let known = self.services.get(service)?;
         if known.loss.is_some() {
             return Some(false);
         }
-        (now.since(known.answered_at) < Self::MAX_ANSWER_AGE).then_some(true)
+        (known.answered_at >= at).then_some(true)
     }
 
     /// Records that the host has no way to a service's endpoints; returns `true` if that is news.
--- a/crates/cassiafield-core/tests/endpoint_reach.rs
+++ b/crates/cassiafield-core/tests/endpoint_reach.rs
@@ -48,16 +48,16 @@
     assert!(!reach.record_loss(&model, at(1_100)));
     assert!(reach.is_lost(&model) && !reach.is_lost(&plain));
     assert_eq!(reach.lost().collect::<Vec<_>>(), [&model]);
-    assert_eq!(reach.is_reached(&model, at(1_200)), Some(false));
+    assert_eq!(reach.is_reached_since(&model, at(900)), Some(false));
 }
 
 #[test]
-fn a_host_tells_others_only_of_recent_answers() {
+fn a_host_tells_others_only_of_answers_since_their_failure() {
     let (mut reach, model) = (EndpointReach::default(), service("model"));
-    assert_eq!(reach.is_reached(&model, at(1_000)), None);
+    assert_eq!(reach.is_reached_since(&model, at(1_000)), None);
     reach.record_answer(&model, at(1_000));
-    assert_eq!(reach.is_reached(&model, at(1_900)), Some(true));
-    assert_eq!(reach.is_reached(&model, at(2_100)), None);
+    assert_eq!(reach.is_reached_since(&model, at(1_000)), Some(true));
+    assert_eq!(reach.is_reached_since(&model, at(1_001)), None);
 }
 
 #[test]
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -128,8 +128,9 @@
     TurnReply { nonce: u64, reply: Option<TurnReply> },
     /// Gives a turn back that was not used.
     TurnReturn { life: EndpointLife },
-    /// Asks whether the host reaches a service's endpoints.
-    ReachQuery { nonce: u64, service: ServiceId },
+    /// Asks whether the host has reached a service's endpoints within a time, in milliseconds, or reaches
+    /// them now.
+    ReachQuery { nonce: u64, service: ServiceId, age_ms: u32 },
     /// The reply to that question.
     ReachReply { nonce: u64, is_reached: bool },
 }
@@ -402,11 +403,12 @@
         &self,
         socket: &Rc<UdpSocket>,
         (nonce, service): (u64, ServiceId),
+        since: Moment,
         from: SocketAddr,
     ) {
         let (state, socket) = (Rc::clone(&self.state), Rc::clone(socket));
         spawn_local(async move {
-            let is_reached = state.reaches(&service).await;
+            let is_reached = state.reaches(&service, since).await;
             send_to_all(&socket, &PeerMessage::ReachReply { nonce, is_reached }, &[from]).await;
         });
     }
@@ -430,8 +432,10 @@
                         let message = PeerMessage::TurnReply { nonce, reply };
                         send_to_all(socket, &message, &[from]).await;
                     }
-                    Ok(PeerMessage::ReachQuery { nonce, service }) => {
-                        self.answer_reach_query(socket, (nonce, service), from);
+                    Ok(PeerMessage::ReachQuery { nonce, service, age_ms }) => {
+                        let age = Duration::from_millis(u64::from(age_ms));
+                        let since = self.state.now().earlier_by(age);
+                        self.answer_reach_query(socket, (nonce, service), since, from);
                     }
                     Ok(message) => {
                         match &message {
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -145,7 +145,7 @@
         if self.reaches_another(service, endpoint, Self::TRIED_ENDPOINTS).await {
             return false;
         }
-        if !self.is_reached_by_peers(service).await {
+        if !self.is_reached_by_peers(service, started_at).await {
             self.reach.borrow_mut().record_general_failure(service, check_began_at);
             return false;
         }
@@ -215,7 +215,8 @@
         chosen.into_iter().map(|entry| entry.address).collect()
     }
 
-    async fn is_reached_by_peers(self: &Rc<Self>, service: &ServiceId) -> bool {
+    /// Returns `true` if another host has reached the service since `since`, or reaches it now.
+    async fn is_reached_by_peers(self: &Rc<Self>, service: &ServiceId, since: Moment) -> bool {
         let witnesses = {
             let (carriers, zone) = (self.carriers.borrow(), &self.settings.zone);
             carriers.witnesses(service, zone, Self::ASKED_HOSTS, self.now())
@@ -224,15 +225,17 @@
         for witness in witnesses {
             let (state, service) = (Rc::clone(self), service.clone());
             queries.spawn_local(async move {
-                state.exchange.query_reach(witness.into(), &service).await
+                let age = state.now().since(since);
+                state.exchange.query_reach(witness.into(), &service, age).await
             });
         }
         any_true(queries).await
     }
 
-    /// Answers another host's question whether this one reaches a service.
-    pub(super) async fn reaches(self: &Rc<Self>, service: &ServiceId) -> bool {
-        let known = self.reach.borrow().is_reached(service, self.now());
+    /// Answers another host's question whether this one has reached a service since `since`, or reaches
+    /// it now.
+    pub(super) async fn reaches(self: &Rc<Self>, service: &ServiceId, since: Moment) -> bool {
+        let known = self.reach.borrow().is_reached_since(service, since);
         match known {
             Some(is_reached) => is_reached,
             None => self.reaches_another(service, None, Self::TRIED_ENDPOINTS).await,
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -183,12 +183,19 @@
         is_granted
     }
 
-    /// Asks a host whether it reaches a service's endpoints; returns `false` if it does not reply.
-    pub(super) async fn query_reach(&self, host: SocketAddr, service: &ServiceId) -> bool {
+    /// Asks a host whether it has reached a service's endpoints within `age`, or reaches them now;
+    /// returns `false` if it does not reply.
+    pub(super) async fn query_reach(
+        &self,
+        host: SocketAddr,
+        service: &ServiceId,
+        age: Duration,
+    ) -> bool {
         let Some(socket) = self.socket.borrow().clone() else { return false };
         let nonce = self.next_nonce.get().wrapping_add(1);
         self.next_nonce.set(nonce);
-        let query = PeerMessage::ReachQuery { nonce, service: service.clone() };
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let query = PeerMessage::ReachQuery { nonce, service: service.clone(), age_ms };
         let Some(bytes) = encode(&query) else { return false };
         let (sender, receiver) = oneshot::channel();
         self.pending_reach.borrow_mut().insert(nonce, sender);
