--- a/crates/cassiafield-core/src/process/carrier_directory.rs
+++ b/crates/cassiafield-core/src/process/carrier_directory.rs
@@ -7,7 +7,7 @@
     },
 };
 
-/// What a host says of its fitness to send requests of other hosts to endpoints.
+/// A host's ability to send requests of other hosts to endpoints.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct CarrierStatus {
@@ -47,7 +47,7 @@
     pub peer_address: SocketAddrV4,
     /// The address at which it takes requests of other hosts, if it does.
     pub carry_address: Option<SocketAddrV4>,
-    /// What its notes on requests that it hands over hold; 0 if it hands none over.
+    /// Token that authenticates the requests that it hands over; 0 if it hands none over.
     pub carry_token: u64,
 }
 
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Returns `true` if a note with that token is the host's own.
+    /// Returns `true` if the token is the host's.
     #[must_use]
     pub fn is_token_of(&self, host: &HostId, token: u64) -> bool {
         let known = self.hosts.get(host).map(|known| known.listed.carry_token);
--- a/crates/cassiafield-core/src/process/endpoint_reach.rs
+++ b/crates/cassiafield-core/src/process/endpoint_reach.rs
@@ -3,11 +3,11 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Whether this host has a way to the endpoints of each service.
+/// Reachability of each service's endpoints from this host.
 ///
-/// An endpoint that does not respond has failed by itself as long as others respond to this host. If none
-/// does while another host reaches them, the way of this host is lost. Its failures then say nothing
-/// about endpoints.
+/// An endpoint that does not respond has failed as long as others of its service accept connections from
+/// this host. If none does while another host reaches them, this host has lost its way to the service,
+/// and its failures are no evidence against endpoints.
 ///
 /// ```
 /// use cassiafield_core::{ids::Moment, process::EndpointReach};
@@ -53,7 +53,7 @@
     const TRIAL_INTERVAL: Duration = Duration::from_millis(400);
     /// Time from a trial that succeeded to the one that confirms it.
     const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
-    /// Number of trials in a row that must reach an endpoint: a way may come and go.
+    /// Number of consecutive trials that must reach an endpoint; links may flap.
     const MIN_SUCCESSES: u32 = 2;
 
     /// Records that a connection to an endpoint of a service was opened, which began at `started_at`.
--- a/crates/cassiafield-core/src/process/leaving_endpoints.rs
+++ b/crates/cassiafield-core/src/process/leaving_endpoints.rs
@@ -6,10 +6,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// The endpoints that have said in an answer that they are leaving.
+/// Endpoints that announced in a response that they are leaving.
 ///
-/// The word of an endpoint holds for the incarnation that gave it, whatever its entry in the list says,
-/// and outlives an entry that lapses.
+/// A notice applies to the incarnation that sent it, regardless of its entry in the list, and outlives
+/// an entry that lapses.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingEndpoints {
     heard: BTreeMap<EndpointId, LeavingNotice>,
@@ -25,13 +25,13 @@
     /// Time for which an endpoint that is not listed is remembered; the longest departures take less.
     const RETENTION: Duration = Duration::from_secs(600);
 
-    /// Records that an endpoint said that it is leaving.
+    /// Records the notice of an endpoint.
     pub fn record(&mut self, endpoint: &EndpointId, incarnation: EndpointIncarnation, now: Moment) {
         let notice = LeavingNotice { incarnation, heard_at: now };
         self.heard.insert(endpoint.clone(), notice);
     }
 
-    /// Returns `true` if this incarnation of an endpoint, or a later one, said that it is leaving.
+    /// Returns `true` if this incarnation of an endpoint, or a later one, is leaving.
     #[must_use]
     pub fn contains(&self, endpoint: &EndpointId, incarnation: EndpointIncarnation) -> bool {
         self.heard.get(endpoint).is_some_and(|notice| notice.incarnation >= incarnation)
--- a/crates/cassiafield-core/src/request/carry_note.rs
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -3,7 +3,7 @@
     std::{fmt, num::ParseIntError, str::FromStr, time::Duration},
 };
 
-/// What a host tells another one about a request that it hands over.
+/// Metadata of a request that one host hands over to another.
 ///
 /// ```
 /// use cassiafield_core::request::CarryNote;
@@ -18,7 +18,7 @@
 pub struct CarryNote {
     /// The host that took the request from its caller.
     pub host: HostId,
-    /// Shows that the note is that host's; the store tells it to the other hosts.
+    /// Token of that host, which the other hosts read from the store.
     pub token: u64,
     /// Time since that host received the request, in whole milliseconds.
     pub elapsed: Duration,
--- a/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
@@ -13,10 +13,11 @@
     tokio::{sync::oneshot, task::spawn_local, time::timeout},
 };
 
-/// Sends to an endpoint, and records what the answer says of the next requests.
+/// Sends a request to an endpoint and records the backpressure signals of its response: pauses, limits
+/// and departures.
 ///
-/// What an endpoint says of the next requests outlives the one that it answers: it is also heard if the
-/// caller has left, or its deadline has passed, before the answer came.
+/// They concern later requests, so they are recorded even if the caller disconnects or its deadline
+/// passes before the response arrives.
 pub struct EndpointExchange {
     /// The state of the host.
     pub state: Rc<GatewayState>,
@@ -30,9 +31,9 @@
 }
 
 impl EndpointExchange {
-    /// Time for which an answer is awaited that nobody waits for any more.
+    /// Time for which an abandoned request's response is awaited.
     ///
-    /// A refusal comes at once; an endpoint that is at work learns soon that it need not go on.
+    /// Refusals arrive within it; after it the connection is closed, which cancels the work.
     const LATE_ANSWER_TIME: Duration = Duration::from_millis(100);
 
     /// Sends a request and returns the response head, with the connection, if it arrives in time.
@@ -63,9 +64,9 @@
                 }
             };
             if let Ok(response) = &result {
-                self.hear(response.status(), response.headers(), sent_at);
+                self.record_signals(response.status(), response.headers(), sent_at);
             }
-            // Nobody waits for an answer that comes late; its connection is closed.
+            // Dropping a late response closes its connection.
             drop(sender.send(result.map(|response| (response, connection))));
         });
         match timeout(response_timeout, receiver).await {
@@ -74,8 +75,8 @@
         }
     }
 
-    /// Records what a response head says of the next requests.
-    fn hear(&self, status: StatusCode, headers: &HeaderMap, sent_at: Moment) {
+    /// Records the backpressure signals of a response head.
+    fn record_signals(&self, status: StatusCode, headers: &HeaderMap, sent_at: Moment) {
         let Self { state, endpoint, sender, request_id } = self;
         let names = state.codec.header_names();
         let is_other = request_id.as_ref().is_some_and(|id| {
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -1,4 +1,4 @@
-//! Whether this host has a way to endpoints, and whose fault a failure is: an endpoint's or the host's.
+//! Reachability of endpoints from this host, and attribution of failures to endpoints or to the host.
 
 use {
     crate::{
@@ -109,7 +109,7 @@
         status.is_stopping || status.lost.iter().any(is_polled)
     }
 
-    /// Returns `true` if neither this host nor another one that it hears reaches any endpoint.
+    /// Returns `true` if no endpoint is reachable from this host, directly or through another host.
     pub(super) fn is_cut_off(&self) -> bool {
         let (carriers, now) = (self.carriers.borrow(), self.now());
         let is_carried = |service: &ServiceId| {
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -93,14 +93,14 @@
 
     /// Returns `true` if the request goes to another host: this one has no way to its endpoints.
     ///
-    /// A request that another host has handed over goes no further.
+    /// Requests received from another host are not handed over again.
     pub(super) fn needs_carrier(&self) -> bool {
         self.note.is_none() && self.state.is_out_of_reach(&self.service.service)
     }
 
     /// Hands the request to another host and returns the response head.
     ///
-    /// A host that refuses has run nothing, and the next one is asked.
+    /// A refusal guarantees that nothing has run; the next host is then tried.
     pub(super) async fn carry(
         &self,
         progress: &CarryProgress,
