--- a/crates/cassiafield-core/src/process/carrier_directory.rs
+++ b/crates/cassiafield-core/src/process/carrier_directory.rs
@@ -204,17 +204,26 @@
     }
 
     /// Returns the message addresses of hosts that can be asked whether they reach a service, at most
-    /// `count` of the own zone and as many of the others.
+    /// `count` of the own zone and as many of the others; `spread`, from 0 to 1, decides which.
+    ///
+    /// Each question should ask others: hosts that are cut but do not know it yet reach nothing either.
     #[must_use]
     pub fn witnesses(
         &self,
         service: &ServiceId,
         own_zone: &ZoneId,
         count: usize,
+        spread: f64,
         now: Moment,
     ) -> Vec<SocketAddrV4> {
         let fit = self.fit(service, own_zone, now).map(|(_, known)| &known.listed);
-        let (own, foreign): (Vec<_>, Vec<_>) = fit.partition(|listed| &listed.zone == own_zone);
+        let (mut own, mut foreign): (Vec<_>, Vec<_>) =
+            fit.partition(|listed| &listed.zone == own_zone);
+        for hosts in [&mut own, &mut foreign] {
+            let start = (spread.clamp(0.0, 1.0) * hosts.len() as f64) as usize;
+            let start = start.min(hosts.len());
+            hosts.rotate_left(start);
+        }
         let chosen = own.into_iter().take(count).chain(foreign.into_iter().take(count));
         chosen.map(|listed| listed.peer_address).collect()
     }
--- a/crates/cassiafield-core/tests/carrier_directory.rs
+++ b/crates/cassiafield-core/tests/carrier_directory.rs
@@ -111,7 +111,23 @@
     known.set_hosts(hosts);
     known.record_host(&host(1), CarrierStatus::default(), NOW);
     assert_eq!(choose(&known, 0, 0.0, NOW), None);
-    assert_eq!(known.witnesses(&service(), &zone(0), 2, NOW).len(), 1);
+    assert_eq!(known.witnesses(&service(), &zone(0), 2, 0.5, NOW).len(), 1);
+}
+
+/// Guards against asking the same hosts each time: those that are cut as well know of no way.
+#[test]
+fn every_fit_host_is_asked_sooner_or_later() {
+    for hosts in [9, 87] {
+        let known = directory(hosts, 3, 0, &BTreeSet::new());
+        let mut asked = BTreeSet::new();
+        for step in 0..hosts {
+            let spread = step as f64 / hosts as f64;
+            let chosen = known.witnesses(&service(), &zone(0), 3, spread, NOW);
+            assert!(chosen.len() <= 6);
+            asked.extend(chosen);
+        }
+        assert_eq!(asked.len(), hosts - 1);
+    }
 }
 
 #[test]
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -36,7 +36,7 @@
     /// Number of other endpoints that are tried to find out whether one of them has failed by itself.
     const TRIED_ENDPOINTS: usize = 3;
     /// Number of hosts of the own zone, and of the others, that are asked whether they reach a service.
-    const ASKED_HOSTS: usize = 2;
+    const ASKED_HOSTS: usize = 3;
     /// Divides the file descriptors into the number of requests of other hosts that a host carries; each
     /// takes two.
     const CARRIED_DESCRIPTORS_DIVISOR: usize = 4;
@@ -219,7 +219,7 @@
     async fn is_reached_by_peers(self: &Rc<Self>, service: &ServiceId, since: Moment) -> bool {
         let witnesses = {
             let (carriers, zone) = (self.carriers.borrow(), &self.settings.zone);
-            carriers.witnesses(service, zone, Self::ASKED_HOSTS, self.now())
+            carriers.witnesses(service, zone, Self::ASKED_HOSTS, fastrand::f64(), self.now())
         };
         let mut queries = JoinSet::new();
         for witness in witnesses {
