--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -34,6 +34,7 @@
 mod organisation_load;
 mod path_planner;
 mod rate_bucket;
+mod reach_poll;
 mod read_schedule;
 mod retry_budget;
 mod retry_pool;
@@ -86,6 +87,7 @@
     organisation_load::{OrganisationLoad, OrganisationUsage},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
+    reach_poll::ReachPoll,
     read_schedule::{ReadSchedule, ReaderRole, StoreReadOutcome},
     retry_budget::RetryBudget,
     retry_pool::{GrantRecord, RetryPool, ZoneTraffic},
--- /dev/null
+++ b/crates/cassiafield-core/src/process/reach_poll.rs
@@ -0,0 +1,52 @@
+/// Replies of other hosts to the question whether they reach the endpoints of a service.
+///
+/// A host whose connections to all endpoints fail asks them. A host that does not reply says nothing: it
+/// may be slow, or its reply may be lost. Only denials show that the endpoints themselves have failed.
+///
+/// ```
+/// use cassiafield_core::process::ReachPoll;
+///
+/// let mut poll = ReachPoll::new(3);
+/// assert!(!poll.shows_general_failure());
+/// poll.record(false);
+/// poll.record(false);
+/// assert!(poll.shows_general_failure());
+/// poll.record(true);
+/// assert!(!poll.shows_general_failure());
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReachPoll {
+    asked: usize,
+    confirmed: usize,
+    denied: usize,
+}
+
+impl ReachPoll {
+    /// Creates the poll of `asked` hosts.
+    #[must_use]
+    pub const fn new(asked: usize) -> Self {
+        Self { asked, confirmed: 0, denied: 0 }
+    }
+
+    /// Records the reply of a host.
+    pub const fn record(&mut self, is_reached: bool) {
+        if is_reached {
+            self.confirmed += 1;
+        } else {
+            self.denied += 1;
+        }
+    }
+
+    /// Returns `true` if further replies cannot change the result.
+    #[must_use]
+    pub const fn is_decided(&self) -> bool {
+        self.confirmed > 0 || self.confirmed + self.denied >= self.asked
+    }
+
+    /// Returns `true` if the endpoints have failed for all hosts: none reaches them, and at least half of
+    /// those asked have said so, or there was none to ask.
+    #[must_use]
+    pub const fn shows_general_failure(&self) -> bool {
+        self.confirmed == 0 && self.denied * 2 >= self.asked
+    }
+}
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -8,7 +8,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, ServiceId},
-        process::{CarrierStatus, EndpointEntry},
+        process::{CarrierStatus, EndpointEntry, ReachPoll},
     },
     std::{collections::BTreeMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
@@ -124,7 +124,10 @@
     }
 
     /// Finds out whether a failure at a service's endpoint is this host's own: no other endpoint accepts
-    /// its connections either, while another host reaches the service.
+    /// its connections either, and other hosts do not say that they reach none.
+    ///
+    /// If they do not reply, the way counts as lost: that blames no endpoint, and a host that carries the
+    /// requests tells what holds.
     ///
     /// `started_at` is when what failed began.
     pub async fn is_own_failure(
@@ -145,7 +148,7 @@
         if self.reaches_another(service, endpoint, Self::TRIED_ENDPOINTS).await {
             return false;
         }
-        if !self.is_reached_by_peers(service, started_at).await {
+        if self.ask_peers(service, started_at).await.shows_general_failure() {
             self.reach.borrow_mut().record_general_failure(service, check_began_at);
             return false;
         }
@@ -215,12 +218,13 @@
         chosen.into_iter().map(|entry| entry.address).collect()
     }
 
-    /// Returns `true` if another host has reached the service since `since`, or reaches it now.
-    async fn is_reached_by_peers(self: &Rc<Self>, service: &ServiceId, since: Moment) -> bool {
+    /// Asks other hosts whether they have reached the service since `since`, or reach it now.
+    async fn ask_peers(self: &Rc<Self>, service: &ServiceId, since: Moment) -> ReachPoll {
         let witnesses = {
             let (carriers, zone) = (self.carriers.borrow(), &self.settings.zone);
             carriers.witnesses(service, zone, Self::ASKED_HOSTS, fastrand::f64(), self.now())
         };
+        let mut poll = ReachPoll::new(witnesses.len());
         let mut queries = JoinSet::new();
         for witness in witnesses {
             let (state, service) = (Rc::clone(self), service.clone());
@@ -229,7 +233,15 @@
                 state.exchange.query_reach(witness.into(), &service, age).await
             });
         }
-        any_true(queries).await
+        while let Some(reply) = queries.join_next().await {
+            if let Ok(Some(is_reached)) = reply {
+                poll.record(is_reached);
+            }
+            if poll.is_decided() {
+                break;
+            }
+        }
+        poll
     }
 
     /// Answers another host's question whether this one has reached a service since `since`, or reaches
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -184,30 +184,29 @@
     }
 
     /// Asks a host whether it has reached a service's endpoints within `age`, or reaches them now;
-    /// returns `false` if it does not reply.
+    /// `None` if it does not reply.
     pub(super) async fn query_reach(
         &self,
         host: SocketAddr,
         service: &ServiceId,
         age: Duration,
-    ) -> bool {
-        let Some(socket) = self.socket.borrow().clone() else { return false };
+    ) -> Option<bool> {
+        let socket = self.socket.borrow().clone()?;
         let nonce = self.next_nonce.get().wrapping_add(1);
         self.next_nonce.set(nonce);
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        let query = PeerMessage::ReachQuery { nonce, service: service.clone(), age_ms };
-        let Some(bytes) = encode(&query) else { return false };
+        let bytes = encode(&PeerMessage::ReachQuery { nonce, service: service.clone(), age_ms })?;
         let (sender, receiver) = oneshot::channel();
         self.pending_reach.borrow_mut().insert(nonce, sender);
-        let is_reached = match socket.send_to(&bytes, host).await {
-            Ok(_) => matches!(timeout(Self::REACH_QUERY_TIMEOUT, receiver).await, Ok(Ok(true))),
+        let reply = match socket.send_to(&bytes, host).await {
+            Ok(_) => timeout(Self::REACH_QUERY_TIMEOUT, receiver).await.ok().and_then(Result::ok),
             Err(error) => {
                 LogEvent::PeerFailed.log(format_args!("peer {host}: {error}"));
-                false
+                None
             }
         };
         self.pending_reach.borrow_mut().remove(&nonce);
-        is_reached
+        reply
     }
 
     /// Passes a reply on to the question whether a host reaches a service; late replies are dropped.
