--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -2,8 +2,8 @@
     crate::{
         ids::{EndpointId, Moment, ServiceId, ZoneId},
         process::{
-            EndpointEntry, EndpointIncarnation, EndpointLimits, EndpointPauses, FailureCause,
-            FailureReport, LeavingEndpoints, LimitReport, LimitReports, TurnReply,
+            EndpointEntry, EndpointIncarnation, EndpointLife, EndpointLimits, EndpointPauses,
+            FailureCause, FailureReport, LeavingEndpoints, LimitReport, LimitReports, TurnReply,
         },
         request::{LayerSpan, RequestRate, RetryAfter},
     },
@@ -264,11 +264,21 @@
         self.known.get(endpoint).is_some_and(|known| known.is_unresponsive(now))
     }
 
-    /// Records that an endpoint said in an answer that it is leaving; returns `true` if that is news.
-    pub fn record_leaving(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
-        let Some(known) = self.known.get_mut(endpoint) else { return false };
-        self.leaving.record(endpoint, known.entry.incarnation, now);
-        !mem::replace(&mut known.entry.is_leaving, true)
+    /// Returns the run of an endpoint that is listed.
+    #[must_use]
+    pub fn life(&self, endpoint: &EndpointId) -> Option<EndpointLife> {
+        self.entry(endpoint).map(EndpointEntry::life)
+    }
+
+    /// Records that a run of an endpoint said in an answer that it is leaving; returns `true` if that is
+    /// news.
+    pub fn record_leaving(&mut self, life: &EndpointLife, now: Moment) -> bool {
+        let is_news = self.leaving.record(life, now);
+        let known = self.known.get_mut(&life.endpoint).map(|known| &mut known.entry);
+        match known.filter(|entry| entry.incarnation <= life.incarnation) {
+            Some(entry) => !mem::replace(&mut entry.is_leaving, true),
+            None => is_news,
+        }
     }
 
     /// Returns `true` if an endpoint is listed and accepts new work.
@@ -277,19 +287,20 @@
         self.entry(endpoint).is_some_and(|entry| !entry.is_leaving)
     }
 
-    /// Records that an endpoint asked this host for a pause, and returns when it ends; `None` if the
-    /// endpoint is unknown.
+    /// Records that a run of an endpoint asked this host for a pause, and returns when it ends.
     ///
-    /// `spread`, from 0 to 1, delays the end a little; it should differ between hosts.
+    /// The entry need not be listed: it may have lapsed and return. If it is of a later run, that may have
+    /// answered. `spread`, from 0 to 1, delays the end a little; it should differ between hosts.
     pub fn record_pause(
         &mut self,
-        endpoint: &EndpointId,
+        life: &EndpointLife,
         asked: RetryAfter,
         spread: f64,
         now: Moment,
-    ) -> Option<Moment> {
-        let incarnation = self.entry(endpoint)?.incarnation;
-        Some(self.pauses.record(endpoint, incarnation, asked, spread, now))
+    ) -> Moment {
+        let listed = self.entry(&life.endpoint).map(|entry| entry.incarnation);
+        let incarnation = life.incarnation.max(listed.unwrap_or_default());
+        self.pauses.record(&life.endpoint, incarnation, asked, spread, now)
     }
 
     /// Records that an endpoint answered a request that was sent at `sent_at`, and the rate that it
--- a/crates/cassiafield-core/src/process/endpoint_entry.rs
+++ b/crates/cassiafield-core/src/process/endpoint_entry.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         ids::{AcceleratorKind, EndpointId, ServiceId, ZoneId},
+        process::EndpointLife,
         request::LayerSpan,
     },
     compact_str::CompactString,
@@ -12,16 +13,6 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct EndpointIncarnation(pub u64);
 
-/// One run of an endpoint, from its start to its end.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct EndpointLife {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Its run.
-    pub incarnation: EndpointIncarnation,
-}
-
 /// The entry of an endpoint in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -49,3 +40,11 @@
     /// Version of its software.
     pub software: CompactString,
 }
+
+impl EndpointEntry {
+    /// Returns the run of the endpoint that wrote the entry.
+    #[must_use]
+    pub fn life(&self) -> EndpointLife {
+        EndpointLife { endpoint: self.endpoint.clone(), incarnation: self.incarnation }
+    }
+}
--- a/crates/cassiafield-core/src/process/leaving_endpoints.rs
+++ b/crates/cassiafield-core/src/process/leaving_endpoints.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, Moment},
-        process::EndpointIncarnation,
+        process::{EndpointIncarnation, EndpointLife},
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -25,10 +25,15 @@
     /// Time for which an endpoint that is not listed is remembered; the longest departures take less.
     const RETENTION: Duration = Duration::from_secs(600);
 
-    /// Records the notice of an endpoint.
-    pub fn record(&mut self, endpoint: &EndpointId, incarnation: EndpointIncarnation, now: Moment) {
-        let notice = LeavingNotice { incarnation, heard_at: now };
-        self.heard.insert(endpoint.clone(), notice);
+    /// Records the notice of an endpoint's run; returns `true` if it is the first of that run or a later one.
+    pub fn record(&mut self, life: &EndpointLife, now: Moment) -> bool {
+        let EndpointLife { endpoint, incarnation } = life;
+        if self.heard.get(endpoint).is_some_and(|known| known.incarnation > *incarnation) {
+            return false;
+        }
+        let notice = LeavingNotice { incarnation: *incarnation, heard_at: now };
+        let before = self.heard.insert(endpoint.clone(), notice);
+        before.is_none_or(|known| known.incarnation < *incarnation)
     }
 
     /// Returns `true` if this incarnation of an endpoint, or a later one, is leaving.
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_directory;
 mod endpoint_entry;
 mod endpoint_health;
+mod endpoint_life;
 mod endpoint_limits;
 mod endpoint_pauses;
 mod endpoint_reach;
@@ -62,8 +63,9 @@
     crash_report::{CrashReport, SubjectEndReport, SubjectReport},
     data_age::DataAge,
     endpoint_directory::{DirectoryChange, EndpointDirectory, ServiceChoice},
-    endpoint_entry::{EndpointEntry, EndpointIncarnation, EndpointLife},
+    endpoint_entry::{EndpointEntry, EndpointIncarnation},
     endpoint_health::EndpointHealth,
+    endpoint_life::{EndpointLife, EndpointLifeError},
     endpoint_limits::{EndpointLimits, LimitReports},
     endpoint_pauses::EndpointPauses,
     endpoint_reach::EndpointReach,
--- a/crates/cassiafield-core/tests/endpoint_pauses.rs
+++ b/crates/cassiafield-core/tests/endpoint_pauses.rs
@@ -26,6 +26,17 @@
     text.parse().expect("a time")
 }
 
+fn record_pause(
+    directory: &mut EndpointDirectory,
+    name: &str,
+    seconds: &str,
+    spread: f64,
+    now: Moment,
+) -> Moment {
+    let life = directory.life(&endpoint(name)).expect("a listed endpoint");
+    directory.record_pause(&life, asked(seconds), spread, now)
+}
+
 fn chosen(directory: &EndpointDirectory, now: Moment) -> Option<String> {
     let choice =
         ServiceChoice { service: &service(), zone: &zone("a"), excluded: &[], at_most_once: false };
@@ -90,7 +101,7 @@
     ]);
     let path = |first: &str| Ok(vec![first.to_owned(), "e3".to_owned()]);
     assert_eq!(plan(&directory, at(0)), path("e1"));
-    directory.record_pause(&endpoint("e1"), asked("3"), 0.0, at(0));
+    record_pause(&mut directory, "e1", "3", 0.0, at(0));
     assert_eq!(chosen(&directory, at(3_000)).as_deref(), Some("e1"));
     for millis in [1, 500, 2_999] {
         assert_eq!(chosen(&directory, at(millis)).as_deref(), Some("e3"));
@@ -105,9 +116,9 @@
 fn only_its_end_or_a_restart_of_the_endpoint_ends_a_pause() {
     let entries = || vec![entry("e1", "fast", "a", Some(span(0, 80)))];
     let mut directory = directory(entries());
-    directory.record_pause(&endpoint("e1"), asked("5"), 0.0, at(0));
-    directory.record_pause(&endpoint("e1"), asked("1"), 0.0, at(100));
-    directory.record_pause(&endpoint("e1"), asked("0"), 0.0, at(200));
+    record_pause(&mut directory, "e1", "5", 0.0, at(0));
+    record_pause(&mut directory, "e1", "1", 0.0, at(100));
+    record_pause(&mut directory, "e1", "0", 0.0, at(200));
     directory.record_success(&endpoint("e1"), None);
     directory.record_progress(&endpoint("e1"), at(300));
     directory.apply_list(Vec::new(), at(400));
@@ -125,6 +136,19 @@
     assert_eq!(directory.blocked_until(&endpoint("e1"), at(700)), None);
 }
 
+/// Guards against a pause that is forgotten because the endpoint is not listed when it asks.
+#[test]
+fn a_pause_counts_although_the_endpoint_is_not_listed_when_it_asks() {
+    let entries = || vec![entry("e1", "fast", "a", Some(span(0, 80)))];
+    let mut directory = directory(entries());
+    let life = directory.life(&endpoint("e1")).expect("a listed endpoint");
+    directory.apply_list(Vec::new(), at(100));
+    assert_eq!(directory.len(), 0);
+    assert_eq!(directory.record_pause(&life, asked("5"), 0.0, at(200)), at(5_200));
+    directory.apply_list(entries(), at(300));
+    assert_eq!(directory.blocked_until(&endpoint("e1"), at(400)), Some(at(5_200)));
+}
+
 /// Guards against callers that wait although it is known when a path returns.
 #[test]
 fn without_another_path_the_end_of_the_pause_is_known() {
@@ -133,10 +157,10 @@
         entry("e2", "fast", "a", Some(span(40, 80))),
         entry("e3", "slow", "a", Some(span(40, 80))),
     ]);
-    directory.record_pause(&endpoint("e1"), asked("2"), 0.0, at(0));
+    record_pause(&mut directory, "e1", "2", 0.0, at(0));
     assert_eq!(plan(&directory, at(10)), Err(PathError::Unavailable { until: at(2_000) }));
-    directory.record_pause(&endpoint("e2"), asked("4"), 0.0, at(0));
-    directory.record_pause(&endpoint("e3"), asked("3"), 0.0, at(0));
+    record_pause(&mut directory, "e2", "4", 0.0, at(0));
+    record_pause(&mut directory, "e3", "3", 0.0, at(0));
     assert!(matches!(plan(&directory, at(10)), Err(PathError::Unavailable { .. })));
     assert_eq!(directory.service_unavailable_until(&service(), at(10)), Some(at(2_000)));
     // Another failure than a pause is named as it is.
@@ -148,7 +172,7 @@
 #[test]
 fn requests_return_in_steps_and_hosts_apart() {
     let mut directory = directory(vec![entry("e1", "fast", "a", Some(span(0, 80)))]);
-    directory.record_pause(&endpoint("e1"), asked("2"), 0.0, at(0));
+    record_pause(&mut directory, "e1", "2", 0.0, at(0));
     let mut sends = Vec::new();
     for millis in 0..3_500 {
         if directory.blocked_until(&endpoint("e1"), at(millis)).is_none() {
@@ -164,11 +188,11 @@
     assert_eq!(count(3_000, 3_500), 500);
 
     let ends: Vec<Moment> = (0..=10_u32)
-        .filter_map(|host| {
+        .map(|host| {
             let spread = f64::from(host) / 10.0;
             let mut directory =
                 engine_support::directory(vec![entry("e1", "fast", "a", Some(span(0, 80)))]);
-            directory.record_pause(&endpoint("e1"), asked("4"), spread, at(0))
+            record_pause(&mut directory, "e1", "4", spread, at(0))
         })
         .collect();
     assert!(ends.windows(2).all(|pair| pair[0] < pair[1]));
--- a/crates/cassiafield-gateway/src/process/crash_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/crash_tracking.rs
@@ -5,7 +5,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{CrashSubject, EndpointId, ServiceId},
-        process::{BlockedSubject, CrashReport, EndpointLife},
+        process::{BlockedSubject, CrashReport},
         request::{RequestIdentity, StageRoute},
     },
     std::{fmt, rc::Rc, time::Duration},
@@ -127,11 +127,7 @@
         }
         let lives = {
             let directory = self.directory.borrow();
-            let life = |endpoint: EndpointId| {
-                let incarnation = directory.entry(&endpoint)?.incarnation;
-                Some(EndpointLife { endpoint, incarnation })
-            };
-            endpoints.into_iter().filter_map(life).collect()
+            endpoints.iter().filter_map(|endpoint| directory.life(endpoint)).collect()
         };
         if self.is_endpoint_out_of_reach(endpoint) {
             return false;
--- a/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
@@ -5,7 +5,10 @@
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
-    cassiafield_core::ids::{EndpointId, Moment},
+    cassiafield_core::{
+        ids::{EndpointId, Moment},
+        process::{EndpointIncarnation, EndpointLife},
+    },
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
     hyper::body::Incoming,
@@ -21,8 +24,8 @@
 pub struct EndpointExchange {
     /// The state of the host.
     pub state: Rc<GatewayState>,
-    /// The endpoint.
-    pub endpoint: EndpointId,
+    /// The run of the endpoint to which the request is sent; what the response says holds for it.
+    pub life: EndpointLife,
     /// What sends to it.
     pub sender: SenderKind,
     /// Identifies the request; an answer to another one says nothing of limits. `None` for reports and
@@ -77,16 +80,16 @@
 
     /// Records the backpressure signals of a response head.
     fn record_signals(&self, status: StatusCode, headers: &HeaderMap, sent_at: Moment) {
-        let Self { state, endpoint, sender, request_id } = self;
+        let Self { state, life, sender, request_id } = self;
         let names = state.codec.header_names();
         let is_other = request_id.as_ref().is_some_and(|id| {
             headers.get(&names.request_id).is_some_and(|echoed| echoed.as_bytes() != id.as_bytes())
         });
-        state.record_pause(endpoint, status, headers);
+        state.record_pause(life, status, headers);
         if !is_other {
-            state.record_limit(endpoint, *sender, headers, sent_at);
+            state.record_limit(&life.endpoint, *sender, headers, sent_at);
             if state.says_leaving(headers) {
-                state.record_leaving(endpoint, sender.name());
+                state.record_leaving(life, sender.name());
             }
         }
     }
@@ -100,12 +103,20 @@
         values.iter().any(|value| value.as_bytes().trim_ascii() != b"0")
     }
 
-    /// Records that an endpoint has said in an answer that it is leaving: it gets no new work.
-    pub fn record_leaving(&self, endpoint: &EndpointId, source: &str) {
+    /// Records that a run of an endpoint has said in an answer that it is leaving: it gets no new work.
+    pub fn record_leaving(&self, life: &EndpointLife, source: &str) {
         let now = self.now();
-        if self.directory.borrow_mut().record_leaving(endpoint, now) {
+        if self.directory.borrow_mut().record_leaving(life, now) {
             LogEvent::EndpointLeaving
-                .log(format_args!("endpoint {endpoint}, by its answer to a {source}"));
+                .log(format_args!("endpoint {}, by its answer to a {source}", life.endpoint));
         }
     }
+
+    /// Returns the run of an endpoint; the first one if it is not listed.
+    #[must_use]
+    pub fn life_of(&self, endpoint: &EndpointId) -> EndpointLife {
+        let listed = self.directory.borrow().life(endpoint);
+        let incarnation = EndpointIncarnation::default();
+        listed.unwrap_or_else(|| EndpointLife { endpoint: endpoint.clone(), incarnation })
+    }
 }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -18,8 +18,8 @@
     cassiafield_core::{
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
-            CarrierDirectory, CrashLedger, DataAge, EndpointDirectory, EndpointReach, EngineLoad,
-            FailureReport, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
+            CarrierDirectory, CrashLedger, DataAge, EndpointDirectory, EndpointLife, EndpointReach,
+            EngineLoad, FailureReport, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
             VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{RetryAfter, RouteStage, StageRoute},
@@ -444,7 +444,7 @@
     /// Records the pause that a response head asks for, if any.
     ///
     /// Of several values the longest counts.
-    pub fn record_pause(&self, endpoint: &EndpointId, status: StatusCode, headers: &HeaderMap) {
+    pub fn record_pause(&self, life: &EndpointLife, status: StatusCode, headers: &HeaderMap) {
         if status != StatusCode::SERVICE_UNAVAILABLE {
             return;
         }
@@ -452,7 +452,8 @@
             let text = value.to_str().unwrap_or_default();
             text.parse::<RetryAfter>().unwrap_or_else(|error| {
                 LogEvent::EndpointPaused.log(format_args!(
-                    "endpoint {endpoint}: {error}: {value:?}; {} kept instead",
+                    "endpoint {}: {error}: {value:?}; {} kept instead",
+                    life.endpoint,
                     RetryAfter::UNREADABLE
                 ));
                 RetryAfter::UNREADABLE
@@ -463,11 +464,12 @@
         };
         let now = self.now();
         let spread = fastrand::f64();
-        let ends_at = self.directory.borrow_mut().record_pause(endpoint, asked, spread, now);
+        let ends_at = self.directory.borrow_mut().record_pause(life, asked, spread, now);
         self.metrics.count_endpoint_pause();
         LogEvent::EndpointPaused.log(format_args!(
-            "endpoint {endpoint} asked for {asked}; paused for {} ms",
-            ends_at.unwrap_or(now).since(now).as_millis()
+            "endpoint {} asked for {asked}; paused for {} ms",
+            life.endpoint,
+            ends_at.since(now).as_millis()
         ));
     }
 
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -226,7 +226,7 @@
         .body(Full::new(Bytes::new()))?;
     let exchange = EndpointExchange {
         state: Rc::clone(state),
-        endpoint: endpoint.clone(),
+        life: state.life_of(endpoint),
         sender: SenderKind::Probe,
         request_id: None,
     };
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -351,7 +351,7 @@
     fn exchange(&self, entry: &EndpointEntry) -> EndpointExchange {
         EndpointExchange {
             state: Rc::clone(&self.state),
-            endpoint: entry.endpoint.clone(),
+            life: entry.life(),
             sender: SenderKind::Order,
             request_id: None,
         }
--- a/crates/cassiafield-gateway/src/process/send_turn.rs
+++ b/crates/cassiafield-gateway/src/process/send_turn.rs
@@ -96,8 +96,7 @@
         let (life, zone) = {
             let directory = self.directory.borrow();
             let entry = directory.entry(endpoint)?;
-            let life = EndpointLife { endpoint: endpoint.clone(), incarnation: entry.incarnation };
-            (life, entry.zone.clone())
+            (entry.life(), entry.zone.clone())
         };
         let turn = |granter| SendTurn {
             state: Rc::clone(self),
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -11,6 +11,7 @@
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::EndpointId,
+        process::EndpointLife,
         request::{CarryNote, RefusalCause, RequestIdentity},
         version::{RouteRule, ServiceRule},
     },
@@ -73,20 +74,20 @@
     }
 
     /// Returns the exchange of the request with an endpoint.
-    pub(super) fn exchange(&self, endpoint: &EndpointId, sender: SenderKind) -> EndpointExchange {
+    pub(super) fn exchange(&self, life: EndpointLife, sender: SenderKind) -> EndpointExchange {
         EndpointExchange {
             state: Rc::clone(&self.state),
-            endpoint: endpoint.clone(),
+            life,
             sender,
             request_id: HeaderValue::from_str(&self.request.id).ok(),
         }
     }
 
-    /// Tells the host that handed the request over that its endpoint is leaving, if it said so.
-    pub(super) fn pass_leaving_on(&self, endpoint: &EndpointId, headers: &mut HeaderMap) {
+    /// Tells the host that handed the request over that the endpoint's run is leaving, if it said so.
+    pub(super) fn pass_leaving_on(&self, life: &EndpointLife, headers: &mut HeaderMap) {
         if self.note.is_some() && self.state.says_leaving(headers) {
-            if let Ok(name) = HeaderValue::from_str(endpoint.as_str()) {
-                headers.insert(LEAVING_HEADER, name);
+            if let Ok(value) = HeaderValue::from_str(&life.to_string()) {
+                headers.insert(LEAVING_HEADER, value);
             }
         }
     }
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -28,7 +28,8 @@
 pub(super) const REVISION_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-revision");
 
-/// Header in which a host names the endpoint that said in its answer that it is leaving.
+/// Header in which a host names the run of an endpoint, as an
+/// [`EndpointLife`](cassiafield_core::process::EndpointLife), that said in its answer that it is leaving.
 pub(super) const LEAVING_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-leaving");
 
@@ -166,8 +167,8 @@
             return Err(ConnectionError::TimedOut);
         }
         let leaving = response.headers().get(&LEAVING_HEADER);
-        if let Some(endpoint) = leaving.and_then(|value| value.to_str().ok()?.parse().ok()) {
-            state.record_leaving(&endpoint, "request that another host carried");
+        if let Some(life) = leaving.and_then(|value| value.to_str().ok()?.parse().ok()) {
+            state.record_leaving(&life, "request that another host carried");
         }
         let revision = response.headers().get(&REVISION_HEADER);
         let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -432,7 +432,7 @@
         sent_at: Moment,
     ) -> Option<Result<(Response<Incoming>, PooledConnection), ConnectionError>> {
         let may_leave = self.context.rule.kind.is_retryable();
-        let exchange = self.context.exchange(&entry.endpoint, SenderKind::Call);
+        let exchange = self.context.exchange(entry.life(), SenderKind::Call);
         let mut sending = pin!(exchange.send(connection, request, self.context.remaining_time()));
         tokio::select! {
             sent = sending.as_mut() => return Some(sent),
@@ -524,7 +524,7 @@
         }
         self.context.state.record_survival(self.context.known_identity());
         strip_hop_headers(&mut parts.headers);
-        self.context.pass_leaving_on(&entry.endpoint, &mut parts.headers);
+        self.context.pass_leaving_on(&entry.life(), &mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
         let response = Response::from_parts(parts, ResponseBody::from_bytes(body));
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::{ConnectionError, PooledConnection},
-        process::{ReservedLoad, SendTurn, SenderKind},
+        process::{EndpointExchange, ReservedLoad, SendTurn, SenderKind},
         request::{
             call_context::CallContext,
             caller_request::strip_hop_headers,
@@ -398,7 +398,9 @@
             self.sent_to.push(first.endpoint.clone());
         }
         let sent_at = self.context.state.now();
-        let answered = self.await_response_head(connection, request, &path).await;
+        let life = self.context.state.life_of(&first.endpoint);
+        let exchange = self.context.exchange(life.clone(), SenderKind::Stream);
+        let answered = self.await_response_head(exchange, connection, request, &path).await;
         let (response, mut connection) = match answered {
             Ok(answered) => answered,
             Err(ConnectionError::Unsent) => {
@@ -443,7 +445,7 @@
             return Err(self.handle_error_response(&path.route, response).await);
         }
         let (mut parts, body) = response.into_parts();
-        self.context.pass_leaving_on(&first.endpoint, &mut parts.headers);
+        self.context.pass_leaving_on(&life, &mut parts.headers);
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
         let splitter = if last_event == 0 {
@@ -526,6 +528,7 @@
     /// while the path's endpoints respond to probes.
     async fn await_response_head(
         &mut self,
+        exchange: EndpointExchange,
         connection: PooledConnection,
         request: Request<Full<Bytes>>,
         path: &PlannedPath,
@@ -538,8 +541,6 @@
         let response_timeout = head_timeout.min(self.context.remaining_time());
         let state = Rc::clone(&self.context.state);
         let started_at = state.now();
-        let first = route.stages().first().ok_or(ConnectionError::Unsent)?;
-        let exchange = self.context.exchange(&first.endpoint, SenderKind::Stream);
         let mut sending = pin!(exchange.send(connection, request, response_timeout));
         let mut failure = pin!(state.wait_for_path_failure(route.stages(), probe_delay));
         let mut has_stalled = false;
--- a/crates/cassiafield-gateway/src/request/stream_failures.rs
+++ b/crates/cassiafield-gateway/src/request/stream_failures.rs
@@ -68,7 +68,8 @@
         };
         // The endpoint that answered may pass on the wish of one further down the path.
         if failed.is_some_and(|stage| Some(stage) != stages.first()) {
-            self.context.state.record_pause(&endpoint, response.status(), response.headers());
+            let life = self.context.state.life_of(&endpoint);
+            self.context.state.record_pause(&life, response.status(), response.headers());
         }
         let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
         let not_run = is_misdirected || response.headers().contains_key(&names.not_run);
