--- a/crates/cassiafield-core/src/request/carry_note.rs
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -8,7 +8,8 @@
 /// ```
 /// use cassiafield_core::request::CarryNote;
 ///
-/// let text = "host-1 token=42 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no sent-to=i-1";
+/// let text = "host-1 token=42 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no unanswered=0 \
+///     sent-to=i-1";
 /// let note: CarryNote = text.parse()?;
 /// assert_eq!((note.elapsed.as_millis(), note.sends), (120, 1));
 /// assert_eq!(note.to_string(), text);
@@ -30,7 +31,10 @@
     pub revision: u64,
     /// Whether it has counted the answer for the organisation.
     pub is_counted: bool,
-    /// First endpoints of the paths that it sent the request over.
+    /// Number of hosts that took the request and did not answer: each may have sent it to an endpoint that
+    /// is not in `sent_to`.
+    pub unanswered: u32,
+    /// First endpoints of the paths over which the request was sent, or may be by hosts that answered.
     pub sent_to: Vec<EndpointId>,
 }
 
@@ -59,16 +63,17 @@
         let counted = if self.is_counted { "yes" } else { "no" };
         write!(
             f,
-            "{} token={} elapsed-ms={} sends={} ends={} revision={} counted={counted} sent-to=",
+            "{} token={} elapsed-ms={} sends={} ends={} revision={} counted={counted} unanswered={} \
+             sent-to=",
             self.host,
             self.token,
             self.elapsed.as_millis(),
             self.sends,
             self.ends,
             self.revision,
+            self.unanswered,
         )?;
-        let names: Vec<&str> = self.sent_to.iter().map(EndpointId::as_str).collect();
-        f.write_str(&names.join(","))
+        f.write_str(&join_endpoints(&self.sent_to))
     }
 }
 
@@ -92,15 +97,33 @@
             "no" => false,
             _ => return Err(CarryNoteError::NotYesOrNo),
         };
-        let names = field("sent-to")?.split(',').filter(|name| !name.is_empty());
-        let sent_to: Vec<EndpointId> =
-            names.map(str::parse).collect::<Result<_, _>>().map_err(CarryNoteError::Name)?;
-        if sent_to.len() > Self::MAX_ENDPOINTS {
-            return Err(CarryNoteError::TooManyEndpoints(sent_to.len()));
-        }
+        let unanswered = parse_number("unanswered", field("unanswered")?)?;
+        let sent_to = parse_endpoints(field("sent-to")?)?;
         let elapsed = Duration::from_millis(elapsed_ms);
-        Ok(Self { host, token, elapsed, sends, ends, revision, is_counted, sent_to })
+        Ok(Self { host, token, elapsed, sends, ends, revision, is_counted, unanswered, sent_to })
+    }
+}
+
+/// Joins the names of endpoints as hosts tell them to each other.
+#[must_use]
+pub fn join_endpoints(endpoints: &[EndpointId]) -> String {
+    let names: Vec<&str> = endpoints.iter().map(EndpointId::as_str).collect();
+    names.join(",")
+}
+
+/// Reads the names of endpoints as [`join_endpoints`] writes them.
+///
+/// # Errors
+///
+/// Returns which name is invalid, or that there are too many.
+pub fn parse_endpoints(text: &str) -> Result<Vec<EndpointId>, CarryNoteError> {
+    let names = text.split(',').filter(|name| !name.is_empty());
+    let endpoints: Vec<EndpointId> =
+        names.map(str::parse).collect::<Result<_, _>>().map_err(CarryNoteError::Name)?;
+    if endpoints.len() > CarryNote::MAX_ENDPOINTS {
+        return Err(CarryNoteError::TooManyEndpoints(endpoints.len()));
     }
+    Ok(endpoints)
 }
 
 fn parse_number<T>(name: &'static str, text: &str) -> Result<T, CarryNoteError>
--- a/crates/cassiafield-core/src/request/mod.rs
+++ b/crates/cassiafield-core/src/request/mod.rs
@@ -21,7 +21,7 @@
 pub use self::{
     answer_assembly::{AnswerAssembly, DropReason, FrameAction},
     call_claim::{CallClaim, CallOutcome, ClaimEvent, ClaimRecord, ClaimState, ClaimStep},
-    carry_note::{CarryNote, CarryNoteError},
+    carry_note::{join_endpoints, parse_endpoints, CarryNote, CarryNoteError},
     event_splitter::{EventError, EventSplitter, StreamEvent},
     give_up_reason::GiveUpReason,
     layer_span::{LayerSpan, SpanError},
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -33,11 +33,16 @@
 pub(super) const LEAVING_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-leaving");
 
+/// Header in which a host names the first endpoints over which it has sent a stream, or may send it.
+pub(super) const SENT_TO_HEADER: HeaderName =
+    HeaderName::from_static("x-cassiafield-internal-sent-to");
+
 /// What became of a request before it is handed over.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CarryProgress {
     pub(super) sends: u32,
     pub(super) ends: u32,
+    pub(super) unanswered: u32,
     pub(super) sent_to: Vec<EndpointId>,
     /// The last event that the caller has, if the answer has begun.
     pub(super) last_event: Option<u64>,
@@ -189,6 +194,7 @@
             ends: progress.ends,
             revision: state.configuration_revision(),
             is_counted: progress.is_counted,
+            unanswered: progress.unanswered,
             sent_to: progress.sent_to.clone(),
         };
         let mut request = Request::new(Full::new(self.request.body.clone()));
@@ -225,7 +231,7 @@
 
 /// Removes what hosts tell each other from an answer.
 pub(super) fn strip_internal_headers(headers: &mut HeaderMap) {
-    for name in [&REFUSAL_HEADER, &REVISION_HEADER, &LEAVING_HEADER] {
+    for name in [&REFUSAL_HEADER, &REVISION_HEADER, &LEAVING_HEADER, &SENT_TO_HEADER] {
         headers.remove(name);
     }
 }
--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -5,6 +5,7 @@
         caller_request::strip_hop_headers,
         carried_call::{
             is_promise, strip_internal_headers, CarriedAnswer, CarryError, CarryProgress,
+            SENT_TO_HEADER,
         },
         host_service::CarriedMark,
         stream_call::{AttemptError, StreamCall},
@@ -14,8 +15,11 @@
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
-    cassiafield_core::request::{EventSplitter, RefusalCause},
-    http::{header, Response, StatusCode},
+    cassiafield_core::{
+        ids::EndpointId,
+        request::{join_endpoints, parse_endpoints, EventSplitter, RefusalCause},
+    },
+    http::{header, HeaderMap, HeaderValue, Response, StatusCode},
     hyper::body::Incoming,
     std::time::Duration,
     tokio::time::timeout,
@@ -33,6 +37,7 @@
         let progress = CarryProgress {
             sends: self.sends,
             ends: self.ends,
+            unanswered: self.unanswered,
             sent_to: self.sent_to.clone(),
             last_event: Some(last_event),
             is_counted: self.has_begun.get() && !self.context.is_carried.get(),
@@ -45,10 +50,12 @@
                 Err(CarryError::NoCarrier) => return Err(AttemptError::OutOfReach),
                 Err(CarryError::NoAnswer(host)) => {
                     self.sends += 1;
+                    self.unanswered += 1;
                     self.failed_carriers.push(host);
                     return Err(AttemptError::MayHaveRun);
                 }
             };
+        self.record_sent_to(&response);
         let is_reusable = connection.apply_response_head(response.headers());
         if response.status() != StatusCode::OK {
             return Err(self.read_carried_error(response).await);
@@ -93,6 +100,37 @@
         }
     }
 
+    /// Records the first endpoints that another host names in its answer.
+    fn record_sent_to(&mut self, response: &Response<Incoming>) {
+        let value = response.headers().get(&SENT_TO_HEADER).and_then(|value| value.to_str().ok());
+        match parse_endpoints(value.unwrap_or_default()) {
+            Ok(named) => {
+                let new = named.into_iter().filter(|endpoint| !self.sent_to.contains(endpoint));
+                let new: Vec<EndpointId> = new.collect();
+                self.sent_to.extend(new);
+            }
+            Err(error) => LogEvent::PeerRefused
+                .log(format_args!("endpoints of a stream that another host carries: {error}")),
+        }
+    }
+
+    /// Names the first endpoints of a stream that this host carries in its answer; it uses no others from
+    /// now on.
+    ///
+    /// The host that handed the stream over must know them: it hands the stream to a further one if this
+    /// one fails, and the route limits their number. One that may be needed later is chosen now.
+    pub(super) fn announce_endpoints(&mut self, headers: &mut HeaderMap) {
+        if self.context.note.is_none() {
+            return;
+        }
+        self.add_spare_endpoints();
+        self.is_limited_to_sent_to = true;
+        match HeaderValue::from_str(&join_endpoints(&self.sent_to)) {
+            Ok(value) => drop(headers.insert(SENT_TO_HEADER, value)),
+            Err(error) => LogEvent::CarryFailed.log(error),
+        }
+    }
+
     /// Reads the response of another host that is not a stream.
     async fn read_carried_error(&self, response: Response<Incoming>) -> AttemptError {
         let (mut parts, body) = response.into_parts();
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -46,8 +46,12 @@
     pub(super) suspects: Vec<EndpointId>,
     /// Number of times that the request was sent.
     pub(super) sends: u32,
-    /// First endpoints of the paths that the request was sent over.
+    /// First endpoints of the paths that the request was sent over, or may be by hosts that carry it.
     pub(super) sent_to: Vec<EndpointId>,
+    /// Whether no other endpoint may be the first one of a path.
+    pub(super) is_limited_to_sent_to: bool,
+    /// Number of hosts that took the request and did not answer: each may have sent it.
+    pub(super) unanswered: u32,
     /// Reservation of a stalled path that the next one may replace.
     pub(super) replaced: RefCell<Option<ReservedLoad>>,
     /// Why the last failed planning found no path.
@@ -128,6 +132,7 @@
         let model = model.unwrap_or_else(|| fallback_model(service));
         let note = context.note.as_ref();
         let (sends, ends) = note.map_or((0, 0), |note| (note.sends, note.ends));
+        let unanswered = note.map_or(0, |note| note.unanswered);
         let sent_to = note.map(|note| note.sent_to.clone()).unwrap_or_default();
         Self {
             context,
@@ -135,6 +140,8 @@
             suspects: Vec::new(),
             sends,
             sent_to,
+            is_limited_to_sent_to: false,
+            unanswered,
             replaced: RefCell::default(),
             bottleneck: Cell::new(None),
             model,
@@ -609,7 +616,7 @@
 
     /// Returns a response that relays the stream, starting with the events received so far.
     fn start_relay(
-        self,
+        mut self,
         head: Response<()>,
         attempt: StreamAttempt,
         first: Bytes,
@@ -619,6 +626,7 @@
         let (mut parts, ()) = head.into_parts();
         let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
         strip_hop_headers(&mut parts.headers);
+        self.announce_endpoints(&mut parts.headers);
         if let Some(length) = length {
             parts.headers.insert(header::CONTENT_LENGTH, length);
         }
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -11,6 +11,7 @@
             EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
         },
         request::{GiveUpReason, RefusalCause},
+        version::RequestKind,
     },
     std::time::Duration,
 };
@@ -136,6 +137,32 @@
         }
     }
 
+    /// Returns the number of endpoints that may still become the first one of a path.
+    fn free_firsts(&self) -> usize {
+        let count = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
+        let max_firsts = count(self.context.rule.attempts.max(1));
+        max_firsts.saturating_sub(self.sent_to.len().saturating_add(count(self.unanswered)))
+    }
+
+    /// Chooses endpoints that may become the first ones of later paths, as many as the route allows.
+    pub(super) fn add_spare_endpoints(&mut self) {
+        if self.context.rule.kind != RequestKind::ResumableStream {
+            return;
+        }
+        let (excluded, bottleneck) = (self.excluded.len(), self.bottleneck.get());
+        while self.free_firsts() > 0 {
+            self.excluded.extend(self.sent_to.iter().cloned());
+            let planned = self.plan_with_free_memory(QueueWait::Resume(Duration::ZERO));
+            self.excluded.truncate(excluded);
+            let first = planned.ok().and_then(|path| path.route.stages().first().cloned());
+            let Some(first) = first.filter(|stage| !self.sent_to.contains(&stage.endpoint)) else {
+                break;
+            };
+            self.sent_to.push(first.endpoint);
+        }
+        self.bottleneck.set(bottleneck);
+    }
+
     fn plan_with_free_memory(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
         let Some(engine) = &self.context.service.engine else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
@@ -148,8 +175,7 @@
             engine,
             now: self.context.state.now(),
         };
-        let max_firsts = usize::try_from(self.context.rule.attempts.max(1)).unwrap_or(usize::MAX);
-        let has_max_firsts = self.sent_to.len() >= max_firsts;
+        let has_max_firsts = self.is_limited_to_sent_to || self.free_firsts() == 0;
         let (memory_fraction, foreign_memory_fraction) = self.memory_fractions(wait);
         let request = PathRequest {
             model: &self.model,
