--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -201,10 +201,12 @@
         let mut entries: Vec<&EndpointEntry> = directory
             .live_entries(service)
             .filter(|entry| Some(&entry.endpoint) != except)
-            .filter(|entry| directory.blocked_until(&entry.endpoint, now).is_none())
             .collect();
         fastrand::shuffle(&mut entries);
-        entries.sort_by_key(|entry| directory.is_suspect(&entry.endpoint, now));
+        // One that asked for a pause is reached as well; it is sent nothing.
+        let is_paused =
+            |entry: &EndpointEntry| directory.blocked_until(&entry.endpoint, now).is_some();
+        entries.sort_by_key(|entry| (directory.is_suspect(&entry.endpoint, now), is_paused(entry)));
         let mut chosen: Vec<&EndpointEntry> = Vec::new();
         for is_new_zone in [true, false] {
             for entry in &entries {
