--- a/crates/cassiafield-core/src/process/reach_poll.rs
+++ b/crates/cassiafield-core/src/process/reach_poll.rs
@@ -1,7 +1,8 @@
-/// Replies of other hosts to the question whether they reach the endpoints of a service.
+/// Replies of other hosts to a reachability query for a service.
 ///
-/// A host whose connections to all endpoints fail asks them. A host that does not reply says nothing: it
-/// may be slow, or its reply may be lost. Only denials show that the endpoints themselves have failed.
+/// A host sends the query when its own connections to the service's endpoints fail. A missing reply is no
+/// evidence, since hosts may be slow and replies lost; only negative replies show that the endpoints
+/// themselves have failed.
 ///
 /// ```
 /// use cassiafield_core::process::ReachPoll;
@@ -22,7 +23,7 @@
 }
 
 impl ReachPoll {
-    /// Creates the poll of `asked` hosts.
+    /// Creates a poll of `asked` hosts.
     #[must_use]
     pub const fn new(asked: usize) -> Self {
         Self { asked, confirmed: 0, denied: 0 }
@@ -43,8 +44,8 @@
         self.confirmed > 0 || self.confirmed + self.denied >= self.asked
     }
 
-    /// Returns `true` if the endpoints have failed for all hosts: none reaches them, and at least half of
-    /// those asked have said so, or there was none to ask.
+    /// Returns `true` if the endpoints have failed for all hosts: no reply is positive, and at least half of
+    /// the hosts replied, or there is no other host.
     #[must_use]
     pub const fn shows_general_failure(&self) -> bool {
         self.confirmed == 0 && self.denied * 2 >= self.asked
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -124,10 +124,10 @@
     }
 
     /// Finds out whether a failure at a service's endpoint is this host's own: no other endpoint accepts
-    /// its connections either, and other hosts do not say that they reach none.
+    /// its connections either, and other hosts do not report the same.
     ///
-    /// If they do not reply, the way counts as lost: that blames no endpoint, and a host that carries the
-    /// requests tells what holds.
+    /// Without replies the way counts as lost: no endpoint is blamed, and the host that carries the requests
+    /// finds out.
     ///
     /// `started_at` is when what failed began.
     pub async fn is_own_failure(
@@ -203,7 +203,7 @@
             .filter(|entry| Some(&entry.endpoint) != except)
             .collect();
         fastrand::shuffle(&mut entries);
-        // One that asked for a pause is reached as well; it is sent nothing.
+        // A paused endpoint accepts connections, and a check sends no request.
         let is_paused =
             |entry: &EndpointEntry| directory.blocked_until(&entry.endpoint, now).is_some();
         entries.sort_by_key(|entry| (directory.is_suspect(&entry.endpoint, now), is_paused(entry)));
@@ -220,7 +220,7 @@
         chosen.into_iter().map(|entry| entry.address).collect()
     }
 
-    /// Asks other hosts whether they have reached the service since `since`, or reach it now.
+    /// Queries other hosts whether they have reached the service since `since`, or reach it now.
     async fn ask_peers(self: &Rc<Self>, service: &ServiceId, since: Moment) -> ReachPoll {
         let witnesses = {
             let (carriers, zone) = (self.carriers.borrow(), &self.settings.zone);
@@ -240,6 +240,8 @@
                 poll.record(is_reached);
             }
             if poll.is_decided() {
+                // The others complete by themselves and remove their nonces.
+                queries.detach_all();
                 break;
             }
         }
