--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -289,8 +289,9 @@
 
     /// Records that a run of an endpoint asked this host for a pause, and returns when it ends.
     ///
-    /// The entry need not be listed: it may have lapsed and return. If it is of a later run, that may have
-    /// answered. `spread`, from 0 to 1, delays the end a little; it should differ between hosts.
+    /// The endpoint need not be listed: its entry may have lapsed. A later run that is listed may have sent
+    /// the response and is paused too. `spread`, from 0 to 1, delays the end a little; it should differ
+    /// between hosts.
     pub fn record_pause(
         &mut self,
         life: &EndpointLife,
--- a/crates/cassiafield-core/src/process/endpoint_life.rs
+++ b/crates/cassiafield-core/src/process/endpoint_life.rs
@@ -8,7 +8,7 @@
 
 /// One run of an endpoint, from its start to its end.
 ///
-/// What an endpoint says of itself holds for one run; a restart begins another one.
+/// The status that an endpoint reports applies to one run; a restart begins a new one.
 ///
 /// ```
 /// use cassiafield_core::process::{EndpointIncarnation, EndpointLife};
--- a/crates/cassiafield-core/src/request/carry_note.rs
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -31,10 +31,10 @@
     pub revision: u64,
     /// Whether it has counted the answer for the organisation.
     pub is_counted: bool,
-    /// Number of hosts that took the request and did not answer: each may have sent it to an endpoint that
-    /// is not in `sent_to`.
+    /// Number of hosts that accepted the request and did not respond; each may have sent it to an endpoint
+    /// that is not in `sent_to`.
     pub unanswered: u32,
-    /// First endpoints of the paths over which the request was sent, or may be by hosts that answered.
+    /// First endpoints of the paths that it was sent over, and those that other hosts announced.
     pub sent_to: Vec<EndpointId>,
 }
 
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -33,7 +33,7 @@
 pub(super) const LEAVING_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-leaving");
 
-/// Header in which a host names the first endpoints over which it has sent a stream, or may send it.
+/// Header in which a host announces the first endpoints of a stream that it carries, fallbacks included.
 pub(super) const SENT_TO_HEADER: HeaderName =
     HeaderName::from_static("x-cassiafield-internal-sent-to");
 
--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Records the first endpoints that another host names in its answer.
+    /// Records the first endpoints that another host announces in its response.
     fn record_sent_to(&mut self, response: &Response<Incoming>) {
         let value = response.headers().get(&SENT_TO_HEADER).and_then(|value| value.to_str().ok());
         match parse_endpoints(value.unwrap_or_default()) {
@@ -114,11 +114,11 @@
         }
     }
 
-    /// Names the first endpoints of a stream that this host carries in its answer; it uses no others from
-    /// now on.
+    /// Announces the first endpoints of a carried stream in the response head, fallbacks included; later paths
+    /// start at one of them.
     ///
-    /// The host that handed the stream over must know them: it hands the stream to a further one if this
-    /// one fails, and the route limits their number. One that may be needed later is chosen now.
+    /// The route limits their number. If this host fails, the host that handed the stream over passes them
+    /// on to the next one.
     pub(super) fn announce_endpoints(&mut self, headers: &mut HeaderMap) {
         if self.context.note.is_none() {
             return;
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -48,9 +48,9 @@
     pub(super) sends: u32,
     /// First endpoints of the paths that the request was sent over, or may be by hosts that carry it.
     pub(super) sent_to: Vec<EndpointId>,
-    /// Whether no other endpoint may be the first one of a path.
+    /// Whether paths must start at an endpoint in `sent_to`.
     pub(super) is_limited_to_sent_to: bool,
-    /// Number of hosts that took the request and did not answer: each may have sent it.
+    /// Number of hosts that accepted the request and did not respond; each may have sent it.
     pub(super) unanswered: u32,
     /// Reservation of a stalled path that the next one may replace.
     pub(super) replaced: RefCell<Option<ReservedLoad>>,
@@ -92,7 +92,7 @@
     /// Maximum size of an endpoint's description of an error, in bytes.
     pub(super) const MAX_ERROR_BYTES: usize = 256 * 1_024;
     /// Maximum number of sends of a request, over all endpoints.
-    const MAX_SENDS: u32 = 5;
+    pub(super) const MAX_SENDS: u32 = 5;
     /// Time after which callers may return whose prompt is kept from endpoints.
     pub(super) const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(60);
     /// Fraction of the objective that a request may wait for memory.
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -46,6 +46,8 @@
     ///
     /// Callers disconnect after eight times the objective.
     const MAX_EVENT_GAP_FACTOR: f64 = 3.0;
+    /// Maximum number of first endpoints that are announced; a request is not sent more often.
+    const MAX_ANNOUNCED: usize = Self::MAX_SENDS as usize;
     /// Maximum number of endpoints that are asked for a turn.
     const MAX_TURN_REQUESTS: u32 = 8;
     /// Fraction of the request memory of other zones' endpoints that new streams may fill.
@@ -144,13 +146,13 @@
         max_firsts.saturating_sub(self.sent_to.len().saturating_add(count(self.unanswered)))
     }
 
-    /// Chooses endpoints that may become the first ones of later paths, as many as the route allows.
+    /// Plans fallback paths and adds their first endpoints to those of the request, up to the route's limit.
     pub(super) fn add_spare_endpoints(&mut self) {
         if self.context.rule.kind != RequestKind::ResumableStream {
             return;
         }
         let (excluded, bottleneck) = (self.excluded.len(), self.bottleneck.get());
-        while self.free_firsts() > 0 {
+        while self.free_firsts() > 0 && self.sent_to.len() < Self::MAX_ANNOUNCED {
             self.excluded.extend(self.sent_to.iter().cloned());
             let planned = self.plan_with_free_memory(QueueWait::Resume(Duration::ZERO));
             self.excluded.truncate(excluded);
