test(standin): a stream counts as opened once its head is sent

Cause: the stand-in counted a stream as opened before it wrote the response head, and the test stops the engine's process as soon as all 12 count. If the stop falls between the two, the host has no answer to its request to open the stream.

The test checks what it checked before; its bound and its number of streams are unchanged.

--- a/crates/cassiafield-standin/src/engine_standin.rs
+++ b/crates/cassiafield-standin/src/engine_standin.rs
@@ -276,9 +276,10 @@
             self.running.fetch_sub(1, Ordering::SeqCst);
             return respond_json(http, 429, &json!({ "error": "no free slot" }));
         }
-        self.opened.fetch_add(1, Ordering::SeqCst);
         if let Ok(mut response) = ChunkedResponse::begin(http.into_writer(), "application/x-ndjson")
         {
+            // A stream counts once its head is sent: without one it may still be given up.
+            self.opened.fetch_add(1, Ordering::SeqCst);
             let _ = self.send_tokens(&mut response, request);
             let _ = response.close();
         }
