--- a/crates/cassiafield-core/src/request/carry_note.rs
+++ b/crates/cassiafield-core/src/request/carry_note.rs
@@ -8,8 +8,8 @@
 /// ```
 /// use cassiafield_core::request::CarryNote;
 ///
-/// let text = "host-1 token=42 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no unanswered=0 \
-///     sent-to=i-1";
+/// let text = "host-1 token=42 elapsed-ms=120 sends=1 ends=0 revision=7 counted=no retry=yes \
+///     unanswered=0 sent-to=i-1";
 /// let note: CarryNote = text.parse()?;
 /// assert_eq!((note.elapsed.as_millis(), note.sends), (120, 1));
 /// assert_eq!(note.to_string(), text);
@@ -31,6 +31,8 @@
     pub revision: u64,
     /// Whether it has counted the answer for the organisation.
     pub is_counted: bool,
+    /// Whether it has taken from its retry budget what the next send needs.
+    pub has_retry: bool,
     /// Number of hosts that accepted the request and did not respond; each may have sent it to an endpoint
     /// that is not in `sent_to`.
     pub unanswered: u32,
@@ -47,8 +49,8 @@
     Name(IdError),
     /// A number is invalid; holds the field's name.
     Number(&'static str, ParseIntError),
-    /// The field `counted` is neither `yes` nor `no`.
-    NotYesOrNo,
+    /// A field is neither `yes` nor `no`; holds its name.
+    NotYesOrNo(&'static str),
     /// The note names more endpoints than a request can have been sent to.
     TooManyEndpoints(usize),
 }
@@ -60,17 +62,18 @@
 
 impl fmt::Display for CarryNote {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let counted = if self.is_counted { "yes" } else { "no" };
         write!(
             f,
-            "{} token={} elapsed-ms={} sends={} ends={} revision={} counted={counted} unanswered={} \
-             sent-to=",
+            "{} token={} elapsed-ms={} sends={} ends={} revision={} counted={} retry={} \
+             unanswered={} sent-to=",
             self.host,
             self.token,
             self.elapsed.as_millis(),
             self.sends,
             self.ends,
             self.revision,
+            yes_or_no(self.is_counted),
+            yes_or_no(self.has_retry),
             self.unanswered,
         )?;
         f.write_str(&join_endpoints(&self.sent_to))
@@ -92,15 +95,23 @@
         let sends = parse_number("sends", field("sends")?)?;
         let ends = parse_number("ends", field("ends")?)?;
         let revision = parse_number("revision", field("revision")?)?;
-        let is_counted = match field("counted")? {
-            "yes" => true,
-            "no" => false,
-            _ => return Err(CarryNoteError::NotYesOrNo),
-        };
+        let is_counted = parse_flag("counted", field("counted")?)?;
+        let has_retry = parse_flag("retry", field("retry")?)?;
         let unanswered = parse_number("unanswered", field("unanswered")?)?;
         let sent_to = parse_endpoints(field("sent-to")?)?;
         let elapsed = Duration::from_millis(elapsed_ms);
-        Ok(Self { host, token, elapsed, sends, ends, revision, is_counted, unanswered, sent_to })
+        Ok(Self {
+            host,
+            token,
+            elapsed,
+            sends,
+            ends,
+            revision,
+            is_counted,
+            has_retry,
+            unanswered,
+            sent_to,
+        })
     }
 }
 
@@ -126,6 +137,22 @@
     Ok(endpoints)
 }
 
+const fn yes_or_no(flag: bool) -> &'static str {
+    if flag {
+        "yes"
+    } else {
+        "no"
+    }
+}
+
+fn parse_flag(name: &'static str, text: &str) -> Result<bool, CarryNoteError> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(CarryNoteError::NotYesOrNo(name)),
+    }
+}
+
 fn parse_number<T>(name: &'static str, text: &str) -> Result<T, CarryNoteError>
 where
     T: FromStr<Err = ParseIntError>,
@@ -139,7 +166,9 @@
             CarryNoteError::Missing(name) => write!(f, "the field {name} is missing"),
             CarryNoteError::Name(error) => error.fmt(f),
             CarryNoteError::Number(name, error) => write!(f, "the field {name}: {error}"),
-            CarryNoteError::NotYesOrNo => f.write_str("the field counted is neither yes nor no"),
+            CarryNoteError::NotYesOrNo(name) => {
+                write!(f, "the field {name} is neither yes nor no")
+            }
             CarryNoteError::TooManyEndpoints(count) => write!(
                 f,
                 "the field sent-to has {count} endpoints, at most {} are taken",
--- a/crates/cassiafield-core/tests/carry_notes.rs
+++ b/crates/cassiafield-core/tests/carry_notes.rs
@@ -14,6 +14,7 @@
         ends: 1,
         revision: 77,
         is_counted: true,
+        has_retry: true,
         unanswered: 3,
         sent_to: vec!["i-1".parse().expect("a name"), "i-2".parse().expect("a name")],
     }
@@ -24,11 +25,11 @@
     let text = note().to_string();
     assert_eq!(
         text,
-        "host-1 token=42 elapsed-ms=1250 sends=2 ends=1 revision=77 counted=yes unanswered=3 \
-         sent-to=i-1,i-2"
+        "host-1 token=42 elapsed-ms=1250 sends=2 ends=1 revision=77 counted=yes retry=yes \
+         unanswered=3 sent-to=i-1,i-2"
     );
     assert_eq!(text.parse(), Ok(note()));
-    let empty = CarryNote { sent_to: Vec::new(), is_counted: false, ..note() };
+    let empty = CarryNote { sent_to: Vec::new(), is_counted: false, has_retry: false, ..note() };
     assert_eq!(empty.to_string().parse(), Ok(empty));
 }
 
@@ -42,6 +43,8 @@
         (&text.replace("sends=2", "sends=x"), "the field sends: invalid digit found in string"),
         (&text.replace("sends=2", "sends=-1"), "the field sends: invalid digit found in string"),
         (&text.replace("counted=yes", "counted=1"), "the field counted is neither yes nor no"),
+        (&text.replace("retry=yes", "retry=2"), "the field retry is neither yes nor no"),
+        (&text.replace(" retry=yes", ""), "the field retry is missing"),
         (&text.replace(" unanswered=3", ""), "the field unanswered is missing"),
         (&text.replace(" revision=77", ""), "the field revision is missing"),
         (&text.replace("i-1,i-2", "i-1,i/2"), "a name consists of"),
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -32,6 +32,8 @@
     pub(super) identity: RequestIdentity,
     /// What the host said that handed the request over, if one did.
     pub(super) note: Option<CarryNote>,
+    /// Whether the retry that the next send needs is granted already.
+    pub(super) has_retry: Cell<bool>,
     /// Whether another host carries the request, and counts its answer.
     pub(super) is_carried: Cell<bool>,
 }
@@ -98,6 +100,12 @@
         echoed.is_some_and(|id| id.as_bytes() != self.request.id.as_bytes())
     }
 
+    /// Takes a retry from the budget of the service, unless one is granted already; returns `true` if the
+    /// request may be sent again.
+    pub(super) async fn acquire_retry(&self) -> bool {
+        self.has_retry.take() || self.state.acquire_retry(&self.service.service).await
+    }
+
     /// Records that the request is being sent to an endpoint.
     pub(super) fn record_send(&self) {
         let time = self.state.now().since(self.request.received_at);
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -111,6 +111,11 @@
         &self,
         progress: &CarryProgress,
     ) -> Result<CarriedAnswer, CarryError> {
+        if progress.sends > 0 {
+            // The request counts towards this host's budget; without a retry here, the other host takes one.
+            let is_granted = self.acquire_retry().await;
+            self.has_retry.set(is_granted);
+        }
         let mut excluded = progress.excluded.clone();
         let mut asked = 0;
         while asked < Self::MAX_CARRIERS && !self.remaining_time().is_zero() {
@@ -120,6 +125,7 @@
             match self.send_to_carrier(&load, progress).await {
                 Ok((response, connection)) => {
                     let Some(reason) = refusal_reason(&response) else {
+                        self.has_retry.set(false);
                         self.record_carried(&host);
                         return Ok(CarriedAnswer { response, connection, load });
                     };
@@ -131,6 +137,7 @@
                     self.log_failure(&host, verdict, error);
                     self.state.carriers.borrow_mut().record_failure(&host, self.state.now());
                     if verdict != RequestVerdict::NotRun {
+                        self.has_retry.set(false);
                         return Err(CarryError::NoAnswer(host));
                     }
                 }
@@ -194,6 +201,7 @@
             ends: progress.ends,
             revision: state.configuration_revision(),
             is_counted: progress.is_counted,
+            has_retry: self.has_retry.get(),
             unanswered: progress.unanswered,
             sent_to: progress.sent_to.clone(),
         };
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -122,10 +122,12 @@
         response
     }
 
-    /// Returns a note without what only a host of the fleet may say: that the answer has been counted.
+    /// Returns a note without what only a host of the fleet may say: that the answer has been counted, and
+    /// that a retry is granted.
     fn verified(&self, note: CarryNote) -> CarryNote {
         let is_own = self.state.carriers.borrow().is_token_of(&note.host, note.token);
-        CarryNote { is_counted: note.is_counted && is_own, ..note }
+        let (is_counted, has_retry) = (note.is_counted && is_own, note.has_retry && is_own);
+        CarryNote { is_counted, has_retry, ..note }
     }
 
     /// Returns why this host cannot carry a request, if it cannot.
@@ -284,9 +286,19 @@
         let in_flight = self.state.track_request(note.is_some());
         let identity = request.identity(state.codec.header_names());
         let is_counted_elsewhere = note.as_ref().is_some_and(|note| note.is_counted);
+        let has_retry = Cell::new(note.as_ref().is_some_and(|note| note.has_retry));
         let is_carried = Cell::new(false);
-        let context =
-            CallContext { state, rule, service, request, in_flight, identity, note, is_carried };
+        let context = CallContext {
+            state,
+            rule,
+            service,
+            request,
+            in_flight,
+            identity,
+            note,
+            has_retry,
+            is_carried,
+        };
         let response = if is_stream {
             StreamCall::new(context).run().await
         } else {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -131,7 +131,7 @@
             let Some((entry, turn)) = self.choose_with_turn(&progress.excluded).await else {
                 break;
             };
-            if sends > 0 && !self.context.state.acquire_retry(service).await {
+            if sends > 0 && !self.context.acquire_retry().await {
                 break;
             }
             progress.excluded.push(entry.endpoint.clone());
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -220,8 +220,7 @@
         has_time
             && self.sends < Self::MAX_SENDS
             && self.may_repeat()
-            && (self.sends == 0
-                || self.context.state.acquire_retry(&self.context.service.service).await)
+            && (self.sends == 0 || self.context.acquire_retry().await)
     }
 
     /// Takes what the stream needs to be sent again.
