--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -3,7 +3,9 @@
         process::{EndpointExchange, GatewayState, InFlightRequest, SenderKind},
         request::{
             carried_call::{LEAVING_HEADER, REFUSAL_HEADER},
+            carry_refusal::CarryRefusal,
             refusal_response::refusal_response,
+            retry_grant::RetryGrant,
             CallerRequest, ResponseBody,
         },
     },
@@ -32,8 +34,8 @@
     pub(super) identity: RequestIdentity,
     /// What the host said that handed the request over, if one did.
     pub(super) note: Option<CarryNote>,
-    /// Whether the retry that the next send needs is granted already.
-    pub(super) has_retry: Cell<bool>,
+    /// The retry that the next send needs.
+    pub(super) retry: Cell<RetryGrant>,
     /// Whether another host carries the request, and counts its answer.
     pub(super) is_carried: Cell<bool>,
 }
@@ -103,7 +105,13 @@
     /// Takes a retry from the budget of the service, unless one is granted already; returns `true` if the
     /// request may be sent again.
     pub(super) async fn acquire_retry(&self) -> bool {
-        self.has_retry.take() || self.state.acquire_retry(&self.service.service).await
+        if self.retry.take() == RetryGrant::Granted
+            || self.state.acquire_retry(&self.service.service).await
+        {
+            return true;
+        }
+        self.retry.set(RetryGrant::Denied);
+        false
     }
 
     /// Records that the request is being sent to an endpoint.
@@ -114,21 +122,36 @@
 
     /// Returns the response to a request that was refused or failed.
     ///
-    /// If another host handed the request over and this one has lost its way too, the other host learns
-    /// that.
+    /// If another host handed the request over, it learns why this one has not sent it.
     pub(super) fn refusal(
         &self,
         cause: RefusalCause,
         retry_after: Option<Duration>,
+        sends: u32,
     ) -> Response<ResponseBody> {
         let mut response = refusal_response(cause, retry_after);
-        if cause == RefusalCause::Unreachable && self.note.is_some() {
-            let reason = HeaderValue::from_static("out of reach");
+        if let Some(refusal) = self.carry_refusal(cause, sends) {
+            let reason = HeaderValue::from_static(refusal.name());
             response.headers_mut().insert(REFUSAL_HEADER, reason);
         }
         response
     }
 
+    /// Returns why this host has not sent a request that it carries, if that is for the other host to know:
+    /// what was sent before may go on elsewhere or later.
+    fn carry_refusal(&self, cause: RefusalCause, sends: u32) -> Option<CarryRefusal> {
+        let note = self.note.as_ref()?;
+        let is_unsent_repeat = note.sends > 0 && sends == note.sends;
+        match cause {
+            RefusalCause::Unreachable => Some(CarryRefusal::OutOfReach),
+            RefusalCause::NoEndpoint | RefusalCause::Overloaded if is_unsent_repeat => {
+                let is_denied = self.retry.get() == RetryGrant::Denied;
+                Some(if is_denied { CarryRefusal::NoRetry } else { CarryRefusal::NoPath })
+            }
+            _ => None,
+        }
+    }
+
     /// Returns `true` if this host counts the request's answer for its organisation.
     pub(super) fn counts_answer(&self) -> bool {
         !self.is_carried.get() && self.note.as_ref().is_none_or(|note| !note.is_counted)
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -4,7 +4,9 @@
     crate::{
         connection::{CarriedRequest, ConnectionError, PooledConnection},
         process::GatewayState,
-        request::call_context::CallContext,
+        request::{
+            call_context::CallContext, carry_refusal::CarryRefusal, retry_grant::RetryGrant,
+        },
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
@@ -66,8 +68,12 @@
 pub(super) enum CarryError {
     /// No host takes it; it has not run.
     NoCarrier,
+    /// The hosts that could take it have no retry left; it has not been sent again.
+    NoRetry,
+    /// No endpoint can take it; it has not been sent again.
+    NoPath,
     /// This host did not answer; the request may have run.
-    NoAnswer(HostId),
+    Unanswered(HostId),
 }
 
 /// Counts a request as carried by a host until it is dropped.
@@ -113,10 +119,12 @@
     ) -> Result<CarriedAnswer, CarryError> {
         if progress.sends > 0 {
             // The request counts towards this host's budget; without a retry here, the other host takes one.
-            let is_granted = self.acquire_retry().await;
-            self.has_retry.set(is_granted);
+            if self.acquire_retry().await {
+                self.retry.set(RetryGrant::Granted);
+            }
         }
         let mut excluded = progress.excluded.clone();
+        let mut no_carrier = CarryError::NoCarrier;
         let mut asked = 0;
         while asked < Self::MAX_CARRIERS && !self.remaining_time().is_zero() {
             let Some(load) = self.choose_carrier(&excluded) else { break };
@@ -125,26 +133,34 @@
             match self.send_to_carrier(&load, progress).await {
                 Ok((response, connection)) => {
                     let Some(reason) = refusal_reason(&response) else {
-                        self.has_retry.set(false);
+                        self.retry.set(RetryGrant::Unasked);
                         self.record_carried(&host);
                         return Ok(CarriedAnswer { response, connection, load });
                     };
+                    let refusal = reason.parse::<CarryRefusal>().ok();
                     self.log_failure(&host, RequestVerdict::NotRun, reason);
-                    self.state.carriers.borrow_mut().record_refusal(&host, self.state.now());
+                    if refusal.is_none_or(CarryRefusal::concerns_host) {
+                        self.state.carriers.borrow_mut().record_refusal(&host, self.state.now());
+                    }
+                    match refusal {
+                        Some(CarryRefusal::NoPath) => return Err(CarryError::NoPath),
+                        Some(CarryRefusal::NoRetry) => no_carrier = CarryError::NoRetry,
+                        _ => {}
+                    }
                 }
                 Err(error) => {
                     let verdict = error.verdict();
                     self.log_failure(&host, verdict, error);
                     self.state.carriers.borrow_mut().record_failure(&host, self.state.now());
                     if verdict != RequestVerdict::NotRun {
-                        self.has_retry.set(false);
-                        return Err(CarryError::NoAnswer(host));
+                        self.retry.set(RetryGrant::Unasked);
+                        return Err(CarryError::Unanswered(host));
                     }
                 }
             }
             excluded.push(host);
         }
-        Err(CarryError::NoCarrier)
+        Err(no_carrier)
     }
 
     fn choose_carrier(&self, excluded: &[HostId]) -> Option<CarriedLoad> {
@@ -201,7 +217,7 @@
             ends: progress.ends,
             revision: state.configuration_revision(),
             is_counted: progress.is_counted,
-            has_retry: self.has_retry.get(),
+            has_retry: self.retry.get() == RetryGrant::Granted,
             unanswered: progress.unanswered,
             sent_to: progress.sent_to.clone(),
         };
--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -48,7 +48,11 @@
             match self.context.carry(&progress).await {
                 Ok(answer) => answer,
                 Err(CarryError::NoCarrier) => return Err(AttemptError::OutOfReach),
-                Err(CarryError::NoAnswer(host)) => {
+                Err(CarryError::NoRetry) => return Err(AttemptError::NoRetry),
+                Err(CarryError::NoPath) => {
+                    return Err(AttemptError::NoPath(RefusalCause::Overloaded));
+                }
+                Err(CarryError::Unanswered(host)) => {
                     self.sends += 1;
                     self.unanswered += 1;
                     self.failed_carriers.push(host);
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -6,8 +6,10 @@
             call_context::CallContext,
             caller_request::strip_hop_headers,
             carried_call::{CARRY_HEADER, REFUSAL_HEADER, REVISION_HEADER},
+            carry_refusal::CarryRefusal,
             plain_call::PlainCall,
             refusal_response::refusal_response,
+            retry_grant::RetryGrant,
             stream_call::StreamCall,
             CallerRequest, ResponseBody,
         },
@@ -43,26 +45,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CarriedMark;
 
-/// Why this host does not carry a request of another one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CarryRefusal {
-    Stopping,
-    Full,
-    OutdatedConfiguration,
-    OutOfReach,
-}
-
-impl CarryRefusal {
-    const fn name(self) -> &'static str {
-        match self {
-            CarryRefusal::Stopping => "stopping",
-            CarryRefusal::Full => "full",
-            CarryRefusal::OutdatedConfiguration => "outdated configuration",
-            CarryRefusal::OutOfReach => "out of reach",
-        }
-    }
-}
-
 impl HostService {
     /// Retry delay advised to callers while the host cannot serve them.
     const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -286,7 +268,8 @@
         let in_flight = self.state.track_request(note.is_some());
         let identity = request.identity(state.codec.header_names());
         let is_counted_elsewhere = note.as_ref().is_some_and(|note| note.is_counted);
-        let has_retry = Cell::new(note.as_ref().is_some_and(|note| note.has_retry));
+        let has_retry = note.as_ref().is_some_and(|note| note.has_retry);
+        let retry = if has_retry { RetryGrant::Granted } else { RetryGrant::Unasked };
         let is_carried = Cell::new(false);
         let context = CallContext {
             state,
@@ -296,7 +279,7 @@
             in_flight,
             identity,
             note,
-            has_retry,
+            retry: Cell::new(retry),
             is_carried,
         };
         let response = if is_stream {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -118,7 +118,7 @@
             }
             let blocked = self.context.state.blocked_subject(self.context.known_identity());
             if let Some(blocked) = blocked {
-                return self.refuse_blocked(progress.verdict, &blocked);
+                return self.refuse_blocked(&progress, &blocked);
             }
             if !self.context.state.may_repeat(self.context.known_identity(), self.ends.get()) {
                 break;
@@ -126,7 +126,7 @@
             let service = &self.context.service.service;
             let identity = self.context.known_identity();
             if self.context.state.spares_last_endpoint(service, identity) {
-                return self.refuse_suspect(progress.verdict);
+                return self.refuse_suspect(&progress);
             }
             let Some((entry, turn)) = self.choose_with_turn(&progress.excluded).await else {
                 break;
@@ -179,8 +179,10 @@
                         None => host,
                     }
                 }
-                Err(CarryError::NoAnswer(host)) => host,
-                Err(CarryError::NoCarrier) => return None,
+                Err(CarryError::Unanswered(host)) => host,
+                Err(CarryError::NoCarrier | CarryError::NoRetry | CarryError::NoPath) => {
+                    return None
+                }
             };
             progress.verdict = RequestVerdict::MayHaveRun;
             if !self.context.rule.kind.is_retryable() {
@@ -243,9 +245,10 @@
     /// Refuses a request with a part in its prompt that is kept from endpoints.
     fn refuse_blocked(
         &self,
-        verdict: RequestVerdict,
+        progress: &CallProgress,
         blocked: &BlockedSubject,
     ) -> Response<ResponseBody> {
+        let CallProgress { verdict, sends, .. } = *progress;
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = if is_not_run { blocked.refusal_cause() } else { RefusalCause::EndpointFailed };
         self.context.state.metrics.count_refusal(cause);
@@ -254,11 +257,12 @@
             .cause(cause)
             .verdict(verdict)
             .log(format_args!("blocked: {blocked}; route {}", self.context.rule.name));
-        self.context.refusal(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY))
+        self.context.refusal(cause, is_not_run.then_some(StreamCall::BLOCKED_RETRY_DELAY), sends)
     }
 
     /// Refuses a request that may have ended all endpoints of its service but one.
-    fn refuse_suspect(&self, verdict: RequestVerdict) -> Response<ResponseBody> {
+    fn refuse_suspect(&self, progress: &CallProgress) -> Response<ResponseBody> {
+        let CallProgress { verdict, sends, .. } = *progress;
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause =
             if is_not_run { RefusalCause::Overloaded } else { RefusalCause::EndpointFailed };
@@ -270,12 +274,12 @@
             ),
         );
         let retry_after = Self::SUSPECT_RETRY_DELAY.mul_f64(1.0 + fastrand::f64());
-        self.context.refusal(cause, is_not_run.then_some(retry_after))
+        self.context.refusal(cause, is_not_run.then_some(retry_after), sends)
     }
 
     /// Refuses a request that got no response from any endpoint.
     fn refuse(&self, progress: &CallProgress) -> Response<ResponseBody> {
-        let CallProgress { verdict, unreachable, excluded, .. } = progress;
+        let CallProgress { verdict, sends, unreachable, excluded, .. } = progress;
         let (verdict, tried) = (*verdict, excluded.len());
         let now = self.context.state.now();
         let service = &self.context.service.service;
@@ -307,7 +311,8 @@
         let spread =
             min_delay.mul_f64(1.0 + fastrand::f64()) + self.context.state.return_spread(service);
         let retry_after = blocked_until.unwrap_or(now).since(now) + spread;
-        self.context.refusal(cause, (verdict == RequestVerdict::NotRun).then_some(retry_after))
+        let retry_after = (verdict == RequestVerdict::NotRun).then_some(retry_after);
+        self.context.refusal(cause, retry_after, *sends)
     }
 
     fn choice<'a>(&'a self, excluded: &'a [EndpointId]) -> ServiceChoice<'a> {
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -76,6 +76,8 @@
     NoPath(RefusalCause),
     /// No host carries the request, and this one has no way to endpoints.
     OutOfReach,
+    /// The retry budget is used up.
+    NoRetry,
     /// The endpoint did not run the request.
     NotRun,
     /// No connection to the endpoint could be opened.
@@ -191,6 +193,7 @@
                     cause = RefusalCause::Unreachable;
                     break;
                 }
+                Err(AttemptError::NoRetry) => break,
                 Err(AttemptError::MayHaveRun) => verdict = RequestVerdict::MayHaveRun,
                 Err(AttemptError::Failed(response))
                     if verdict != RequestVerdict::NotRun && is_promise(response.status()) =>
@@ -294,7 +297,7 @@
                 self.organisation_excess(),
                 retry_after.unwrap_or_default().as_millis(),
             ));
-        self.context.refusal(cause, retry_after)
+        self.context.refusal(cause, retry_after, self.sends)
     }
 
     /// Returns when the caller should return.
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -623,5 +623,6 @@
         | AttemptError::MayHaveRun
         | AttemptError::Failed(_) => GiveUpReason::EndpointFailed,
         AttemptError::OutOfReach => GiveUpReason::NoEndpoint,
+        AttemptError::NoRetry => GiveUpReason::RetryBudget,
     }
 }
