--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -361,7 +361,11 @@
         if self.is_blocked() {
             return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
         }
-        let (path, turn) = self.plan_with_turn(wait).await?;
+        let planned = self.plan_with_turn(wait).await;
+        if planned.is_err() && self.context.needs_carrier() {
+            return self.attempt_elsewhere(last_event).await;
+        }
+        let (path, turn) = planned?;
         let Some(first) = path.route.stages().first().cloned() else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
         };
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -55,7 +55,8 @@
     /// The rest is for requests of the other zone's own callers.
     const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
 
-    /// Plans a path; waits for memory as `wait` allows if the endpoints are full.
+    /// Plans a path; waits for memory as `wait` allows if the endpoints are full, unless this host loses its
+    /// way to them.
     pub(super) async fn plan_with_wait(
         &self,
         wait: QueueWait,
@@ -74,7 +75,8 @@
                 Err(AttemptError::NoPath(cause)) => !is_first || *cause == RefusalCause::Overloaded,
                 _ => false,
             };
-            if !can_wait || left.is_zero() {
+            let is_lost = self.context.state.is_out_of_reach(&self.context.service.service);
+            if !can_wait || left.is_zero() || is_lost {
                 return planned;
             }
             if is_first && self.pause_end().is_some_and(|until| until.since(now) > left) {
@@ -89,6 +91,31 @@
         }
     }
 
+    /// Plans a path like [`plan_with_wait`](Self::plan_with_wait) for a stream that failed at `failed_at`.
+    ///
+    /// If there is none, it first finds out whether this host has lost its way: nothing else may notice.
+    pub(super) async fn plan_unless_lost(
+        &self,
+        failed_at: Moment,
+        wait: QueueWait,
+    ) -> Result<PlannedPath, AttemptError> {
+        let (state, service) = (&self.context.state, &self.context.service.service);
+        if let Ok(path) = self.plan(wait) {
+            return Ok(path);
+        }
+        if state.is_own_failure(service, None, failed_at).await {
+            return Err(AttemptError::OutOfReach);
+        }
+        let planned = self.plan_with_wait(wait).await;
+        planned.map_err(|error| {
+            if state.is_out_of_reach(service) {
+                AttemptError::OutOfReach
+            } else {
+                error
+            }
+        })
+    }
+
     /// Plans a path and waits for a turn at its first endpoint, if that takes a limited rate; both as
     /// `wait` allows.
     pub(super) async fn plan_with_turn(
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -430,7 +430,8 @@
             let resumed = {
                 let remaining_time = self.call.context.remaining_time();
                 let wait = QueueWait::Resume(queue_wait);
-                let mut resuming = pin!(resume_elsewhere(&mut self.call, last_event, wait));
+                let call = &mut self.call;
+                let mut resuming = pin!(resume_elsewhere(call, last_event, failed_at, wait));
                 loop {
                     match race(&mut stalled_path, remaining_time, resuming.as_mut()).await {
                         RaceStep::Done(resumed) => break Ok(resumed),
@@ -586,10 +587,12 @@
     }
 }
 
-/// Sends the stream over another path, and waits for its first events after `last_event`.
+/// Sends the stream over another path, since its own failed at `failed_at`, and waits for its first events
+/// after `last_event`.
 async fn resume_elsewhere(
     call: &mut StreamCall,
     last_event: Option<u64>,
+    failed_at: Moment,
     wait: QueueWait,
 ) -> Result<(StreamAttempt, Bytes), GiveUpReason> {
     let last_event = last_event.ok_or(GiveUpReason::NotResumable)?;
@@ -600,8 +603,10 @@
         // A host that carries the stream asks for the retry itself.
         if !call.context.needs_carrier() {
             // A retry without a path would waste the budget.
-            if let Err(error) = call.plan_with_wait(wait).await {
-                return Err(give_up_reason(&error));
+            match call.plan_unless_lost(failed_at, wait).await {
+                Ok(_) => {}
+                Err(AttemptError::OutOfReach) => continue,
+                Err(error) => return Err(give_up_reason(&error)),
             }
             call.acquire_resume().await?;
         }
