--- a/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_exchange.rs
@@ -36,8 +36,9 @@
 impl EndpointExchange {
     /// Time for which an abandoned request's response is awaited.
     ///
-    /// Refusals arrive within it; after it the connection is closed, which cancels the work.
-    const LATE_ANSWER_TIME: Duration = Duration::from_millis(100);
+    /// After it the connection is closed, which cancels the work: within half a second of the caller's
+    /// leaving, with time for the way there.
+    const LATE_ANSWER_TIME: Duration = Duration::from_millis(300);
 
     /// Sends a request and returns the response head, with the connection, if it arrives in time.
     ///
