--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -176,10 +176,23 @@
                 if self.context.remaining_time().is_zero() {
                     break;
                 }
-            } else if !self.acquire_send().await {
-                break;
+            } else {
+                // A retry without a path would waste the budget.
+                match self.plan_repeat(start).await {
+                    Ok(()) => {}
+                    Err(_) if self.context.needs_carrier() => continue,
+                    Err(found) => {
+                        if number == 0 {
+                            cause = found;
+                        }
+                        break;
+                    }
+                }
+                if !self.acquire_send().await {
+                    break;
+                }
             }
-            match self.attempt(start, QueueWait::First(self.initial_queue_wait())).await {
+            match self.attempt(start, self.queue_wait(start)).await {
                 Ok((head, attempt, first)) => return self.start_relay(head, attempt, first),
                 Err(AttemptError::NoPath(found)) => {
                     if number == 0 || found == RefusalCause::PromptBlocked {
@@ -260,6 +273,26 @@
         }
     }
 
+    /// Returns why there is no path for a request that was sent before, if there is none.
+    async fn plan_repeat(&self, last_event: u64) -> Result<(), RefusalCause> {
+        if self.sends == 0 {
+            return Ok(());
+        }
+        match self.plan_with_wait(self.queue_wait(last_event)).await {
+            Err(AttemptError::NoPath(cause)) => Err(cause),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns how long a request for the events after `last_event` may wait for memory.
+    fn queue_wait(&self, last_event: u64) -> QueueWait {
+        let is_resumption = self.context.note.as_ref().is_some_and(|note| note.sends > 0);
+        if is_resumption && last_event > 0 {
+            return QueueWait::Resume(self.timeouts().resume_wait());
+        }
+        QueueWait::First(self.initial_queue_wait())
+    }
+
     /// Returns how long a new request may wait for memory.
     fn initial_queue_wait(&self) -> Duration {
         let waited = self.context.state.now().since(self.context.request.received_at);
