--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -117,11 +117,9 @@
         &self,
         progress: &CarryProgress,
     ) -> Result<CarriedAnswer, CarryError> {
-        if progress.sends > 0 {
-            // The request counts towards this host's budget; without a retry here, the other host takes one.
-            if self.acquire_retry().await {
-                self.retry.set(RetryGrant::Granted);
-            }
+        // The request counts towards this host's budget; without a retry here, the other host takes one.
+        if progress.sends > 0 && self.acquire_retry().await {
+            self.retry.set(RetryGrant::Granted);
         }
         let mut excluded = progress.excluded.clone();
         let mut no_carrier = CarryError::NoCarrier;
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -97,10 +97,6 @@
     pub(super) const MAX_SENDS: u32 = 5;
     /// Time after which callers may return whose prompt is kept from endpoints.
     pub(super) const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(60);
-    /// Fraction of the objective that a request may wait for memory.
-    ///
-    /// The rest is left for the first event.
-    const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
     /// Minimum retry delay advised to callers while this host has no way to endpoints; jitter raises it
     /// up to twofold. Callers return to other hosts.
     pub(super) const OUT_OF_REACH_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -273,36 +269,6 @@
         }
     }
 
-    /// Returns why there is no path for a request that was sent before, if there is none.
-    async fn plan_repeat(&self, last_event: u64) -> Result<(), RefusalCause> {
-        if self.sends == 0 {
-            return Ok(());
-        }
-        match self.plan_with_wait(self.queue_wait(last_event)).await {
-            Err(AttemptError::NoPath(cause)) => Err(cause),
-            _ => Ok(()),
-        }
-    }
-
-    /// Returns how long a request for the events after `last_event` may wait for memory.
-    fn queue_wait(&self, last_event: u64) -> QueueWait {
-        let is_resumption = self.context.note.as_ref().is_some_and(|note| note.sends > 0);
-        if is_resumption && last_event > 0 {
-            return QueueWait::Resume(self.timeouts().resume_wait());
-        }
-        QueueWait::First(self.initial_queue_wait())
-    }
-
-    /// Returns how long a new request may wait for memory.
-    fn initial_queue_wait(&self) -> Duration {
-        let waited = self.context.state.now().since(self.context.request.received_at);
-        self.context
-            .rule
-            .latency_objective
-            .mul_f64(Self::MAX_QUEUE_TIME_FRACTION)
-            .saturating_sub(waited)
-    }
-
     fn refuse(&self, verdict: RequestVerdict, cause: RefusalCause) -> Response<ResponseBody> {
         let is_not_run = verdict == RequestVerdict::NotRun;
         let cause = match &self.blocked {
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -42,6 +42,10 @@
 }
 
 impl StreamCall {
+    /// Fraction of the objective that a request may wait for memory.
+    ///
+    /// The rest is left for the first event.
+    const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
     /// Maximum planned gap between events, in multiples of the route's event-gap objective.
     ///
     /// Callers disconnect after eight times the objective.
@@ -116,6 +120,36 @@
         })
     }
 
+    /// Returns why there is no path for a request that was sent before, if there is none.
+    pub(super) async fn plan_repeat(&self, last_event: u64) -> Result<(), RefusalCause> {
+        if self.sends == 0 {
+            return Ok(());
+        }
+        match self.plan_with_wait(self.queue_wait(last_event)).await {
+            Err(AttemptError::NoPath(cause)) => Err(cause),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns how long a request for the events after `last_event` may wait for memory.
+    pub(super) fn queue_wait(&self, last_event: u64) -> QueueWait {
+        let is_resumption = self.context.note.as_ref().is_some_and(|note| note.sends > 0);
+        if is_resumption && last_event > 0 {
+            return QueueWait::Resume(self.timeouts().resume_wait());
+        }
+        QueueWait::First(self.initial_queue_wait())
+    }
+
+    /// Returns how long a new request may wait for memory.
+    fn initial_queue_wait(&self) -> Duration {
+        let waited = self.context.state.now().since(self.context.request.received_at);
+        self.context
+            .rule
+            .latency_objective
+            .mul_f64(Self::MAX_QUEUE_TIME_FRACTION)
+            .saturating_sub(waited)
+    }
+
     /// Plans a path and waits for a turn at its first endpoint, if that takes a limited rate; both as
     /// `wait` allows.
     pub(super) async fn plan_with_turn(
