review: a stream with a spoiled last event ends as complete (case 3)

ORDER is broken: take_complete_events forgets the error of an event that came with a sound one in the same read, and its bytes are gone. If it was the last event, the stream ends as complete without it.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -3,7 +3,7 @@
 pub mod bodies;
 pub mod drill;
 pub mod flood;
-pub mod key;
+pub mod spoiled;
 pub mod truncated;
 
 use crate::base::{open_record, read_message, record, unix_ms, Message};
