--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -3,6 +3,7 @@
 pub mod bodies;
 pub mod drill;
 pub mod flood;
+pub mod foreign;
 pub mod spoiled;
 pub mod truncated;
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,6 +27,7 @@
         "bodies" => cases::bodies::run(has_trouble),
         "flood" => cases::flood::run(has_trouble),
         "drill" => cases::drill::run(has_trouble),
+        "foreign" => cases::foreign::run(has_trouble),
         "spoiled" => cases::spoiled::run(has_trouble),
         "truncated" => cases::truncated::run(has_trouble),
         _ => Err(format!("no case {case}")),
