review: case 1 counts only requests that the host had read

A client gives an idempotent request up that a host does not read within a second, so only requests count that a server got; 36 clients instead of 24.

--- a/review/standin/cases/flood.rs
+++ b/review/standin/cases/flood.rs
@@ -6,13 +6,13 @@
 use std::io::Write;
 use std::net::{SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Rate of the server in trouble over all channels: 800 of the 1,000 Mbit/s of a link.
 const MAX_BYTES_PER_S: f64 = 100e6;
-const CLIENTS: u64 = 24;
+const CLIENTS: u64 = 36;
 /// Time that a request takes at a server.
 const WORK_MS: u64 = 30;
 const ROUNDS: u64 = 12;
@@ -32,6 +32,8 @@
     is_in_trouble: AtomicBool,
     began: std::sync::OnceLock<Instant>,
     sent: AtomicU64,
+    /// Requests that the server got.
+    got: Mutex<Vec<String>>,
 }
 
 impl FaultyServer {
@@ -45,6 +47,7 @@
             is_in_trouble: AtomicBool::new(false),
             began: std::sync::OnceLock::new(),
             sent: AtomicU64::new(0),
+            got: Mutex::default(),
         });
         let served = Arc::clone(&server);
         thread::spawn(move || {
@@ -60,6 +63,7 @@
         let _ = stream.set_nodelay(true);
         while let Ok(Some(request)) = read_message(&mut stream, false) {
             let id = request.header("x-cassiafield-attempt-id").unwrap_or("-").to_owned();
+            self.got.lock().expect("ids").push(id.clone());
             if self.is_in_trouble.load(Ordering::SeqCst) {
                 record(&format!("server i-1 sends bytes that are no answer to {id}"));
                 return self.flood(stream);
@@ -169,12 +173,22 @@
             record(&format!("request {id}: {status} after {time} ms"));
         }
     }
-    let at_timeout = all.iter().filter(|(_, _, time)| *time > TIMEOUT_MS).count();
-    let later = all.iter().filter(|(_, _, time)| *time > TIMEOUT_MS + 500).count();
-    let longest = all.iter().map(|(_, _, time)| *time).max().unwrap_or(0);
+    // A client gives an idempotent request up that a host does not read within a second. So only those count
+    // that a server got: the host has read them.
+    let mut got = faulty.got.lock().expect("ids").clone();
+    for server in &sound {
+        for arrival in server.arrivals.lock().expect("arrivals").iter() {
+            got.push(arrival.request.header("x-cassiafield-attempt-id").unwrap_or("-").to_owned());
+        }
+    }
+    let read: Vec<_> = all.iter().filter(|(id, _, _)| got.contains(id)).collect();
+    let at_timeout = read.iter().filter(|(_, _, time)| *time > TIMEOUT_MS).count();
+    let later = read.iter().filter(|(_, _, time)| *time > TIMEOUT_MS + 500).count();
+    let longest = read.iter().map(|(_, _, time)| *time).max().unwrap_or(0);
     record(&format!(
-        "of {} requests {at_timeout} were unanswered at timeout_ms ({TIMEOUT_MS} ms), {later} of these also half a second later; the last answer came after {longest} ms",
-        all.len()
+        "of {} requests, {} that the host passed on; of these {at_timeout} were unanswered at timeout_ms ({TIMEOUT_MS} ms), {later} also half a second later; the last answer came after {longest} ms",
+        all.len(),
+        read.len()
     ));
     if !host.is_running() {
         return Err("the host ended by itself".to_owned());
