--- a/review/standin/cases/revoked.rs
+++ b/review/standin/cases/revoked.rs
@@ -45,13 +45,14 @@
     let server = PlainServer::start("i-1");
     store.put("op/config", &config(4, "\"key-lost\",\"key-kept\""));
     store.put("servers/i-1", &entry("permits", server.address, "za", "ready", 0, unix_ms()));
-    let start = |number: u8, name: &str| {
+    let start = |number: u8, name: &str, is_first_start: bool| {
         let ip = Host::free_ip(number);
         let settings = Host::settings(name, "za", &["za"], ip, store.address);
+        let settings = settings.replace("\"bootstrap\":true", &format!("\"bootstrap\":{is_first_start}"));
         Host::start(name, ip, &settings, &folder.0, &root())
     };
     let (mut with_lost, mut with_kept) = (Vec::new(), Vec::new());
-    let mut hosts = vec![start(0, "front-za-1"), start(1, "front-za-2")];
+    let mut hosts = vec![start(0, "front-za-1", true), start(1, "front-za-2", true)];
     for host in &hosts {
         if !host.wait_ready() {
             return Err(format!("host {} does not get ready", host.name));
@@ -79,7 +80,7 @@
         sleep_ms(500);
     }
     record("a machine is added: front-za-3");
-    hosts.push(start(2, "front-za-3"));
+    hosts.push(start(2, "front-za-3", false));
     let returned_at = unix_ms();
     // The operator writes again 1 s after the store's return.
     let mut has_written = false;
