--- a/crates/cassiafield-core/src/request/event_splitter.rs
+++ b/crates/cassiafield-core/src/request/event_splitter.rs
@@ -55,6 +55,8 @@
     buffer: Vec<u8>,
     last: Option<u64>,
     has_events: bool,
+    /// The first error; no event is returned after it.
+    error: Option<EventError>,
 }
 
 impl EventSplitter {
@@ -64,13 +66,13 @@
     /// Creates a splitter for a stream that continues after event `last`.
     #[must_use]
     pub const fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last: Some(last), has_events: false }
+        Self { buffer: Vec::new(), last: Some(last), has_events: false, error: None }
     }
 
     /// Creates a splitter that accepts any id as the first one.
     #[must_use]
     pub const fn with_unknown_start() -> Self {
-        Self { buffer: Vec::new(), last: None, has_events: false }
+        Self { buffer: Vec::new(), last: None, has_events: false, error: None }
     }
 
     /// Appends received bytes.
@@ -105,8 +107,18 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`EventError`] if the next event has no valid id, is out of order or is too long.
+    /// Returns an [`EventError`] if the next event has no valid id, is out of order or is too long, and the
+    /// same error from then on: the stream cannot go on after a missing event.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
+        let event = self.take_event();
+        self.error = event.as_ref().err().copied();
+        event
+    }
+
+    fn take_event(&mut self) -> Result<Option<StreamEvent>, EventError> {
         let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
             return if self.buffer.len() > Self::MAX_EVENT_BYTES {
                 Err(EventError::TooLong)
--- a/crates/cassiafield-core/tests/stream_events.rs
+++ b/crates/cassiafield-core/tests/stream_events.rs
@@ -27,6 +27,23 @@
     assert_eq!(splitter.last_id(), Some(2));
 }
 
+/// Guards against an error that is forgotten with the events in front of it: nothing after a bad event
+/// may look sound, nor the stream complete.
+#[test]
+fn no_event_is_returned_after_an_error() {
+    for bad in ["data: x\n\n", "id: 7\n\n", "id: x\n\n"] {
+        let mut splitter = EventSplitter::after(0);
+        splitter.push(&encode_events(1, 2));
+        splitter.push(bad.as_bytes());
+        let error = read_ids(&mut splitter).expect_err("an error");
+        assert_eq!(splitter.last_id(), Some(2));
+        splitter.push(&encode_events(3, 2));
+        for _ in 0..3 {
+            assert_eq!(splitter.next_event(), Err(error), "{bad:?}");
+        }
+    }
+}
+
 #[test]
 fn a_duplicated_event_is_an_error() {
     let mut splitter = EventSplitter::after(4);
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -236,16 +236,16 @@
     is_framed: bool,
 ) -> ReadOutcome {
     loop {
+        match take_complete_events(splitter) {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => return ReadOutcome::Events(events),
+            Err(error) => return ReadOutcome::Failed(StreamError::Event(error)),
+        }
         match body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(bytes) = frame.data_ref() {
                     splitter.push(bytes);
                 }
-                match take_complete_events(splitter) {
-                    Ok(events) if events.is_empty() => {}
-                    Ok(events) => return ReadOutcome::Events(events),
-                    Err(error) => return ReadOutcome::Failed(StreamError::Event(error)),
-                }
             }
             Some(Err(error)) => return ReadOutcome::Failed(StreamError::Broken(error)),
             None if splitter.has_partial_event() => {
@@ -259,6 +259,7 @@
     }
 }
 
+/// Returns all complete events; an error that follows them is returned by the next call.
 fn take_complete_events(splitter: &mut EventSplitter) -> Result<Bytes, EventError> {
     let mut events = BytesMut::new();
     loop {
