--- a/crates/cassiafield-core/src/request/event_splitter.rs
+++ b/crates/cassiafield-core/src/request/event_splitter.rs
@@ -21,10 +21,27 @@
         /// Id that was received.
         found: u64,
     },
+    /// The second event of a stream whose first id is not known does not follow the first event.
+    ///
+    /// Either of them may be wrong, so no event of the stream counts.
+    UncertainStart {
+        /// Id of the first event.
+        first: u64,
+        /// Id of the second event.
+        second: u64,
+    },
     /// An event exceeds the size limit.
     TooLong,
 }
 
+impl EventError {
+    /// Returns `true` if the error says that events which were returned before may be wrong.
+    #[must_use]
+    pub const fn voids_events(self) -> bool {
+        matches!(self, EventError::UncertainStart { .. })
+    }
+}
+
 impl fmt::Display for EventError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -32,6 +49,9 @@
             EventError::OutOfOrder { expected, found } => {
                 write!(f, "received event {found}, expected event {expected}")
             }
+            EventError::UncertainStart { first, second } => {
+                write!(f, "the stream started with event {first}, followed by event {second}")
+            }
             EventError::TooLong => f.write_str("an event exceeds the size limit"),
         }
     }
@@ -54,6 +74,8 @@
 pub struct EventSplitter {
     buffer: Vec<u8>,
     last: Option<u64>,
+    /// Whether the id of the stream's first event is known, or two events have confirmed it.
+    is_start_known: bool,
     has_events: bool,
     /// The first error; no event is returned after it.
     error: Option<EventError>,
@@ -66,13 +88,25 @@
     /// Creates a splitter for a stream that continues after event `last`.
     #[must_use]
     pub const fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last: Some(last), has_events: false, error: None }
+        Self {
+            buffer: Vec::new(),
+            last: Some(last),
+            is_start_known: true,
+            has_events: false,
+            error: None,
+        }
     }
 
     /// Creates a splitter that accepts any id as the first one.
     #[must_use]
     pub const fn with_unknown_start() -> Self {
-        Self { buffer: Vec::new(), last: None, has_events: false, error: None }
+        Self {
+            buffer: Vec::new(),
+            last: None,
+            is_start_known: false,
+            has_events: false,
+            error: None,
+        }
     }
 
     /// Appends received bytes.
@@ -98,11 +132,6 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards the bytes of an incomplete event.
-    pub fn discard_partial_event(&mut self) {
-        self.buffer.clear();
-    }
-
     /// Returns the next complete event, or `None` if more bytes are needed to complete one.
     ///
     /// # Errors
@@ -127,12 +156,16 @@
             };
         };
         let bytes: Vec<u8> = self.buffer.drain(..end + 2).collect();
-        let id = event_id(&bytes).ok_or(EventError::MissingId)?;
+        let id = event_id(&bytes)?;
         if let Some(last) = self.last {
             let expected = last + 1;
+            if id != expected && !self.is_start_known {
+                return Err(EventError::UncertainStart { first: last, second: id });
+            }
             if id != expected {
                 return Err(EventError::OutOfOrder { expected, found: id });
             }
+            self.is_start_known = true;
         }
         self.last = Some(id);
         self.has_events = true;
@@ -140,8 +173,9 @@
     }
 }
 
-fn event_id(bytes: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    line.trim().parse().ok()
+fn event_id(bytes: &[u8]) -> Result<u64, EventError> {
+    let text = std::str::from_utf8(bytes).map_err(|_| EventError::MissingId)?;
+    let value = text.lines().find_map(|line| line.strip_prefix("id:"));
+    let value = value.ok_or(EventError::MissingId)?;
+    value.trim().parse().map_err(|_| EventError::MissingId)
 }
--- a/crates/cassiafield-core/tests/stream_events.rs
+++ b/crates/cassiafield-core/tests/stream_events.rs
@@ -66,6 +66,25 @@
     assert_eq!(read_ids(&mut splitter), Err(EventError::MissingId));
 }
 
+/// Guards against a resumption after the first event of a stream although its id is wrong.
+#[test]
+fn a_stream_whose_second_event_does_not_follow_the_first_has_no_certain_start() {
+    let mut splitter = EventSplitter::with_unknown_start();
+    splitter.push(&encode_events(7, 1));
+    splitter.push(&encode_events(2, 1));
+    let error = EventError::UncertainStart { first: 7, second: 2 };
+    assert_eq!(read_ids(&mut splitter), Err(error));
+    assert!(error.voids_events());
+}
+
+#[test]
+fn a_stream_with_two_events_in_order_has_a_certain_start() {
+    let mut splitter = EventSplitter::with_unknown_start();
+    splitter.push(&encode_events(7, 2));
+    splitter.push(&encode_events(2, 1));
+    assert_eq!(read_ids(&mut splitter), Err(EventError::OutOfOrder { expected: 9, found: 2 }));
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_an_error() {
     let mut splitter = EventSplitter::with_unknown_start();
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -84,6 +84,11 @@
         matches!(self, StreamError::Stalled(_))
     }
 
+    /// Returns `true` if the last event relayed may have a wrong id, so that nothing can follow it.
+    const fn voids_events(&self) -> bool {
+        matches!(self, StreamError::Event(error) if error.voids_events())
+    }
+
     /// Returns `true` if the first endpoint broke the stream off.
     pub(super) const fn is_break(&self) -> bool {
         matches!(
@@ -266,7 +271,7 @@
         match splitter.next_event() {
             Ok(Some(event)) => events.extend_from_slice(&event.bytes),
             Ok(None) => return Ok(events.freeze()),
-            Err(_) if !events.is_empty() => return Ok(events.freeze()),
+            Err(error) if !events.is_empty() && !error.voids_events() => return Ok(events.freeze()),
             Err(error) => return Err(error),
         }
     }
@@ -424,6 +429,9 @@
         if matches!(error, StreamError::DeadlineExceeded) {
             return Err((error, GiveUpReason::DeadlineExceeded));
         }
+        if error.voids_events() {
+            self.last_event = None;
+        }
         let (last_event, mut last_refusal) = (self.last_event, None);
         let mut queue_wait = self.call.timeouts().resume_wait();
         loop {
