--- a/crates/cassiafield-core/src/request/event_splitter.rs
+++ b/crates/cassiafield-core/src/request/event_splitter.rs
@@ -30,6 +30,8 @@
         /// Id of the second event.
         second: u64,
     },
+    /// The event has more than one `id` field: it may be two events without the line between them.
+    RepeatedId,
     /// An event exceeds the size limit.
     TooLong,
 }
@@ -52,6 +54,7 @@
             EventError::UncertainStart { first, second } => {
                 write!(f, "the stream started with event {first}, followed by event {second}")
             }
+            EventError::RepeatedId => f.write_str("an event has more than one id"),
             EventError::TooLong => f.write_str("an event exceeds the size limit"),
         }
     }
@@ -175,7 +178,10 @@
 
 fn event_id(bytes: &[u8]) -> Result<u64, EventError> {
     let text = std::str::from_utf8(bytes).map_err(|_| EventError::MissingId)?;
-    let value = text.lines().find_map(|line| line.strip_prefix("id:"));
-    let value = value.ok_or(EventError::MissingId)?;
+    let mut values = text.lines().filter_map(|line| line.strip_prefix("id:"));
+    let value = values.next().ok_or(EventError::MissingId)?;
+    if values.next().is_some() {
+        return Err(EventError::RepeatedId);
+    }
     value.trim().parse().map_err(|_| EventError::MissingId)
 }
--- a/crates/cassiafield-core/tests/stream_events.rs
+++ b/crates/cassiafield-core/tests/stream_events.rs
@@ -85,6 +85,14 @@
     assert_eq!(read_ids(&mut splitter), Err(EventError::OutOfOrder { expected: 9, found: 2 }));
 }
 
+/// Guards against two events that pass for one since the line between them was spoiled.
+#[test]
+fn an_event_with_two_ids_is_an_error() {
+    let mut splitter = EventSplitter::after(0);
+    splitter.push(b"id: 1\ndata: t1\nid: 2\ndata: t2\n\n");
+    assert_eq!(read_ids(&mut splitter), Err(EventError::RepeatedId));
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_an_error() {
     let mut splitter = EventSplitter::with_unknown_start();
