--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -166,6 +166,9 @@
         changes: &mut Vec<DirectoryChange>,
     ) {
         let endpoint = entry.endpoint.clone();
+        if entry.is_leaving {
+            self.leaving.record(&entry.life(), now);
+        }
         let has_said_so = self.leaving.contains(&endpoint, entry.incarnation);
         let entry = EndpointEntry { is_leaving: entry.is_leaving || has_said_so, ..entry };
         let Some(known) = self.known.get_mut(&endpoint) else {
--- a/crates/cassiafield-core/src/process/leaving_endpoints.rs
+++ b/crates/cassiafield-core/src/process/leaving_endpoints.rs
@@ -6,10 +6,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Endpoints that announced in a response that they are leaving.
+/// Endpoints that announced in a response or in their entry that they are leaving.
 ///
-/// A notice applies to the incarnation that sent it, regardless of its entry in the list, and outlives
-/// an entry that lapses.
+/// A notice applies to the incarnation that gave it, whatever its entry says later, and outlives an entry
+/// that lapses.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingEndpoints {
     heard: BTreeMap<EndpointId, LeavingNotice>,
--- a/crates/cassiafield-core/tests/endpoint_directory.rs
+++ b/crates/cassiafield-core/tests/endpoint_directory.rs
@@ -79,6 +79,24 @@
     assert!(is_live(&directory, "e1"));
 }
 
+/// Guards against an endpoint that is taken back since its entry was removed and came back as ready, as
+/// from an older copy of the store.
+#[test]
+fn an_endpoint_that_has_left_stays_leaving_when_its_entry_comes_back() {
+    let mut directory = EndpointDirectory::default();
+    let ready = entry("e1", "fast", "a", Some(span(0, 8)));
+    let mut leaving = ready.clone();
+    leaving.is_leaving = true;
+    directory.apply_list(vec![leaving], at(0));
+    directory.apply_list(Vec::new(), at(1_000));
+    directory.apply_list(vec![ready], at(2_000));
+    assert!(!is_live(&directory, "e1"));
+    let mut again = entry("e1", "fast", "a", None);
+    again.incarnation = EndpointIncarnation(2);
+    directory.apply_list(vec![again], at(3_000));
+    assert!(is_live(&directory, "e1"));
+}
+
 #[test]
 fn an_entry_of_an_earlier_incarnation_is_ignored() {
     let mut directory = EndpointDirectory::default();
