--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -35,6 +35,26 @@
     pub total: f64,
 }
 
+impl EngineReading {
+    /// Highest slowdown that counts; an endpoint that slow is of no use.
+    const MAX_SLOWDOWN: f64 = 1e3;
+    /// Most memory that counts, in tokens times layers.
+    const MAX_TOKEN_LAYERS: f64 = 1e15;
+
+    /// Returns the reading with values out of range replaced by the nearest one in range, and values that
+    /// are no numbers by the lowest.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        let Self { slowdown, used, total } = self;
+        let bounded = |value: f64, max| if value.is_nan() { 0.0 } else { value.clamp(0.0, max) };
+        Self {
+            slowdown: bounded(slowdown, Self::MAX_SLOWDOWN),
+            used: bounded(used, Self::MAX_TOKEN_LAYERS),
+            total: bounded(total, Self::MAX_TOKEN_LAYERS),
+        }
+    }
+}
+
 /// A reading as hosts exchange it; it has an age instead of a time since their clocks differ.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -150,6 +170,7 @@
     /// Records a reading that this host requested from an endpoint at `now`.
     pub fn record_reading(&mut self, endpoint: EndpointId, reading: EngineReading, now: Moment) {
         let reserved = self.total_usage(&endpoint, now).token_layers;
+        let reading = reading.bounded();
         self.readings.insert(endpoint, KnownReading { at: now, reading, reserved, is_own: true });
     }
 
@@ -161,7 +182,7 @@
             return;
         }
         let reserved = self.total_usage(&endpoint, now).token_layers;
-        let reading = shared.reading;
+        let reading = shared.reading.bounded();
         self.readings.insert(endpoint, KnownReading { at, reading, reserved, is_own: false });
     }
 
--- a/crates/cassiafield-core/tests/engine_load.rs
+++ b/crates/cassiafield-core/tests/engine_load.rs
@@ -39,6 +39,17 @@
     assert_eq!(load.memory_used(&endpoint("f1"), at(0)), 0.0);
 }
 
+/// Guards against readings that make all sums and comparisons with them meaningless.
+#[test]
+fn values_out_of_range_count_as_the_nearest_one_in_range() {
+    let mut load = EngineLoad::default();
+    let absurd = EngineReading { slowdown: f64::INFINITY, used: f64::NAN, total: -1.0 };
+    load.record_reading(endpoint("f1"), absurd, at(0));
+    let found = load.reading(&endpoint("f1"), at(10)).expect("a reading");
+    assert_eq!((found.slowdown, found.used, found.total), (1e3, 0.0, 0.0));
+    assert_eq!(load.memory_used(&endpoint("f1"), at(10)), 0.0);
+}
+
 /// The streams of a host that has disappeared continue at the endpoint without a reservation.
 #[test]
 fn a_reading_includes_unreserved_usage_and_later_reservations_are_added() {
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -546,7 +546,7 @@
         path: &PlannedPath,
     ) -> Result<(Response<Incoming>, PooledConnection), ConnectionError> {
         let (route, timeouts) = (&path.route, self.timeouts());
-        let expected = Duration::from_secs_f64(path.first_token_ms.max(0.0) / 1e3);
+        let expected = planned_time(path.first_token_ms);
         let probe_delay = timeouts.head_probe_delay(expected);
         let may_leave = self.may_leave_stalled_path();
         let head_timeout = if may_leave { timeouts.head_timeout() } else { Duration::MAX };
@@ -602,7 +602,7 @@
     /// Returns the expected time between two events on a path.
     fn expected_gap(&self, path: &PlannedPath) -> Duration {
         let tokens = self.context.service.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1));
-        Duration::from_secs_f64(path.token_ms.max(0.0) * f64::from(tokens) / 1e3)
+        planned_time(path.token_ms * f64::from(tokens))
     }
 
     fn stream_request(&self, path: &PlannedPath, last_event: u64) -> Option<Request<Full<Bytes>>> {
@@ -640,6 +640,13 @@
     }
 }
 
+/// Returns a planned time, of at most a day: what it follows from may be absurd.
+fn planned_time(millis: f64) -> Duration {
+    const MAX_MILLIS: f64 = 24.0 * 3_600.0 * 1e3;
+    let millis = if millis.is_nan() { 0.0 } else { millis.clamp(0.0, MAX_MILLIS) };
+    Duration::from_secs_f64(millis / 1e3)
+}
+
 /// Returns a path's endpoints and layers, for the log.
 pub(super) fn describe_route(route: &StageRoute) -> String {
     let stages = route.stages().iter();
