--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -32,6 +32,8 @@
 impl ConnectionPool {
     /// Idle timeout of endpoints that do not advertise one.
     const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+    /// Longest advertised idle timeout that counts.
+    const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
     /// Part of the advertised idle timeout after which a connection is dropped, in percent.
     ///
     /// The rest allows for network latency and for rounding to whole seconds.
@@ -148,6 +150,7 @@
         }
         let advertised = text(header::HeaderName::from_static("keep-alive")).and_then(idle_seconds);
         if let Some(advertised) = advertised {
+            let advertised = advertised.min(ConnectionPool::MAX_IDLE_TIMEOUT);
             self.idle_timeout = advertised * ConnectionPool::IDLE_TIMEOUT_PERCENT / 100;
         }
         true
