--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -108,6 +108,25 @@
     NoLease,
 }
 
+/// Returns the key after which the next page begins; `None` if `items` ends the list.
+///
+/// # Errors
+///
+/// Returns an error if the page after key `after` does not say where the next one begins.
+pub(super) fn next_page_start(
+    after: &str,
+    items: &[StoreItem],
+    has_more: bool,
+) -> Result<Option<String>, StoreCallError> {
+    if !has_more {
+        return Ok(None);
+    }
+    match items.last().filter(|item| item.key.as_str() > after) {
+        Some(last) => Ok(Some(last.key.clone())),
+        None => Err(StoreCallError::Unreadable(format!("the page after {after:?} does not go on"))),
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreCallError {
--- a/crates/cassiafield-gateway/src/connection/store_client.rs
+++ b/crates/cassiafield-gateway/src/connection/store_client.rs
@@ -1,6 +1,7 @@
 use {
     crate::connection::{
-        HttpConnection, PlatformCodec, StoreCall, StoreCallError, StoreItem, StoreResponse,
+        platform_codec::next_page_start, HttpConnection, PlatformCodec, StoreCall, StoreCallError,
+        StoreItem, StoreResponse,
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
@@ -182,11 +183,11 @@
             let call = StoreCall::List { prefix, after: after.clone(), allow_stale };
             match self.call(&call).await? {
                 StoreResponse::Page { items, has_more } => {
-                    let last = items.last().map(|item| item.key.clone());
+                    let next = next_page_start(&after, &items, has_more)?;
                     found.extend(items);
-                    match last {
-                        Some(key) if has_more => after = key,
-                        _ => return Ok(found),
+                    match next {
+                        Some(key) => after = key,
+                        None => return Ok(found),
                     }
                 }
                 other => {
--- a/crates/cassiafield-gateway/src/connection/store_reader.rs
+++ b/crates/cassiafield-gateway/src/connection/store_reader.rs
@@ -1,6 +1,7 @@
 use {
     crate::connection::{
-        PlatformCodec, StoreCall, StoreCallError, StoreClient, StoreItem, StoreResponse,
+        platform_codec::next_page_start, PlatformCodec, StoreCall, StoreCallError, StoreClient,
+        StoreItem, StoreResponse,
     },
     cassiafield::process::LogEvent,
     prometheus::IntCounterVec,
@@ -113,11 +114,11 @@
             longest = longest.max(duration);
             match response {
                 StoreResponse::Page { items, has_more } => {
-                    let last = items.last().map(|item| item.key.clone());
+                    let next = next_page_start(&after, &items, has_more)?;
                     found.extend(items);
-                    match last {
-                        Some(key) if has_more => after = key,
-                        _ => return Ok((found, longest)),
+                    match next {
+                        Some(key) => after = key,
+                        None => return Ok((found, longest)),
                     }
                 }
                 other => {
