--- a/crates/cassiafield-core/src/request/event_splitter.rs
+++ b/crates/cassiafield-core/src/request/event_splitter.rs
@@ -32,6 +32,8 @@
     },
     /// The event has more than one `id` field: it may be two events without the line between them.
     RepeatedId,
+    /// An event follows the one with the highest possible id.
+    IdOverflow,
     /// An event exceeds the size limit.
     TooLong,
 }
@@ -55,6 +57,7 @@
                 write!(f, "the stream started with event {first}, followed by event {second}")
             }
             EventError::RepeatedId => f.write_str("an event has more than one id"),
+            EventError::IdOverflow => f.write_str("an event follows the highest possible id"),
             EventError::TooLong => f.write_str("an event exceeds the size limit"),
         }
     }
@@ -161,7 +164,7 @@
         let bytes: Vec<u8> = self.buffer.drain(..end + 2).collect();
         let id = event_id(&bytes)?;
         if let Some(last) = self.last {
-            let expected = last + 1;
+            let expected = last.checked_add(1).ok_or(EventError::IdOverflow)?;
             if id != expected && !self.is_start_known {
                 return Err(EventError::UncertainStart { first: last, second: id });
             }
--- a/crates/cassiafield-core/tests/stream_events.rs
+++ b/crates/cassiafield-core/tests/stream_events.rs
@@ -93,6 +93,14 @@
     assert_eq!(read_ids(&mut splitter), Err(EventError::RepeatedId));
 }
 
+/// Guards against an overflow at an id that a caller or an endpoint may state.
+#[test]
+fn an_event_after_the_highest_id_is_an_error() {
+    let mut splitter = EventSplitter::after(u64::MAX);
+    splitter.push(&encode_events(0, 1));
+    assert_eq!(read_ids(&mut splitter), Err(EventError::IdOverflow));
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_an_error() {
     let mut splitter = EventSplitter::with_unknown_start();
