--- a/crates/cassiafield-gateway/src/process/endpoint_sync.rs
+++ b/crates/cassiafield-gateway/src/process/endpoint_sync.rs
@@ -12,7 +12,8 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashSet,
+        collections::HashMap,
+        hash::{DefaultHasher, Hash as _, Hasher as _},
         rc::Rc,
         time::Duration,
     },
@@ -27,8 +28,8 @@
     reader: StoreReader,
     availability: StoreAvailability,
     requests: Rc<EndpointRequests>,
-    /// Invalid entries that have been logged, by key and revision.
-    rejected: HashSet<(String, u64)>,
+    /// Hashes of the invalid entries of the last list, which have been logged, by key.
+    rejected: HashMap<String, u64>,
 }
 
 /// Requests for the list of endpoints.
@@ -80,7 +81,7 @@
         requests: Rc<EndpointRequests>,
     ) -> Self {
         let availability = StoreAvailability::default();
-        Self { state, reader, availability, requests, rejected: HashSet::new() }
+        Self { state, reader, availability, requests, rejected: HashMap::new() }
     }
 
     /// Reads the list on request; never returns.
@@ -114,16 +115,19 @@
         apply_endpoints(&self.state, entries, requested_at);
     }
 
-    /// Parses endpoint entries; each invalid revision is logged once.
+    /// Parses endpoint entries; an invalid one is logged once, and again when its value has changed.
     fn decode(&mut self, items: &[StoreItem]) -> Vec<ListedEntry> {
         let mut list = Vec::with_capacity(items.len());
+        let logged = std::mem::take(&mut self.rejected);
         for item in items {
             match self.state.codec.parse_endpoint(&item.key, &item.value) {
                 Ok(entry) => list.push(ListedEntry { revision: item.revision, entry }),
                 Err(error) => {
-                    if self.rejected.insert((item.key.clone(), item.revision)) {
-                        LogEvent::EntryRejected.log(format_args!("{}: {error:#}", item.key));
+                    let hash = hash_of(&item.value);
+                    if logged.get(&item.key) != Some(&hash) {
+                        LogEvent::EntryRejected.log(format_args!("{:?}: {error:#}", item.key));
                     }
+                    self.rejected.insert(item.key.clone(), hash);
                 }
             }
         }
@@ -131,6 +135,12 @@
     }
 }
 
+fn hash_of(value: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Applies a list of endpoints that was requested at `requested_at`.
 pub(super) fn apply_endpoints(
     state: &GatewayState,
