--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -2,7 +2,7 @@
     crate::{
         process::{EndpointExchange, GatewayState, InFlightRequest, SenderKind},
         request::{
-            carried_call::{LEAVING_HEADER, REFUSAL_HEADER},
+            carried_call::{is_promise, LEAVING_HEADER, REFUSAL_HEADER},
             carry_refusal::CarryRefusal,
             refusal_response::refusal_response,
             retry_grant::RetryGrant,
@@ -14,10 +14,10 @@
     cassiafield_core::{
         ids::EndpointId,
         process::EndpointLife,
-        request::{CarryNote, RefusalCause, RequestIdentity},
+        request::{CarryNote, RefusalCause, RequestIdentity, RequestVerdict},
         version::{RouteRule, ServiceRule},
     },
-    http::{HeaderMap, HeaderValue, Request, Response},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
     std::{cell::Cell, rc::Rc, time::Duration},
 };
@@ -102,6 +102,24 @@
         echoed.is_some_and(|id| id.as_bytes() != self.request.id.as_bytes())
     }
 
+    /// Returns what a response head says of the request's run.
+    ///
+    /// Only a refusal with the id of this request says that it has not run: an earlier refusal may come
+    /// once more on a kept connection. A status that promises as much without the statement says nothing.
+    pub(super) fn verdict_of(&self, status: StatusCode, head: &HeaderMap) -> RequestVerdict {
+        let names = self.state.codec.header_names();
+        let echoed = head.get(&names.request_id);
+        let is_own = echoed.is_some_and(|id| id.as_bytes() == self.request.id.as_bytes());
+        let is_stated =
+            status == StatusCode::MISDIRECTED_REQUEST || head.contains_key(&names.not_run);
+        match (is_stated, is_own) {
+            (true, true) => RequestVerdict::NotRun,
+            (true, false) => RequestVerdict::MayHaveRun,
+            (false, _) if is_promise(status) => RequestVerdict::MayHaveRun,
+            (false, _) => RequestVerdict::Ran,
+        }
+    }
+
     /// Takes a retry from the budget of the service, unless one is granted already; returns `true` if the
     /// request may be sent again.
     pub(super) async fn acquire_retry(&self) -> bool {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -517,13 +517,17 @@
             self.record_break(entry).await;
             return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
         }
+        let verdict = self.context.verdict_of(parts.status, &parts.headers);
+        if verdict == RequestVerdict::MayHaveRun {
+            // The answer to the request may follow on the connection.
+            return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
+        }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
             connection.return_to(&self.context.state.pool, max_idle, self.context.state.now());
         }
-        let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let not_run = &self.context.state.codec.header_names().not_run;
-        if is_misdirected || parts.headers.contains_key(not_run) {
+        if verdict == RequestVerdict::NotRun {
+            let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
             self.context.state.record_endpoint_refusal(&entry.endpoint, is_misdirected);
             return EndpointOutcome::NotRun;
         }
--- a/crates/cassiafield-gateway/src/request/stream_failures.rs
+++ b/crates/cassiafield-gateway/src/request/stream_failures.rs
@@ -72,8 +72,7 @@
             self.context.state.record_pause(&life, response.status(), response.headers());
         }
         let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        let not_run = is_misdirected || response.headers().contains_key(&names.not_run);
-        let verdict = if not_run { RequestVerdict::NotRun } else { RequestVerdict::Ran };
+        let verdict = self.context.verdict_of(response.status(), response.headers());
         self.context
             .decision(LogEvent::TryFailed)
             .verdict(verdict)
@@ -84,7 +83,11 @@
                 response.status(),
                 self.describe_endpoint(&endpoint)
             ));
-        if not_run {
+        if verdict == RequestVerdict::MayHaveRun {
+            self.excluded.push(endpoint);
+            return AttemptError::MayHaveRun;
+        }
+        if verdict == RequestVerdict::NotRun {
             self.context.state.record_endpoint_refusal(&endpoint, is_misdirected);
             if self.context.state.is_paused(&endpoint) {
                 // Its pause keeps all requests away, and its probes too.
