--- a/crates/cassiafield-gateway/src/connection/carrier_connector.rs
+++ b/crates/cassiafield-gateway/src/connection/carrier_connector.rs
@@ -1,5 +1,5 @@
 use {
-    crate::connection::{ConnectionError, ConnectionPool, PooledConnection},
+    crate::connection::{ConnectionError, ConnectionNeed, ConnectionPool, PooledConnection},
     bytes::Bytes,
     cassiafield_core::ids::Moment,
     http::{Request, Response},
@@ -62,7 +62,7 @@
             let mut connection = if at_most_once {
                 pool.open(address, connect_timeout).await?
             } else {
-                pool.checkout(address, false, now, connect_timeout).await?
+                pool.checkout(address, ConnectionNeed::default(), now, connect_timeout).await?
             };
             let response = connection.http.send(request, response_timeout).await?;
             Ok((response, connection))
--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -2,9 +2,24 @@
     crate::connection::{ConnectionError, HttpConnection},
     cassiafield_core::ids::Moment,
     http::{header, HeaderMap},
-    std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        hash::{DefaultHasher, Hash as _, Hasher as _},
+        net::SocketAddrV4,
+        time::Duration,
+    },
 };
 
+/// What a connection is needed for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConnectionNeed<'a> {
+    /// Whether the request must not run more than once.
+    pub at_most_once: bool,
+    /// The id of the request; empty if it has none.
+    pub request_id: &'a str,
+}
+
 /// A connection with its idle timeout.
 #[derive(Debug)]
 pub struct PooledConnection {
@@ -14,6 +29,7 @@
     pub is_reused: bool,
     address: SocketAddrV4,
     idle_timeout: Duration,
+    refused: RefusedRequests,
 }
 
 #[derive(Debug)]
@@ -21,6 +37,37 @@
     http: HttpConnection,
     since: Moment,
     idle_timeout: Duration,
+    refused: RefusedRequests,
+}
+
+/// Hashes of the ids of requests that were refused on a connection.
+///
+/// An endpoint may write a refusal once more. It would pass for the answer to a request that comes again
+/// with its id, so that one goes over another connection.
+#[derive(Clone, Debug, Default)]
+struct RefusedRequests(Vec<u64>);
+
+impl RefusedRequests {
+    /// Number of refusals after which a connection is not kept.
+    const MAX: usize = 64;
+
+    fn record(&mut self, request_id: &str) {
+        self.0.push(hash_of(request_id));
+    }
+
+    fn contains(&self, request_id: &str) -> bool {
+        self.0.contains(&hash_of(request_id))
+    }
+
+    fn is_full(&self) -> bool {
+        self.0.len() >= Self::MAX
+    }
+}
+
+fn hash_of(request_id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request_id.hash(&mut hasher);
+    hasher.finish()
 }
 
 /// Idle connections, by endpoint address.
@@ -55,11 +102,11 @@
     pub async fn checkout(
         &self,
         address: SocketAddrV4,
-        at_most_once: bool,
+        need: ConnectionNeed<'_>,
         now: Moment,
         connect_timeout: Duration,
     ) -> Result<PooledConnection, ConnectionError> {
-        if let Some(connection) = self.checkout_idle(address, at_most_once, now) {
+        if let Some(connection) = self.checkout_idle(address, need, now) {
             return Ok(connection);
         }
         self.open(address, connect_timeout).await
@@ -81,32 +128,30 @@
             is_reused: false,
             address,
             idle_timeout: Self::DEFAULT_IDLE_TIMEOUT,
+            refused: RefusedRequests::default(),
         })
     }
 
     fn checkout_idle(
         &self,
         address: SocketAddrV4,
-        at_most_once: bool,
+        need: ConnectionNeed<'_>,
         now: Moment,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections
             .retain(|idle| idle.http.is_ready() && now.since(idle.since) < idle.idle_timeout);
-        let newest = connections.last()?;
+        let may_carry = |idle: &IdleConnection| !idle.refused.contains(need.request_id);
+        let index = connections.iter().rposition(may_carry)?;
+        let newest = connections.get(index)?;
         let idle_timeout = newest.idle_timeout * Self::AT_MOST_ONCE_IDLE_TIMEOUT_PERCENT
             / Self::IDLE_TIMEOUT_PERCENT;
-        if at_most_once && now.since(newest.since) >= idle_timeout {
+        if need.at_most_once && now.since(newest.since) >= idle_timeout {
             return None;
         }
-        let newest = connections.pop()?;
-        Some(PooledConnection {
-            http: newest.http,
-            is_reused: true,
-            address,
-            idle_timeout: newest.idle_timeout,
-        })
+        let IdleConnection { http, idle_timeout, refused, .. } = connections.remove(index);
+        Some(PooledConnection { http, is_reused: true, address, idle_timeout, refused })
     }
 
     /// Returns how many idle connections a host may keep to one endpoint.
@@ -156,15 +201,24 @@
         true
     }
 
-    /// Returns the connection to the pool, unless `max_idle` connections are idle already.
+    /// Records that a request was refused on the connection.
+    pub fn record_refusal(&mut self, request_id: &str) {
+        self.refused.record(request_id);
+    }
+
+    /// Returns the connection to the pool, unless `max_idle` connections are idle already or many requests
+    /// were refused on it.
     ///
     /// The response must have been read to its end.
     pub fn return_to(self, pool: &ConnectionPool, max_idle: usize, now: Moment) {
+        if self.refused.is_full() {
+            return;
+        }
         let mut idle = pool.idle.borrow_mut();
         let connections = idle.entry(self.address).or_default();
         if connections.len() < max_idle {
-            let Self { http, idle_timeout, .. } = self;
-            connections.push(IdleConnection { http, since: now, idle_timeout });
+            let Self { http, idle_timeout, refused, .. } = self;
+            connections.push(IdleConnection { http, since: now, idle_timeout, refused });
         }
     }
 }
--- a/crates/cassiafield-gateway/src/connection/mod.rs
+++ b/crates/cassiafield-gateway/src/connection/mod.rs
@@ -17,7 +17,7 @@
     caller_connection::{CallerConnection, RequestLabel, ResponseGuard},
     caller_listener::{CallerListener, CallerService},
     carrier_connector::{CarriedRequest, CarriedResponse, CarrierConnector, HttpCarrierConnector},
-    connection_pool::{ConnectionPool, PooledConnection},
+    connection_pool::{ConnectionNeed, ConnectionPool, PooledConnection},
     connection_registry::ConnectionRegistry,
     http_connection::{ConnectionError, HttpConnection},
     platform_codec::{
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{BodyError, ConnectionError, PooledConnection},
+        connection::{BodyError, ConnectionError, ConnectionNeed, PooledConnection},
         process::{EndpointFate, SendTurn, SenderKind},
         request::{
             call_context::CallContext,
@@ -367,13 +367,16 @@
         }
         let guard = self.context.state.track_dispatch(&entry.endpoint);
         let started_at = self.context.state.now();
-        let at_most_once = !self.context.rule.kind.is_retryable();
+        let need = ConnectionNeed {
+            at_most_once: !self.context.rule.kind.is_retryable(),
+            request_id: &self.context.request.id,
+        };
         let connect_timeout = Self::CONNECT_TIMEOUT.min(self.context.remaining_time());
         let opened = self
             .context
             .state
             .pool
-            .checkout(entry.address, at_most_once, started_at, connect_timeout)
+            .checkout(entry.address, need, started_at, connect_timeout)
             .await;
         let connection = match opened {
             Ok(connection) => connection,
@@ -522,6 +525,9 @@
             // The answer to the request may follow on the connection.
             return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
         }
+        if verdict == RequestVerdict::NotRun {
+            connection.record_refusal(&self.context.request.id);
+        }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = self.context.state.max_idle_connections(&self.context.service);
             connection.return_to(&self.context.state.pool, max_idle, self.context.state.now());
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{ConnectionError, PooledConnection},
+        connection::{ConnectionError, ConnectionNeed, PooledConnection},
         process::{EndpointExchange, ReservedLoad, SendTurn, SenderKind},
         request::{
             call_context::CallContext,
@@ -376,7 +376,8 @@
         let reservation = self.context.state.reserve(&path.route, tokens, organisation);
         let now = self.context.state.now();
         let connect_timeout = Self::CONNECT_TIMEOUT.min(self.context.remaining_time());
-        let opened = self.context.state.pool.checkout(address, false, now, connect_timeout).await;
+        let need = ConnectionNeed { at_most_once: false, request_id: &self.context.request.id };
+        let opened = self.context.state.pool.checkout(address, need, now, connect_timeout).await;
         let connection = match opened {
             Ok(connection) => connection,
             Err(error) => {
