--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -17,7 +17,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::EndpointId,
-        request::{join_endpoints, parse_endpoints, EventSplitter, RefusalCause},
+        request::{join_endpoints, parse_endpoints, EventSplitter, RefusalCause, RequestVerdict},
     },
     http::{header, HeaderMap, HeaderValue, Response, StatusCode},
     hyper::body::Incoming,
@@ -64,6 +64,14 @@
         if response.status() != StatusCode::OK {
             return Err(self.read_carried_error(response).await);
         }
+        if !self.continues_stream(response.headers()) {
+            let host = &load.carrier.host;
+            self.context.decision(LogEvent::CarryFailed).verdict(RequestVerdict::Ran).log(
+                format_args!("host {host}: its answer is of another media type than the stream"),
+            );
+            self.sends += 1;
+            return Err(AttemptError::MayHaveRun);
+        }
         let (mut parts, body) = response.into_parts();
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -22,7 +22,7 @@
         },
         version::{RequestKind, ServiceRule},
     },
-    http::{header, HeaderValue, Request, Response, StatusCode},
+    http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::Full,
     hyper::body::Incoming,
     std::{
@@ -35,6 +35,9 @@
     tokio::{sync::mpsc, time::sleep},
 };
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A request whose response is a stream of events from a path of model endpoints.
 pub(super) struct StreamCall {
     pub(super) context: CallContext,
@@ -61,6 +64,8 @@
     pub(super) ends: u32,
     /// Whether the caller has got a part of the answer.
     pub(super) has_begun: Cell<bool>,
+    /// Media type of the answer that the caller has got a part of, if it was stated.
+    content_type: Option<HeaderValue>,
     /// Hosts that failed to carry this request.
     pub(super) failed_carriers: Vec<HostId>,
     /// What of the request is kept from endpoints, if that was found.
@@ -145,6 +150,7 @@
             model,
             ends,
             has_begun: Cell::new(false),
+            content_type: None,
             failed_carriers: Vec::new(),
             blocked: None,
             prompt_tokens,
@@ -457,6 +463,16 @@
         if status != StatusCode::OK {
             return Err(self.handle_error_response(&path.route, response).await);
         }
+        if !self.continues_stream(response.headers()) {
+            self.excluded.push(first.endpoint.clone());
+            self.context
+                .decision(LogEvent::TryFailed)
+                .verdict(RequestVerdict::Ran)
+                .sends(self.sends)
+                .endpoint(&first.endpoint)
+                .log("its answer is of another media type than the stream");
+            return Err(AttemptError::MayHaveRun);
+        }
         let (mut parts, body) = response.into_parts();
         self.context.pass_leaving_on(&life, &mut parts.headers);
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
@@ -510,6 +526,16 @@
         }
     }
 
+    /// Returns `true` if an answer may be a part of the stream that the caller is receiving, if it is.
+    pub(super) fn continues_stream(&self, head: &HeaderMap) -> bool {
+        let found = head.get(header::CONTENT_TYPE);
+        let is_event_stream = found.is_some_and(|value| {
+            let media_type = value.as_bytes().split(|byte| *byte == b';').next();
+            media_type.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        !self.has_begun.get() || is_event_stream || found == self.content_type.as_ref()
+    }
+
     /// Returns `true` if the request may be sent again after an endpoint did not respond.
     ///
     /// The unresponsive endpoint may have run it, and may still respond.
@@ -630,6 +656,7 @@
         self.has_begun.set(true);
         let (sender, receiver) = mpsc::channel(Self::MAX_BUFFERED_CHUNKS);
         let (mut parts, ()) = head.into_parts();
+        self.content_type = parts.headers.get(header::CONTENT_TYPE).cloned();
         let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
         strip_hop_headers(&mut parts.headers);
         self.announce_endpoints(&mut parts.headers);
