--- a/crates/cassiafield-core/src/process/listed_entries.rs
+++ b/crates/cassiafield-core/src/process/listed_entries.rs
@@ -39,9 +39,9 @@
 
 /// The latest copy of the platform's list of endpoints, and as of when it is known.
 ///
-/// Of two copies that is newer whose read began later. The revisions of the entries only allow hosts to send
-/// each other the changes: a store that is restored gives them out again, so the digest of the whole
-/// list says whether a copy is complete.
+/// Of two copies, the one whose read began later is newer. Revisions only select the entries that hosts send
+/// each other: a restored store assigns them again, so the digest tells whether a copy equals the
+/// sender's list.
 #[derive(Clone, Debug, Default)]
 pub struct ListedEntries {
     entries: BTreeMap<EndpointId, DigestedEntry>,
@@ -62,7 +62,7 @@
 }
 
 impl ListedEntries {
-    /// Number of entries above which a whole list does not fit a message between hosts.
+    /// Number of entries above which a complete list does not fit a message between hosts.
     const MAX_SENT_ENTRIES: usize = 400;
 
     /// Replaces all entries with a complete list that was requested at `requested_at`, unless a newer one
@@ -130,9 +130,8 @@
 
     /// Applies the changes sent by a peer whose list has the given digest and is known as of `known_at`.
     ///
-    /// Earlier releases send no digest: of them only a whole list is applied, unless the list is too
-    /// long for a message. If the own list and the changes together are not the peer's list, nothing
-    /// is applied.
+    /// Earlier releases send no digest; only complete lists of theirs are applied, unless the list is too
+    /// long for a message. Nothing is applied if the result would differ from the peer's list.
     pub fn apply(
         &mut self,
         changes: ListChanges,
@@ -146,10 +145,10 @@
         let changed = changed.into_iter().map(|listed| (listed.entry.endpoint.clone(), listed));
         let mut changed: BTreeMap<EndpointId, ListedEntry> = changed.collect();
         let mut entries = BTreeMap::new();
-        let mut is_whole = true;
+        let mut is_complete = true;
         for endpoint in listed {
             let sent = changed.remove(&endpoint).map(DigestedEntry::from);
-            is_whole &= sent.is_some();
+            is_complete &= sent.is_some();
             match sent.or_else(|| self.entries.get(&endpoint).cloned()) {
                 Some(known) => drop(entries.insert(endpoint, known)),
                 None => return ListVerdict::Incomplete,
@@ -159,7 +158,7 @@
             Some(digest) => digest == digest_of(&entries),
             None => entries.len() > Self::MAX_SENT_ENTRIES,
         };
-        if !is_whole && !is_same {
+        if !is_complete && !is_same {
             return ListVerdict::Incomplete;
         }
         self.set(entries, known_at);
--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -42,8 +42,7 @@
 
 /// Hashes of the ids of requests that were refused on a connection.
 ///
-/// An endpoint may write a refusal once more. It would pass for the answer to a request that comes again
-/// with its id, so that one goes over another connection.
+/// An endpoint may repeat a refusal, which would pass for the answer to another request with the same id.
 #[derive(Clone, Debug, Default)]
 struct RefusedRequests(Vec<u64>);
 
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -102,10 +102,10 @@
         echoed.is_some_and(|id| id.as_bytes() != self.request.id.as_bytes())
     }
 
-    /// Returns what a response head says of the request's run.
+    /// Returns whether the request has run, by a response head.
     ///
-    /// Only a refusal with the id of this request says that it has not run: an earlier refusal may come
-    /// once more on a kept connection. A status that promises as much without the statement says nothing.
+    /// A refusal counts only with the id of this request, since an endpoint may repeat an earlier one on a
+    /// kept connection. A status that promises "not run" does not count without the statement.
     pub(super) fn verdict_of(&self, status: StatusCode, head: &HeaderMap) -> RequestVerdict {
         let names = self.state.codec.header_names();
         let echoed = head.get(&names.request_id);
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -64,7 +64,7 @@
     pub(super) ends: u32,
     /// Whether the caller has got a part of the answer.
     pub(super) has_begun: Cell<bool>,
-    /// Media type of the answer that the caller has got a part of, if it was stated.
+    /// `Content-Type` of the answer that the caller is receiving.
     content_type: Option<HeaderValue>,
     /// Hosts that failed to carry this request.
     pub(super) failed_carriers: Vec<HostId>,
@@ -526,7 +526,7 @@
         }
     }
 
-    /// Returns `true` if an answer may be a part of the stream that the caller is receiving, if it is.
+    /// Returns `true` unless the caller is receiving a stream that the answer cannot continue.
     pub(super) fn continues_stream(&self, head: &HeaderMap) -> bool {
         let found = head.get(header::CONTENT_TYPE);
         let is_event_stream = found.is_some_and(|value| {
@@ -668,7 +668,7 @@
     }
 }
 
-/// Returns a planned time, of at most a day: what it follows from may be absurd.
+/// Converts a planned time; it is limited to a day, since endpoints may report absurd values.
 fn planned_time(millis: f64) -> Duration {
     const MAX_MILLIS: f64 = 24.0 * 3_600.0 * 1e3;
     let millis = if millis.is_nan() { 0.0 } else { millis.clamp(0.0, MAX_MILLIS) };
