--- a/crates/cassiafield-core/src/process/endpoint_directory.rs
+++ b/crates/cassiafield-core/src/process/endpoint_directory.rs
@@ -307,6 +307,11 @@
         self.pauses.record(&life.endpoint, incarnation, asked, spread, now)
     }
 
+    /// Extends an endpoint's pause to its runs up to `latest`, which had started when it asked.
+    pub fn extend_pause(&mut self, endpoint: &EndpointId, latest: EndpointIncarnation) {
+        self.pauses.extend(endpoint, latest);
+    }
+
     /// Records that an endpoint answered a request that was sent at `sent_at`, and the rate that it
     /// named, if any; returns `true` if that changes its limit.
     pub fn record_limit(
--- a/crates/cassiafield-core/src/process/endpoint_pauses.rs
+++ b/crates/cassiafield-core/src/process/endpoint_pauses.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Copy, Debug)]
 struct EndpointPause {
     incarnation: EndpointIncarnation,
+    /// The latest incarnation that may have asked: it had started when the answer came.
+    latest_incarnation: EndpointIncarnation,
     ends_at: Moment,
     /// Earliest time of the next request after the pause.
     next_send_at: Moment,
@@ -68,7 +70,12 @@
         if length.is_zero() {
             return now;
         }
-        let asked = EndpointPause { incarnation, ends_at, next_send_at: ends_at };
+        let asked = EndpointPause {
+            incarnation,
+            latest_incarnation: incarnation,
+            ends_at,
+            next_send_at: ends_at,
+        };
         let pause = self.pauses.entry(endpoint.clone()).or_insert(asked);
         if pause.incarnation < incarnation
             || pause.incarnation == incarnation && pause.ends_at < ends_at
@@ -78,6 +85,16 @@
         pause.ends_at
     }
 
+    /// Extends an endpoint's pause to its incarnations up to `latest`, which had started when the pause was
+    /// asked for.
+    ///
+    /// An endpoint that has restarted may ask before its new entry is listed.
+    pub fn extend(&mut self, endpoint: &EndpointId, latest: EndpointIncarnation) {
+        if let Some(pause) = self.pauses.get_mut(endpoint) {
+            pause.latest_incarnation = pause.latest_incarnation.max(latest);
+        }
+    }
+
     /// Records that a request is being sent to an endpoint.
     pub fn record_send(
         &mut self,
@@ -87,7 +104,7 @@
     ) {
         let Some(pause) = self.pauses.get_mut(endpoint) else { return };
         let since_end = now.since(pause.ends_at);
-        if pause.incarnation == incarnation && since_end < Self::RETURN_TIME {
+        if pause.covers(incarnation) && since_end < Self::RETURN_TIME {
             let left = (Self::RETURN_TIME - since_end).as_secs_f64();
             pause.next_send_at =
                 now + Self::FIRST_STEP.mul_f64(left / Self::RETURN_TIME.as_secs_f64());
@@ -104,6 +121,13 @@
     ) -> Option<Moment> {
         let pause = self.pauses.get(endpoint)?;
         let until = pause.ends_at.max(pause.next_send_at);
-        (pause.incarnation >= incarnation && until > now).then_some(until)
+        (pause.covers(incarnation) && until > now).then_some(until)
+    }
+}
+
+impl EndpointPause {
+    /// Returns `true` if an incarnation, or a later one, asked for the pause, or may have.
+    fn covers(&self, incarnation: EndpointIncarnation) -> bool {
+        self.latest_incarnation >= incarnation
     }
 }
--- a/crates/cassiafield-core/tests/endpoint_pauses.rs
+++ b/crates/cassiafield-core/tests/endpoint_pauses.rs
@@ -149,6 +149,27 @@
     assert_eq!(directory.blocked_until(&endpoint("e1"), at(400)), Some(at(5_200)));
 }
 
+/// Guards against a pause that is forgotten when the entry of the run that asked for it is listed: an
+/// endpoint that has just restarted may ask before that.
+#[test]
+fn a_pause_asked_for_by_a_run_that_is_not_listed_yet_counts_for_it() {
+    let run = |incarnation| {
+        let entries = vec![entry("e1", "fast", "a", Some(span(0, 80)))].into_iter();
+        let runs = entries.map(|entry| cassiafield_core::process::EndpointEntry {
+            incarnation: EndpointIncarnation(incarnation),
+            ..entry
+        });
+        runs.collect::<Vec<_>>()
+    };
+    let mut directory = directory(run(1_000));
+    record_pause(&mut directory, "e1", "5", 0.0, at(0));
+    directory.extend_pause(&endpoint("e1"), EndpointIncarnation(1_400));
+    directory.apply_list(run(1_300), at(9));
+    assert_eq!(directory.blocked_until(&endpoint("e1"), at(10)), Some(at(5_000)));
+    directory.apply_list(run(1_500), at(200));
+    assert_eq!(directory.blocked_until(&endpoint("e1"), at(210)), None);
+}
+
 /// Guards against callers that wait although it is known when a path returns.
 #[test]
 fn without_another_path_the_end_of_the_pause_is_known() {
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -1,10 +1,11 @@
 use {
     cassiafield_core::{
-        process::{EndpointEntry, EngineReading},
+        process::{EndpointEntry, EndpointIncarnation, EngineReading},
         request::{LayerSpan, StageRoute},
         version::RouteTable,
     },
     http::{HeaderName, Method},
+    std::time::SystemTime,
 };
 
 /// A call to the platform's store.
@@ -258,6 +259,10 @@
     /// Returns an error if the entry does not describe a usable endpoint.
     fn parse_endpoint(&self, key: &str, value: &[u8]) -> anyhow::Result<EndpointEntry>;
 
+    /// Returns the latest incarnation that an endpoint which has started by `time` may have, by the time of
+    /// day; `None` if incarnations do not tell when they started.
+    fn latest_incarnation(&self, time: SystemTime) -> Option<EndpointIncarnation>;
+
     /// Encodes the header value for a route.
     fn layer_path(&self, route: &StageRoute) -> String;
 
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -31,7 +31,7 @@
         fmt,
         net::SocketAddrV4,
         rc::Rc,
-        time::Duration,
+        time::{Duration, SystemTime},
     },
     tokio::sync::{Mutex, Notify},
 };
@@ -464,7 +464,12 @@
         };
         let now = self.now();
         let spread = fastrand::f64();
-        let ends_at = self.directory.borrow_mut().record_pause(life, asked, spread, now);
+        let mut directory = self.directory.borrow_mut();
+        let ends_at = directory.record_pause(life, asked, spread, now);
+        if let Some(latest) = self.codec.latest_incarnation(SystemTime::now()) {
+            directory.extend_pause(&life.endpoint, latest);
+        }
+        drop(directory);
         self.metrics.count_endpoint_pause();
         LogEvent::EndpointPaused.log(format_args!(
             "endpoint {} asked for {asked}; paused for {} ms",
