--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -109,3 +109,5 @@
     zone_leaders::ZoneLeaders,
     zone_members::ZoneMembers,
 };
+
+pub(crate) use self::path_planner::{Candidate, CandidateFilter, LinkTable};
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -98,7 +98,7 @@
 
 /// Which endpoints a search may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CandidateFilter {
+pub(crate) enum CandidateFilter {
     /// Those that are neither suspect nor have asked for a pause.
     Healthy,
     /// Suspect ones too.
@@ -107,17 +107,17 @@
     Live,
 }
 
-struct Candidate<'a> {
-    entry: &'a EndpointEntry,
+pub(crate) struct Candidate<'a> {
+    pub(crate) entry: &'a EndpointEntry,
     /// Index of its availability zone in the [`LinkTable`].
-    zone_index: usize,
-    span: LayerSpan,
+    pub(crate) zone_index: usize,
+    pub(crate) span: LayerSpan,
     /// Time per token and layer, in milliseconds.
-    layer_ms: f64,
+    pub(crate) layer_ms: f64,
     /// Prefill time of the prompt per layer, in milliseconds.
-    prefill_ms: f64,
+    pub(crate) prefill_ms: f64,
     /// Free memory, in tokens times layers.
-    free: f64,
+    pub(crate) free: f64,
     /// Whether it has a free slot for a stream that starts at it.
     has_slot: bool,
     /// Whether the path may start at it.
@@ -134,14 +134,14 @@
 }
 
 /// The availability zones of the candidates, and the utilisation of the links between them.
-struct LinkTable<'a> {
+pub(crate) struct LinkTable<'a> {
     zones: Vec<&'a ZoneId>,
     /// Used fraction of the bandwidth, by the indices of two zones.
-    used: Vec<Vec<f64>>,
+    pub(crate) used: Vec<Vec<f64>>,
 }
 
 impl<'a> LinkTable<'a> {
-    fn new(planner: &PathPlanner<'a>, request: &PathRequest<'a>) -> Self {
+    pub(crate) fn new(planner: &PathPlanner<'a>, request: &PathRequest<'a>) -> Self {
         let mut zones: Vec<&ZoneId> = vec![request.zone];
         for entry in planner.directory.live_entries(request.service) {
             if !zones.contains(&&entry.zone) {
@@ -158,7 +158,7 @@
         Self { zones, used }
     }
 
-    fn index(&self, zone: &ZoneId) -> usize {
+    pub(crate) fn index(&self, zone: &ZoneId) -> usize {
         self.zones.iter().position(|known| *known == zone).unwrap_or(0)
     }
 }
@@ -200,7 +200,7 @@
 
 impl<'a> PathPlanner<'a> {
     /// Fixed overhead per token of each endpoint in a path, in milliseconds.
-    const HOP_MS: f64 = 0.2;
+    pub(crate) const HOP_MS: f64 = 0.2;
     /// Fraction of an endpoint's request memory above which a refusal is attributed to memory.
     ///
     /// Below it the endpoint refuses for another reason, such as an imminent shutdown.
@@ -211,11 +211,11 @@
     /// Penalty for leaving an availability zone, added to the time per token, in milliseconds.
     ///
     /// Any zone may become partitioned.
-    const ZONE_CROSSING_MS: f64 = 4.0;
+    pub(crate) const ZONE_CROSSING_MS: f64 = 4.0;
     /// Largest fraction of a link's bandwidth that streams may use.
     ///
     /// The rest covers streams of other hosts that have not been reported yet.
-    const MAX_LINK_FRACTION: f64 = 0.7;
+    pub(crate) const MAX_LINK_FRACTION: f64 = 0.7;
     /// Cost of a link above that fraction, in milliseconds; higher than that of any other path.
     const FULL_LINK_MS: f64 = 1e6;
     /// Number of partial paths kept per boundary, each with a different last endpoint.
@@ -312,7 +312,7 @@
         )
     }
 
-    fn candidates(
+    pub(crate) fn candidates(
         &self,
         request: &PathRequest<'_>,
         links: &LinkTable<'_>,
@@ -493,7 +493,7 @@
     /// Returns the expected wait for other transfers on a link, in milliseconds.
     ///
     /// Transfers of all streams share the link one after another.
-    fn link_wait_ms(&self, used: f64) -> f64 {
+    pub(crate) fn link_wait_ms(&self, used: f64) -> f64 {
         let busy = used.min(Self::MAX_LINK_FRACTION);
         self.engine.transfer_ms(self.engine.mean_prompt_tokens) * busy / (1.0 - busy)
             + self.engine.zone_delay_ms
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -4,6 +4,7 @@
         request::{LayerSpan, StageRoute},
         version::RouteTable,
     },
+    compact_str::CompactString,
     http::{HeaderName, Method},
 };
 
@@ -266,6 +267,14 @@
     /// The order is valid only while the endpoint has accepted exactly `orders` orders.
     fn placement_order(&self, span: LayerSpan, orders: u64) -> WireRequest;
 
+    /// Encodes the order to go on with a running request over another path.
+    ///
+    /// The order is for the path's first endpoint, whose own stage must be the same as before.
+    fn replacement_order(&self, request_id: &str, route: &StageRoute) -> WireRequest;
+
+    /// Returns the address of the endpoint that an endpoint's refusal of an order names, if it names one.
+    fn parse_refused_address(&self, body: &[u8]) -> Option<CompactString>;
+
     /// Encodes the request for an endpoint's report.
     fn report_request(&self) -> WireRequest;
 
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -23,7 +23,9 @@
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
 //! | [`process`] | one host: state, background tasks, metrics |
+//! | [`recovery`] | doubts about streams' paths, and orders that replace a part of them |
 
 pub mod connection;
 pub mod process;
+pub mod recovery;
 pub mod request;
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,5 +1,8 @@
 use {
-    crate::process::{metric_builder::MetricBuilder, SenderKind},
+    crate::{
+        process::{metric_builder::MetricBuilder, SenderKind},
+        recovery::RecoveryMetrics,
+    },
     cassiafield_core::{
         ids::OrganisationId,
         process::CloseReason,
@@ -65,6 +68,8 @@
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
+    /// Of the recovery of streams.
+    pub recovery: RecoveryMetrics,
 }
 
 impl GatewayMetrics {
@@ -235,6 +240,30 @@
                 "cassiafield_prompt_parts_blocked_total",
                 "Parts of prompts that were blocked, since endpoints ended under them",
             ),
+            recovery: RecoveryMetrics {
+                breaks: builder.counters(
+                    "cassiafield_stream_breaks_total",
+                    "Breaks of streams, by what was found and how the stream went on",
+                    &["found", "outcome"],
+                ),
+                orders: builder.counters(
+                    "cassiafield_stage_orders_total",
+                    "Orders to replace a part of a stream's path",
+                    &["outcome"],
+                ),
+                verdict_times: builder.histograms(
+                    "cassiafield_break_verdict_seconds",
+                    "Time from a stream's last event until its break was found",
+                    &["found"],
+                    &Self::BUCKETS_SECONDS,
+                ),
+                gaps: builder.histograms(
+                    "cassiafield_break_gap_seconds",
+                    "Time from a stream's last event before a break to the next one",
+                    &["outcome"],
+                    &Self::BUCKETS_SECONDS,
+                ),
+            },
             registry: builder.into_registry(),
         }
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -13,6 +13,7 @@
             AdmissionQueue, BootClock, GatewayMetrics, GatewaySettings, GaugeValues,
             InFlightRequest, ReservedLoad, SendTurn, SenderKind,
         },
+        recovery::RecoveryDesk,
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
@@ -84,6 +85,8 @@
     /// Wakes the synchronisation when a peer's message mentions a newer configuration.
     pub(super) revision_heard: Notify,
     pub(super) probe: HealthProbe,
+    /// What streams know of each other for the recovery of their paths.
+    pub recovery: RecoveryDesk,
     /// Wakes the peer link when an endpoint was found unresponsive, or a zone's leader has a newer
     /// configuration.
     pub(super) urgent_message: Notify,
@@ -112,7 +115,7 @@
     /// An endpoint may send bytes without end; the memory of a host is a few hundred MB.
     const MAX_BODIES_BYTES: usize = 64 * 1_024 * 1_024;
     /// Maximum size of an endpoint's report, in bytes.
-    pub(super) const MAX_REPORT_BYTES: usize = 256 * 1_024;
+    pub(crate) const MAX_REPORT_BYTES: usize = 256 * 1_024;
 
     /// Time for which a stopping host still accepts every request.
     ///
@@ -154,6 +157,7 @@
             revision_notice: Cell::default(),
             revision_heard: Notify::new(),
             probe: HealthProbe::default(),
+            recovery: RecoveryDesk::default(),
             urgent_message: Notify::new(),
             poll_requested: Notify::new(),
             clock: BootClock,
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -53,6 +53,8 @@
     const MAX_FAILURE_AGE: Duration = Duration::from_millis(800);
     /// Shortest interval between two probes of an endpoint that responds.
     const MIN_INTERVAL: Duration = Duration::from_millis(600);
+    /// Shortest interval between two probes of an endpoint that responds, while streams through it are late.
+    const MIN_DOUBT_INTERVAL: Duration = Duration::from_millis(100);
     /// Timeout of a probe; endpoints answer probes without queueing.
     pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
     /// Interval between two checks for endpoints that are due to be probed again.
@@ -108,11 +110,20 @@
     ///
     /// Requests that wait in [`HealthProbe::wait_for_path_failure`] learn about failures.
     pub(super) fn start_probes(state: &Rc<GatewayState>, stages: &[RouteStage], since: Moment) {
+        Self::start_probes_if(state, stages, since, Self::is_needed);
+    }
+
+    fn start_probes_if(
+        state: &Rc<GatewayState>,
+        stages: &[RouteStage],
+        since: Moment,
+        is_needed: fn(&Self, &EndpointId, Moment, Moment) -> bool,
+    ) {
         for stage in stages {
             let Ok(address) = stage.address.parse::<SocketAddrV4>() else { continue };
             if state.is_paused(&stage.endpoint)
                 || state.is_endpoint_out_of_reach(&stage.endpoint)
-                || !state.probe.is_needed(&stage.endpoint, since, state.now())
+                || !is_needed(&state.probe, &stage.endpoint, since, state.now())
             {
                 continue;
             }
@@ -122,6 +133,20 @@
         }
     }
 
+    /// Returns `true` if neither a result after `since` nor a recent one is known for an endpoint of a late path,
+    /// and no probe is running.
+    fn is_needed_for_doubt(&self, endpoint: &EndpointId, since: Moment, now: Moment) -> bool {
+        let results = self.results.borrow();
+        let Some(result) = results.get(endpoint) else { return true };
+        let age = now.since(result.started_at);
+        match result.outcome {
+            ProbeOutcome::Responsive => {
+                result.started_at < since && age >= Self::MIN_DOUBT_INTERVAL
+            }
+            ProbeOutcome::Running | ProbeOutcome::Unresponsive => age >= Self::MAX_FAILURE_AGE,
+        }
+    }
+
     /// Returns `true` if no result after `since` is known for an endpoint and no probe is running.
     fn is_needed(&self, endpoint: &EndpointId, since: Moment, now: Moment) -> bool {
         let results = self.results.borrow();
@@ -191,6 +216,35 @@
     }
 }
 
+impl GatewayState {
+    /// Starts to probe the endpoints of a path without an event since `since` whose state is not known.
+    pub(crate) fn start_doubt_probes(self: &Rc<Self>, stages: &[RouteStage], since: Moment) {
+        let is_needed = HealthProbe::is_needed_for_doubt;
+        HealthProbe::start_probes_if(self, stages, since, is_needed);
+    }
+
+    /// Returns when the probe of an endpoint began that has no answer yet.
+    pub(crate) fn unanswered_probe(&self, endpoint: &EndpointId) -> Option<Moment> {
+        let results = self.probe.results.borrow();
+        let running = results.get(endpoint).filter(|r| r.outcome == ProbeOutcome::Running);
+        running.map(|result| result.started_at)
+    }
+
+    /// Returns the endpoints of a path that are known to be unresponsive; none while this host has no way to
+    /// them.
+    pub(crate) fn unresponsive_stages(&self, stages: &[RouteStage]) -> Vec<EndpointId> {
+        match known_failure(self, stages) {
+            Some(PathFailure::Unresponsive(endpoints)) => endpoints,
+            Some(PathFailure::OutOfReach) | None => Vec::new(),
+        }
+    }
+
+    /// Waits until another endpoint is found unresponsive.
+    pub(crate) async fn next_unresponsive_endpoint(&self) {
+        self.probe.unresponsive_found.notified().await;
+    }
+}
+
 fn known_failure(state: &GatewayState, stages: &[RouteStage]) -> Option<PathFailure> {
     let mut endpoints = stages.iter().map(|stage| &stage.endpoint);
     if endpoints.clone().any(|endpoint| state.is_endpoint_out_of_reach(endpoint)) {
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -77,6 +77,16 @@
         planned
     }
 
+    /// Moves the reservation to another route of the same stream.
+    pub fn move_to(&mut self, route: &StageRoute) {
+        if let Some(reservation) = self.reservation.take() {
+            let mut load = self.state.load.borrow_mut();
+            load.release(reservation);
+            self.reservation = Some(load.reserve(route, self.tokens));
+            self.route = route.clone();
+        }
+    }
+
     /// Releases the reservation.
     pub fn release(&mut self) {
         if let Some(reservation) = self.reservation.take() {
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -58,6 +58,12 @@
         self.reach.borrow_mut().record_answer(service, self.now());
     }
 
+    /// Returns `true` if this host has reached the endpoints of a service since `since`.
+    pub(crate) fn is_way_sound(&self, service: &ServiceId, since: Moment) -> bool {
+        let reach = self.reach.borrow();
+        !reach.is_lost(service) && reach.is_sound_since(service, since)
+    }
+
     /// Returns `true` if this host has no way to the endpoints of a service.
     #[must_use]
     pub fn is_out_of_reach(&self, service: &ServiceId) -> bool {
--- a/crates/cassiafield-gateway/src/request/carried_stream.rs
+++ b/crates/cassiafield-gateway/src/request/carried_stream.rs
@@ -97,9 +97,11 @@
             is_under_way: false,
         };
         let remaining_time = self.context.remaining_time();
-        match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
+        match attempt.next_events(&self.context.state, remaining_time, may_leave, None).await {
             ReadOutcome::Events(first) => Ok((Response::from_parts(parts, ()), attempt, first)),
-            ReadOutcome::End => Ok((Response::from_parts(parts, ()), attempt, Bytes::new())),
+            ReadOutcome::End | ReadOutcome::Doubtful(_) => {
+                Ok((Response::from_parts(parts, ()), attempt, Bytes::new()))
+            }
             ReadOutcome::Failed(error) => {
                 self.context
                     .decision(LogEvent::StreamBroken)
--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod stream_failures;
 mod stream_path;
 mod stream_relay;
+mod stream_repair;
 mod stream_source;
 
 pub use self::{
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -498,7 +498,7 @@
         let head = Response::from_parts(parts, ());
         let remaining_time = self.context.remaining_time();
         let may_leave = self.may_leave_stalled_path();
-        match attempt.next_events(&self.context.state, remaining_time, may_leave).await {
+        match attempt.next_events(&self.context.state, remaining_time, may_leave, None).await {
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
                 self.context.state.record_progress(path.route.stages());
@@ -514,7 +514,7 @@
                 ));
                 Ok((head, attempt, first))
             }
-            ReadOutcome::End => Ok((head, attempt, Bytes::new())),
+            ReadOutcome::End | ReadOutcome::Doubtful(_) => Ok((head, attempt, Bytes::new())),
             ReadOutcome::Failed(error) => {
                 let waited = self.context.state.now().since(sent_at);
                 self.record_stream_error(&attempt, &error, waited);
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -2,9 +2,11 @@
     crate::{
         connection::PooledConnection,
         process::{EndpointFate, GatewayState, ReservedLoad},
+        recovery::{PathDoubt, RecoveryDesk},
         request::{
             stream_call::{AttemptError, StreamCall},
             stream_path::QueueWait,
+            stream_repair::StreamRepair,
             stream_source::{StallCause, StreamSource},
             ResponseAborted,
         },
@@ -58,6 +60,8 @@
     End,
     /// The stream cannot continue on this path.
     Failed(StreamError),
+    /// Endpoints of the path are suspects or known to be unresponsive; the stream may still go on.
+    Doubtful(PathDoubt),
 }
 
 /// Why a stream cannot continue on its path.
@@ -79,6 +83,20 @@
 }
 
 impl StreamError {
+    /// Returns the label in metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            StreamError::Broken(_) => "connection",
+            StreamError::Event(_) | StreamError::Truncated | StreamError::Empty => "answer",
+            StreamError::EndpointEnded => "ended",
+            StreamError::Stalled(StallCause::Unresponsive(found)) if found.is_empty() => "slow",
+            StreamError::Stalled(StallCause::Unresponsive(_)) => "unresponsive",
+            StreamError::Stalled(StallCause::Suspect(_)) => "suspect",
+            StreamError::Stalled(StallCause::OutOfReach) => "out-of-reach",
+            StreamError::DeadlineExceeded => "deadline",
+        }
+    }
+
     /// Returns `true` if the path may still deliver.
     const fn is_stall(&self) -> bool {
         matches!(self, StreamError::Stalled(_))
@@ -117,9 +135,8 @@
             | StreamError::EndpointEnded => {
                 attempt.source.first_endpoint().cloned().into_iter().collect()
             }
-            StreamError::Stalled(StallCause::OutOfReach) | StreamError::DeadlineExceeded => {
-                Vec::new()
-            }
+            StreamError::Stalled(StallCause::OutOfReach | StallCause::Suspect(_))
+            | StreamError::DeadlineExceeded => Vec::new(),
         }
     }
 }
@@ -153,12 +170,14 @@
     /// Waits until the next complete events arrive; with `may_leave`, only until the path is found
     /// to have stalled.
     ///
-    /// New streams avoid a path that stalls in either case.
+    /// New streams avoid a path that stalls in either case. With `doubt_after`, the wait also ends when
+    /// endpoints of the path are in doubt after that time.
     pub(super) async fn next_events(
         &mut self,
         state: &Rc<GatewayState>,
         remaining_time: Duration,
         may_leave: bool,
+        doubt_after: Option<Duration>,
     ) -> ReadOutcome {
         let waiting_since = state.now();
         let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
@@ -169,11 +188,16 @@
         };
         let stages = self.source.stages();
         let mut failure = pin!(state.wait_for_path_failure(stages, probe_delay));
+        let doubt = RecoveryDesk::wait_for_doubt_if(state, stages, waiting_since, doubt_after);
+        let mut doubt = pin!(doubt);
         let mut reading = pin!(read_events(&mut self.body, &mut self.splitter, self.is_framed));
         let mut has_stalled = false;
         let outcome = loop {
             tokio::select! {
+                // Events that have arrived already clear any doubt.
+                biased;
                 outcome = reading.as_mut() => break outcome,
+                found = doubt.as_mut() => return ReadOutcome::Doubtful(found),
                 failure = failure.as_mut(), if may_leave => {
                     return ReadOutcome::Failed(StreamError::Stalled(failure.into()));
                 }
@@ -207,7 +231,7 @@
     }
 
     /// Waits until the next complete events arrive, however long the path stalls.
-    async fn late_events(&mut self, remaining_time: Duration) -> ReadOutcome {
+    pub(super) async fn late_events(&mut self, remaining_time: Duration) -> ReadOutcome {
         let reading = read_events(&mut self.body, &mut self.splitter, self.is_framed);
         let outcome = timeout(remaining_time, reading).await;
         outcome.unwrap_or(ReadOutcome::Failed(StreamError::DeadlineExceeded))
@@ -279,27 +303,30 @@
 
 /// Relays the events of a stream to its caller, and moves to another path when one fails.
 pub(super) struct StreamRelay {
-    call: StreamCall,
+    pub(super) call: StreamCall,
     /// The path in use; `None` while the next one is planned.
-    attempt: Option<StreamAttempt>,
+    pub(super) attempt: Option<StreamAttempt>,
     /// The last event relayed.
-    last_event: Option<u64>,
+    pub(super) last_event: Option<u64>,
     /// When events were relayed last.
     relayed_at: Option<Moment>,
     /// Longest time between two relayed events.
     longest_gap: Duration,
+    /// Replacements of parts of the path in use.
+    pub(super) repair: StreamRepair,
     sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
 }
 
 impl StreamRelay {
-    pub(super) const fn new(
+    pub(super) fn new(
         call: StreamCall,
         attempt: StreamAttempt,
         sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
     ) -> Self {
         let longest_gap = Duration::ZERO;
+        let repair = StreamRepair::new(&call.context.state, &attempt);
         let attempt = Some(attempt);
-        Self { call, attempt, last_event: None, relayed_at: None, longest_gap, sender }
+        Self { call, attempt, last_event: None, relayed_at: None, longest_gap, repair, sender }
     }
 
     /// Runs until the stream completes or fails, or the caller disconnects.
@@ -344,6 +371,12 @@
                         let gap = now.since(before);
                         gaps.observe(gap.as_secs_f64());
                         self.longest_gap = self.longest_gap.max(gap);
+                        if has_events {
+                            self.record_events_after_break(gap);
+                        }
+                    }
+                    if has_events {
+                        self.repair.track.record_events(now);
                     }
                     if !events.is_empty() && self.sender.send(Ok(events)).await.is_err() {
                         return;
@@ -368,6 +401,12 @@
                     call.context.in_flight.mark_complete();
                     return;
                 }
+                ReadOutcome::Doubtful(doubt) => {
+                    if let Some(outcome) = self.resolve_doubt(doubt).await {
+                        next = outcome;
+                        continue;
+                    }
+                }
                 ReadOutcome::Failed(error) => match self.recover(error).await {
                     Ok(outcome) => {
                         next = outcome;
@@ -379,10 +418,13 @@
                     }
                 },
             }
+            self.collect_order();
             let remaining_time = self.call.context.remaining_time();
+            let doubt_after = self.doubt_delay();
             let Some(attempt) = self.attempt.as_mut() else { return };
             let may_leave = self.call.resume_refusal().is_none();
-            next = attempt.next_events(&self.call.context.state, remaining_time, may_leave).await;
+            let state = &self.call.context.state;
+            next = attempt.next_events(state, remaining_time, may_leave, doubt_after).await;
         }
     }
 
@@ -411,6 +453,7 @@
     ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
         let failed_at = self.call.context.state.now();
         let mut stalled_path = None;
+        self.record_break_found(&error);
         if let Some(mut attempt) = self.attempt.take() {
             let waited = self.time_without_events();
             self.call.record_stream_error(&attempt, &error, waited);
@@ -503,6 +546,7 @@
             .decision(LogEvent::StreamResumed)
             .sends(call.sends)
             .log(format_args!("after event {last_event} over {path}"));
+        self.repair.restart(&attempt);
         self.attempt = Some(attempt);
         ReadOutcome::Events(events)
     }
@@ -515,6 +559,7 @@
         error: StreamError,
     ) -> Result<ReadOutcome, (StreamError, GiveUpReason)> {
         let Some(mut attempt) = stalled_path else { return Ok(outcome) };
+        self.repair.record_stay();
         if let ReadOutcome::Failed(_) = outcome {
             return Err((error, GiveUpReason::DeadlineExceeded));
         }
@@ -540,13 +585,14 @@
     }
 
     /// Returns the time since events were relayed last.
-    fn time_without_events(&self) -> Duration {
+    pub(super) fn time_without_events(&self) -> Duration {
         let now = self.call.context.state.now();
         self.relayed_at.map_or(Duration::ZERO, |relayed_at| now.since(relayed_at))
     }
 
     async fn abort(&self, error: &StreamError, reason: GiveUpReason) {
         let state = &self.call.context.state;
+        self.record_break_end("given-up");
         state.metrics.count_broken_stream(false);
         state.metrics.count_given_up_stream(reason);
         let last_event = self.last_event.unwrap_or(0);
@@ -590,7 +636,9 @@
         outcome = late_events => match outcome {
             ReadOutcome::Failed(StreamError::DeadlineExceeded) => RaceStep::Delivered(outcome),
             ReadOutcome::Failed(error) => RaceStep::Broken(error),
-            ReadOutcome::Events(_) | ReadOutcome::End => RaceStep::Delivered(outcome),
+            ReadOutcome::Events(_) | ReadOutcome::End | ReadOutcome::Doubtful(_) => {
+                RaceStep::Delivered(outcome)
+            }
         },
         done = other => RaceStep::Done(done),
     }
--- a/crates/cassiafield-gateway/src/request/stream_source.rs
+++ b/crates/cassiafield-gateway/src/request/stream_source.rs
@@ -58,6 +58,8 @@
 pub(super) enum StallCause {
     /// These endpoints do not respond; none if all do.
     Unresponsive(Vec<EndpointId>),
+    /// These endpoints owe the answer to a probe, the first one among them.
+    Suspect(Vec<EndpointId>),
     /// This host has no way to the endpoints.
     OutOfReach,
 }
@@ -80,6 +82,9 @@
             StallCause::Unresponsive(endpoints) => {
                 write!(f, "stalled; unresponsive: {}", join_ids(endpoints))
             }
+            StallCause::Suspect(endpoints) => {
+                write!(f, "stalled; suspect: {}", join_ids(endpoints))
+            }
             StallCause::OutOfReach => f.write_str("stalled; its endpoints are out of reach"),
         }
     }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -102,6 +102,10 @@
     1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
     1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
     1411 CarryFailed Info "A host did not carry a request of another one.";
+    1412 StageOrdered Info "An endpoint was ordered to go on with a stream over a path in which failed stages are replaced.";
+    1413 StageReplaced Info "The order to replace stages of a stream's path was accepted.";
+    1414 StageOrderFailed Info "The order to replace stages of a stream's path was refused or has no answer.";
+    1415 StageKept Info "No replacement was ordered for the suspect stages of a stream's path.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
