--- a/crates/cassiafield-core/src/recovery/recovery_schedule.rs
+++ b/crates/cassiafield-core/src/recovery/recovery_schedule.rs
@@ -69,6 +69,14 @@
         late.min(by_objective).max(floor).max(Self::MIN_PROBE_DELAY)
     }
 
+    /// Returns the time without an event after which endpoints that are already known to be unresponsive are
+    /// replaced; no later than [`RecoverySchedule::probe_after`].
+    #[must_use]
+    pub fn verdict_after(&self) -> Duration {
+        let floor = self.typical_gap * Self::MIN_LATE_PERCENT / 100;
+        floor.max(Self::MIN_PROBE_DELAY)
+    }
+
     /// Returns what is left of the objective for a restart, `waited` after the last event.
     #[must_use]
     pub fn time_left(&self, waited: Duration) -> Duration {
--- a/crates/cassiafield-core/src/recovery/stage_replacement.rs
+++ b/crates/cassiafield-core/src/recovery/stage_replacement.rs
@@ -19,8 +19,12 @@
     pub request: PathRequest<'a>,
     /// What is left of the gap objective.
     pub time_left: Duration,
-    /// Time that endpoints need for the prompts which they are already reading again.
+    /// Time that endpoints need for the prompts which they are already reading again for this host.
     pub backlog: &'a BTreeMap<EndpointId, Duration>,
+    /// Number of hosts whose streams are likely to lose the same endpoints at the same time.
+    pub hosts: usize,
+    /// Differs between requests, so that hosts which know nothing of each other choose different endpoints.
+    pub seed: u64,
 }
 
 /// A path in which a few stages are new.
@@ -30,7 +34,7 @@
     pub route: StageRoute,
     /// The new stages, and how long each reads the tokens so far.
     pub reads: Vec<(EndpointId, Duration)>,
-    /// Planned time until all new stages have read the tokens so far.
+    /// Planned time until all new stages have read the tokens so far, with the expected wait for other prompts.
     pub read_time: Duration,
 }
 
@@ -99,6 +103,9 @@
     /// Cost of a replacement that misses the gap objective, in milliseconds of waiting; higher than that of
     /// the slowest answer.
     const LATE_MS: f64 = 1e5;
+    /// Weight of a millisecond before the next event, relative to one spread over later events: only the former
+    /// may miss the objective.
+    const RESTART_WEIGHT: f64 = 30.0;
 
     /// Plans the cheapest replacement, one within the time left if there is one.
     ///
@@ -259,7 +266,12 @@
         let mut token_ms = candidate.layer_ms * layers + PathPlanner::HOP_MS;
         let mut stage_ms = candidate.prefill_ms * layers + PathPlanner::HOP_MS;
         let endpoint = &candidate.entry.endpoint;
-        stage_ms += request.backlog.get(endpoint).map_or(0.0, |wait| wait.as_secs_f64() * 1e3);
+        // Other hosts send as many streams there as this one, and each of them one more now.
+        let hosts = request.hosts.max(1) as f64;
+        let own_ms = request.backlog.get(endpoint).map_or(0.0, |wait| wait.as_secs_f64() * 1e3);
+        let others_ms = stage_ms * (hosts - 1.0) * spread(endpoint, request.seed);
+        let wait_ms = own_ms * hosts + others_ms;
+        let read_ms = stage_ms;
         let zone = candidate.zone_index;
         let before = match base.stages.last() {
             Some((index, ..)) => Some(candidates[*index].zone_index),
@@ -271,16 +283,16 @@
             if used > PathPlanner::MAX_LINK_FRACTION {
                 return None;
             }
-            let wait_ms = self.planner.link_wait_ms(used);
+            let link_ms = self.planner.link_wait_ms(used);
             let tokens = narrowed.prompt_tokens;
-            token_ms += wait_ms + PathPlanner::ZONE_CROSSING_MS;
-            stage_ms += wait_ms + self.planner.engine.transfer_ms(tokens);
+            token_ms += link_ms + PathPlanner::ZONE_CROSSING_MS;
+            stage_ms += link_ms + self.planner.engine.transfer_ms(tokens);
         }
         let remaining = f64::from(narrowed.output_tokens.max(1));
         let mut next = base.clone();
-        next.cost += token_ms * remaining + stage_ms;
-        next.read_ms += stage_ms;
-        next.stages.push((step.index, step.part, stage_ms));
+        next.cost += token_ms * remaining + (stage_ms + wait_ms) * Self::RESTART_WEIGHT;
+        next.read_ms += stage_ms + wait_ms;
+        next.stages.push((step.index, step.part, read_ms));
         Some(next)
     }
 }
@@ -317,6 +329,16 @@
     }
 }
 
+/// Returns a fraction from 0 to 1 for an endpoint, which differs with the seed.
+fn spread(endpoint: &EndpointId, seed: u64) -> f64 {
+    let mut hash = seed ^ 0xcbf2_9ce4_8422_2325;
+    for byte in endpoint.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    f64::from((hash >> 40) as u32) / f64::from(1_u32 << 24)
+}
+
 /// Converts a planned time; it is limited to a day, since endpoints may report absurd values.
 fn bounded_time(millis: f64) -> Duration {
     const MAX_MILLIS: f64 = 24.0 * 3_600.0 * 1e3;
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -58,6 +58,11 @@
         self.reach.borrow_mut().record_answer(service, self.now());
     }
 
+    /// Returns the number of hosts in the availability zone that are known to run, this one among them.
+    pub(crate) fn live_zone_hosts(&self) -> usize {
+        1 + self.members.borrow().live(self.now()).count()
+    }
+
     /// Returns `true` if this host has reached the endpoints of a service since `since`.
     pub(crate) fn is_way_sound(&self, service: &ServiceId, since: Moment) -> bool {
         let reach = self.reach.borrow();
--- a/crates/cassiafield-gateway/src/recovery/recovery_desk.rs
+++ b/crates/cassiafield-gateway/src/recovery/recovery_desk.rs
@@ -52,15 +52,34 @@
     /// Waits until endpoints of a path without an event since `since` are suspects or known to be
     /// unresponsive, at least for `wait`; never returns if all of them answer.
     ///
-    /// `wait` is the time after which an event is late.
+    /// `wait` is the time after which an event is late, and `verdict_wait` that after which endpoints count that
+    /// are known to be unresponsive already.
     pub async fn wait_for_doubt(
         state: &Rc<GatewayState>,
         stages: &[RouteStage],
         since: Moment,
         wait: Duration,
+        verdict_wait: Duration,
     ) -> PathDoubt {
-        sleep(wait).await;
-        state.start_doubt_probes(stages, since);
+        sleep(verdict_wait.min(wait)).await;
+        loop {
+            // A verdict of another host may concern its own link only.
+            let mut unresponsive = state.unresponsive_stages(stages);
+            unresponsive.retain(|endpoint| !state.recovery.has_progressed(endpoint, since));
+            if !unresponsive.is_empty() {
+                return PathDoubt { endpoints: unresponsive, is_verdict: true };
+            }
+            let left = wait.saturating_sub(state.now().since(since));
+            if left.is_zero() || timeout(left, state.next_unresponsive_endpoint()).await.is_err() {
+                break;
+            }
+        }
+        // Endpoints through which other streams of this host go on need no probe.
+        let is_unknown = |stage: &&RouteStage| {
+            !state.recovery.has_progressed(&stage.endpoint, since + verdict_wait)
+        };
+        let unknown: Vec<RouteStage> = stages.iter().filter(is_unknown).cloned().collect();
+        state.start_doubt_probes(&unknown, since);
         // The probes begin.
         yield_now().await;
         let mut may_suspect = true;
@@ -116,10 +135,12 @@
         state: &Rc<GatewayState>,
         stages: &[RouteStage],
         since: Moment,
-        wait: Option<Duration>,
+        waits: Option<(Duration, Duration)>,
     ) -> PathDoubt {
-        match wait {
-            Some(wait) => Self::wait_for_doubt(state, stages, since, wait).await,
+        match waits {
+            Some((wait, verdict_wait)) => {
+                Self::wait_for_doubt(state, stages, since, wait, verdict_wait).await
+            }
             None => pending().await,
         }
     }
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -171,13 +171,13 @@
     /// to have stalled.
     ///
     /// New streams avoid a path that stalls in either case. With `doubt_after`, the wait also ends when
-    /// endpoints of the path are in doubt after that time.
+    /// endpoints of the path are in doubt after the first time, or known to be unresponsive after the second.
     pub(super) async fn next_events(
         &mut self,
         state: &Rc<GatewayState>,
         remaining_time: Duration,
         may_leave: bool,
-        doubt_after: Option<Duration>,
+        doubt_after: Option<(Duration, Duration)>,
     ) -> ReadOutcome {
         let waiting_since = state.now();
         let probe_delay = self.timeouts.stall_probe_delay(self.typical_gap);
--- a/crates/cassiafield-gateway/src/request/stream_repair.rs
+++ b/crates/cassiafield-gateway/src/request/stream_repair.rs
@@ -114,20 +114,23 @@
     /// suspicions take from the retry budget.
     const FIRST_SUSPECT_WAIT: Duration = Duration::from_millis(20);
 
+    /// Longest time for which a late stream lets others go first; callers wait far longer.
+    const MAX_YIELD: Duration = Duration::from_millis(150);
     /// Age, before the last event, up to which a connection shows that this host has a way to endpoints; probes are
     /// not repeated sooner.
     const MAX_WAY_AGE: Duration = Duration::from_millis(100);
 
-    /// Returns the time without an event after which the path is in doubt; `None` if only a verdict on its
-    /// endpoints counts.
-    pub(super) fn doubt_delay(&self) -> Option<Duration> {
+    /// Returns the times without an event after which the path is in doubt, and after which endpoints count that are
+    /// known to be unresponsive; `None` if only a later verdict counts.
+    pub(super) fn doubt_delay(&self) -> Option<(Duration, Duration)> {
         let attempt = self.attempt.as_ref()?;
         let StreamSource::Path(route) = &attempt.source else { return None };
         if self.repair.is_waived || self.repair.fence.is_pending() {
             return None;
         }
         let schedule = self.schedule(attempt, route)?;
-        Some(schedule.probe_after() + self.repair.restart)
+        let restart = self.repair.restart;
+        Some((schedule.probe_after() + restart, schedule.verdict_after() + restart))
     }
 
     fn schedule(&self, attempt: &StreamAttempt, route: &StageRoute) -> Option<RecoverySchedule> {
@@ -154,11 +157,23 @@
         let waited = self.time_without_events();
         self.call.context.state.metrics.recovery.record_verdict(doubt.name(), waited);
         self.repair.present_break = Some((doubt.name(), "went-on"));
+        let mut has_yielded = false;
         loop {
             let (before, plan) = match self.plan_replacement(&doubt) {
                 Ok(found) => found,
                 Err(refusal) => return self.leave_in_doubt(doubt, &refusal).await,
             };
+            let delay = self.yield_delay(&plan).filter(|_| !has_yielded);
+            if let Some(delay) = delay {
+                has_yielded = true;
+                let remaining_time = self.call.context.remaining_time();
+                let attempt = self.attempt.as_mut()?;
+                tokio::select! {
+                    biased;
+                    outcome = attempt.late_events(remaining_time) => return Some(outcome),
+                    () = sleep(delay) => continue,
+                }
+            }
             let order = self.begin_order(before, plan, &doubt);
             let outcome = {
                 let PendingOrder { mut reply, before, plan, doubt } = order;
@@ -192,6 +207,19 @@
         }
     }
 
+    /// Returns how long the stream lets others go first, since it misses its objective in any case; `None` if it
+    /// need not.
+    fn yield_delay(&self, plan: &ReplacementPlan) -> Option<Duration> {
+        let attempt = self.attempt.as_ref()?;
+        let StreamSource::Path(route) = &attempt.source else { return None };
+        let time_left = self.schedule(attempt, route)?.time_left(self.time_without_events());
+        let state = &self.call.context.state;
+        let endpoints = plan.reads.iter().map(|(endpoint, _)| endpoint);
+        let is_in_time = plan.read_time <= time_left;
+        let delay = state.recovery.backlog.borrow().delay(endpoints, is_in_time, state.now());
+        (!delay.is_zero()).then(|| delay.min(Self::MAX_YIELD))
+    }
+
     /// Leaves the path, or waits for a verdict on its endpoints.
     async fn leave_in_doubt(
         &mut self,
@@ -280,7 +308,10 @@
         };
         let backlog = state.recovery.backlog.borrow().waits(now);
         let failed = &doubt.endpoints;
-        let wanted = ReplacementRequest { route, failed, request, time_left, backlog: &backlog };
+        let hosts = state.live_zone_hosts();
+        let seed = fastrand::u64(..);
+        let backlog = &backlog;
+        let wanted = ReplacementRequest { route, failed, request, time_left, backlog, hosts, seed };
         let plan = StageReplacement { planner }.plan(&wanted).map_err(RepairRefusal::NoPlan)?;
         Ok((route.clone(), plan))
     }
@@ -328,6 +359,7 @@
         let (call, context) = (&self.call, &self.call.context);
         context.state.metrics.recovery.count_order(outcome.name());
         let waited = self.time_without_events().as_millis();
+        let first = before.stages().first().map(|stage| stage.endpoint.clone());
         match &outcome {
             OrderOutcome::Accepted => {
                 self.repair.fence.record_answer();
@@ -341,7 +373,11 @@
                 ));
             }
             OrderOutcome::Unsent => self.repair.fence.record_unsent(),
-            OrderOutcome::Unanswered => self.repair.fence.record_no_answer(),
+            OrderOutcome::Unanswered => {
+                self.repair.fence.record_no_answer();
+                // A late order must not meet another run of the request, if there is another path.
+                self.call.suspects.extend(first);
+            }
             OrderOutcome::Unknown => self.repair.fence.record_answer(),
             OrderOutcome::Refused { address, .. } => {
                 self.repair.fence.record_answer();
