feat: the order of admission across hosts and of returns, in core

Cause: each host had a queue of its own that new arrivals overtook, and scheduled returns by itself. Change: AdmissionGrantor, AdmissionOrder, HostAdmission and RecoverySchedule in core, not wired yet; the return schedule moves to its own folder and remembers what it promised.

--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -21,9 +21,13 @@
 //! | [`request`] | routes, token frames, verdicts, claims and stream recovery of a request |
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
+//! | [`admission`] | who gets room first while it does not suffice |
+//! | [`returns`] | when refused callers return |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
+pub mod admission;
 pub mod ids;
 pub mod process;
 pub mod request;
+pub mod returns;
 pub mod version;
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -41,7 +41,6 @@
 mod retry_budget;
 mod retry_pool;
 mod retry_quota;
-mod return_schedule;
 mod revision_notice;
 mod route_planner;
 mod slot_allocator;
@@ -96,7 +95,6 @@
     retry_budget::RetryBudget,
     retry_pool::{GrantRecord, RetryPool, ZoneTraffic},
     retry_quota::{RetryLimits, RetryQuota},
-    return_schedule::ReturnSchedule,
     revision_notice::RevisionNotice,
     route_planner::{RouteCapacity, RoutePlanner, RouteRequest, RoutingError},
     slot_allocator::{LocalLimit, SlotAllocator, SlotDemand},
--- a/crates/cassiafield-core/src/process/return_schedule.rs
+++ b/crates/cassiafield-core/src/returns/return_schedule.rs
@@ -11,7 +11,7 @@
 ///
 /// ```
 /// use {
-///     cassiafield_core::{ids::Moment, process::ReturnSchedule},
+///     cassiafield_core::{ids::Moment, returns::ReturnSchedule},
 ///     std::time::Duration,
 /// };
 ///
@@ -23,8 +23,10 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ReturnSchedule {
-    /// When streams of this host ended, within the window.
-    recent_ends: VecDeque<Moment>,
+    /// When streams ended, and how many, within the window.
+    recent_ends: VecDeque<(Moment, u32)>,
+    /// Returns that were promised and are not due yet.
+    promised: VecDeque<Moment>,
     /// The latest return that was promised.
     last_return: Option<Moment>,
 }
@@ -41,17 +43,34 @@
     /// New callers take the rest.
     const RETURN_FRACTION: f64 = 0.5;
 
-    /// Records that a stream of this host has ended.
+    /// Largest number of promised returns that are remembered.
+    const MAX_PROMISED: usize = 4_096;
+
+    /// Records that a stream has ended.
     pub fn record_end(&mut self, now: Moment) {
-        self.recent_ends.push_back(now);
+        self.record_ends(1, now);
+    }
+
+    /// Records that several streams have ended.
+    pub fn record_ends(&mut self, count: u32, now: Moment) {
+        if count > 0 {
+            self.recent_ends.push_back((now, count));
+        }
         self.remove_expired(now);
     }
 
+    /// Returns how many promised returns are due within `span`; each should find room.
+    #[must_use]
+    pub fn promised_within(&self, span: Duration, now: Moment) -> usize {
+        self.promised.iter().filter(|&&at| at >= now && at.since(now) <= span).count()
+    }
+
     /// Returns how many streams are expected to end within `span`.
     #[must_use]
     pub fn expected_ends(&self, span: Duration, now: Moment) -> f64 {
-        let recent = self.recent_ends.iter().filter(|&&at| now.since(at) <= Self::RATE_WINDOW);
-        recent.count() as f64 * span.as_secs_f64() / Self::RATE_WINDOW.as_secs_f64()
+        let recent = self.recent_ends.iter().filter(|(at, _)| now.since(*at) <= Self::RATE_WINDOW);
+        let ends: f64 = recent.map(|(_, count)| f64::from(*count)).sum();
+        ends * span.as_secs_f64() / Self::RATE_WINDOW.as_secs_f64()
     }
 
     /// Returns after which delay the next refused caller should return, at most `max_delay`.
@@ -63,11 +82,15 @@
         let after_last = self.last_return.map_or(earliest, |last| last + spacing);
         let at = after_last.max(earliest).min(now + max_delay.max(Self::MIN_DELAY));
         self.last_return = Some(at);
+        self.promised.retain(|&due| due >= now);
+        if self.promised.len() < Self::MAX_PROMISED {
+            self.promised.push_back(at);
+        }
         at.since(now)
     }
 
     fn remove_expired(&mut self, now: Moment) {
-        while self.recent_ends.front().is_some_and(|&at| now.since(at) > Self::RATE_WINDOW) {
+        while self.recent_ends.front().is_some_and(|(at, _)| now.since(*at) > Self::RATE_WINDOW) {
             self.recent_ends.pop_front();
         }
     }
--- a/crates/cassiafield-core/tests/load_patterns/burst_beyond_capacity.rs
+++ b/crates/cassiafield-core/tests/load_patterns/burst_beyond_capacity.rs
@@ -1,7 +1,7 @@
 //! A burst at three times the capacity: callers that are refused return when there is room.
 
 use {
-    cassiafield_core::{ids::Moment, process::ReturnSchedule},
+    cassiafield_core::{ids::Moment, returns::ReturnSchedule},
     fastrand::Rng,
     std::{collections::BTreeMap, time::Duration},
 };
--- a/crates/cassiafield-core/tests/load_patterns/main.rs
+++ b/crates/cassiafield-core/tests/load_patterns/main.rs
@@ -6,7 +6,9 @@
 #[path = "../engine_support/mod.rs"]
 mod engine_support;
 
+mod admission_model;
 mod burst_beyond_capacity;
 mod dead_endpoints_at_many_hosts;
 mod one_large_organisation;
+mod room_of_many_hosts;
 mod zone_without_endpoints;
