feat: requests that wait for room are admitted in one order over the hosts of a zone

Cause: a stream that finds no room looked again every 40 ms by itself, behind every new arrival. Change: AdmissionDesk and AdmissionExchange replace AdmissionQueue; hosts report what waits to the zone's leader, which grants room; refusals carry its time to return. Refusals of hosts that can't know yet spread their callers, and such hosts ask one with recent data at once. Ranks that differ are passed to endpoints.

--- a/crates/cassiafield-core/src/admission/admission_grantor.rs
+++ b/crates/cassiafield-core/src/admission/admission_grantor.rs
@@ -2,7 +2,7 @@
     crate::{
         admission::{
             AdmissionOrder, AdmissionOutcome, AdmissionReply, AdmissionReport, AdmissionRoom,
-            GrantNumber, RequestKey,
+            AdmissionTicket, GrantNumber, RequestKey,
         },
         ids::{HostId, Moment, ServiceId},
         returns::ReturnSchedule,
@@ -35,6 +35,8 @@
 pub struct AdmissionDecision {
     /// The request's host.
     pub host: HostId,
+    /// The request.
+    pub ticket: AdmissionTicket,
     /// What becomes of it.
     pub outcome: AdmissionOutcome,
     /// Number of requests that waited.
@@ -168,11 +170,7 @@
         let state = KnownHost { incarnation, sequence, heard_at: now, awaits_reply: true };
         self.hosts.insert(host.clone(), state);
         for number in settled {
-            if self.holds.get(&number).is_some_and(|held| &held.key.0 == host) {
-                if let Some(held) = self.holds.remove(&number) {
-                    room.release(held.hold);
-                }
-            }
+            self.settle(host, number, room);
         }
         let tickets: BTreeSet<_> = waiting.iter().map(|request| request.ticket).collect();
         self.order.retain(|key, _| &key.0 != host || is_same && tickets.contains(&key.1));
@@ -185,6 +183,20 @@
         }
     }
 
+    /// Frees the room of a grant that is used or given back.
+    pub fn settle(
+        &mut self,
+        host: &HostId,
+        number: GrantNumber,
+        room: &mut impl AdmissionRoom<Hold = H>,
+    ) {
+        if self.holds.get(&number).is_some_and(|held| &held.key.0 == host) {
+            if let Some(held) = self.holds.remove(&number) {
+                room.release(held.hold);
+            }
+        }
+    }
+
     /// Returns the services that requests wait for.
     pub fn short_services(&self) -> BTreeSet<ServiceId> {
         self.order.iter().map(|(_, entry)| entry.request.service.clone()).collect()
@@ -228,7 +240,12 @@
         let mut outcomes: BTreeMap<HostId, Vec<_>> = BTreeMap::new();
         let waiting = self.order.len();
         let mut record = |key: RequestKey, outcome| {
-            decisions.push(AdmissionDecision { host: key.0.clone(), outcome, waiting });
+            decisions.push(AdmissionDecision {
+                host: key.0.clone(),
+                ticket: key.1,
+                outcome,
+                waiting,
+            });
             outcomes.entry(key.0).or_default().push((key.1, outcome));
         };
         // A lost grant is repeated with the same room.
--- a/crates/cassiafield-core/src/admission/admission_report.rs
+++ b/crates/cassiafield-core/src/admission/admission_report.rs
@@ -53,6 +53,30 @@
     },
 }
 
+impl AdmissionOutcome {
+    /// Returns the name used in metrics and the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            AdmissionOutcome::Granted { .. } => "granted",
+            AdmissionOutcome::Waiting { .. } => "waiting",
+            AdmissionOutcome::Refused { .. } => "refused",
+        }
+    }
+}
+
+impl fmt::Display for AdmissionOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AdmissionOutcome::Granted { number } => write!(f, "granted by {number}"),
+            AdmissionOutcome::Waiting { place } => write!(f, "waits behind {place}"),
+            AdmissionOutcome::Refused { return_in_ms } => {
+                write!(f, "refused, returns in {return_in_ms} ms")
+            }
+        }
+    }
+}
+
 /// The grantor's reply to a report.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/cassiafield-core/src/admission/host_admission.rs
+++ b/crates/cassiafield-core/src/admission/host_admission.rs
@@ -99,6 +99,18 @@
     kept: VecDeque<(Moment, u32, K)>,
 }
 
+impl AdmissionSource {
+    /// Returns the name used in metrics and the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            AdmissionSource::Grantor => "grantor",
+            AdmissionSource::Share => "share",
+            AdmissionSource::OwnView => "own-view",
+        }
+    }
+}
+
 impl<K> HostAdmission<K> {
     /// Time after which a request no longer waits for the grantor's decision; a message and its reply
     /// take a few ms.
@@ -247,6 +259,21 @@
         is_announced || self.entries.values().any(|entry| &entry.request.service == service)
     }
 
+    /// Returns `true` if requests of any service wait in the zone, as far as is known.
+    #[must_use]
+    pub fn knows_shortage(&self, now: Moment) -> bool {
+        self.short.values().any(|at| now.since(*at) < Self::SHORT_TIME)
+    }
+
+    /// Returns the grant of a waiting request, if it has one.
+    #[must_use]
+    pub fn grant_of(&self, ticket: AdmissionTicket) -> Option<GrantNumber> {
+        match self.entries.get(&ticket)?.state {
+            EntryState::Granted(number, _) => Some(number),
+            _ => None,
+        }
+    }
+
     /// Adds a request that waits for up to `max_wait`; `None` if too many wait. Its ticket is set here.
     pub fn enter(
         &mut self,
--- a/crates/cassiafield-core/src/returns/mod.rs
+++ b/crates/cassiafield-core/src/returns/mod.rs
@@ -3,7 +3,4 @@
 mod recovery_schedule;
 mod return_schedule;
 
-pub use self::{
-    recovery_schedule::{RecoverySchedule, RecoveryView},
-    return_schedule::ReturnSchedule,
-};
+pub use self::{recovery_schedule::RecoverySchedule, return_schedule::ReturnSchedule};
--- a/crates/cassiafield-core/src/version/route_table.rs
+++ b/crates/cassiafield-core/src/version/route_table.rs
@@ -1,11 +1,12 @@
 use {
     crate::{
+        admission::RequestPriority,
         ids::{OrganisationId, ServiceId},
         version::{CallerLimits, RouteRule, ServiceRule},
     },
     compact_str::CompactString,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         fmt,
     },
 };
@@ -23,6 +24,8 @@
     pub limits: CallerLimits,
     /// Organisations with their API keys; `None` if requests need no key.
     pub organisations: Option<Vec<(OrganisationId, Vec<CompactString>)>>,
+    /// Ranks of the organisations that have one of their own.
+    pub priorities: BTreeMap<OrganisationId, u32>,
 }
 
 /// A validated version of the operators' configuration.
@@ -33,6 +36,9 @@
     services: BTreeMap<ServiceId, ServiceRule>,
     limits: CallerLimits,
     keys: Option<HashMap<CompactString, OrganisationId>>,
+    priorities: BTreeMap<OrganisationId, u32>,
+    /// Services whose routes have different ranks.
+    ranked: BTreeSet<ServiceId>,
 }
 
 /// Reason why a version of the configuration is invalid.
@@ -96,6 +102,24 @@
         self.keys.is_some()
     }
 
+    /// Returns the rank of an organisation's requests on a route to a service; the organisation's own one
+    /// goes before the route's.
+    ///
+    /// It is `None` unless the configuration gives different ranks to organisations or to the service's routes.
+    #[must_use]
+    pub fn priority(
+        &self,
+        rule: &RouteRule,
+        service: &ServiceId,
+        organisation: Option<&OrganisationId>,
+    ) -> Option<RequestPriority> {
+        if self.priorities.is_empty() && !self.ranked.contains(service) {
+            return None;
+        }
+        let own = organisation.and_then(|organisation| self.priorities.get(organisation));
+        Some(RequestPriority::from(own.copied().unwrap_or(rule.priority)))
+    }
+
     /// Returns the organisation that owns the API key `key`.
     #[must_use]
     pub fn organisation(&self, key: &str) -> Option<&OrganisationId> {
@@ -110,8 +134,16 @@
         let services: BTreeMap<_, _> =
             draft.services.into_iter().map(|rule| (rule.service.clone(), rule)).collect();
         let mut hosts: HashMap<CompactString, Vec<RouteRule>> = HashMap::new();
+        let mut ranks: BTreeMap<ServiceId, u32> = BTreeMap::new();
+        let mut ranked = BTreeSet::new();
         for rule in draft.routes {
             check_rule(&rule, &services)?;
+            for target in &rule.targets {
+                let first = ranks.entry(target.service.clone()).or_insert(rule.priority);
+                if *first != rule.priority {
+                    ranked.insert(target.service.clone());
+                }
+            }
             hosts.entry(rule.host.clone()).or_default().push(rule);
         }
         for rules in hosts.values_mut() {
@@ -123,7 +155,12 @@
             });
             organisations_by_key.collect()
         });
-        Ok(Self { version: draft.version, hosts, services, limits: draft.limits, keys })
+        let mut all = ranks.values().chain(draft.priorities.values());
+        let first = all.next().copied();
+        let priorities =
+            if all.all(|rank| Some(*rank) == first) { BTreeMap::new() } else { draft.priorities };
+        let (version, limits) = (draft.version, draft.limits);
+        Ok(Self { version, hosts, services, limits, keys, priorities, ranked })
     }
 }
 
--- a/crates/cassiafield-core/tests/route_tables.rs
+++ b/crates/cassiafield-core/tests/route_tables.rs
@@ -49,6 +49,7 @@
         services: services.to_vec(),
         limits: CallerLimits::default(),
         organisations: Some(vec![(organisation, vec!["k1".into(), "k2".into()])]),
+        ..RouteTableDraft::default()
     }
 }
 
--- a/crates/cassiafield-gateway/src/connection/platform_codec.rs
+++ b/crates/cassiafield-gateway/src/connection/platform_codec.rs
@@ -184,6 +184,8 @@
     pub prompt_parts: HeaderName,
     /// The caller's estimate of the number of output tokens.
     pub length_hint: HeaderName,
+    /// The rank that an endpoint serves the request by; 0 is the first.
+    pub request_priority: HeaderName,
     /// Requests a second that an endpoint takes from all hosts together.
     pub request_limit: HeaderName,
     /// Set by an endpoint that is leaving, in all its answers.
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -20,10 +20,12 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | [`admission`] | requests that wait for room, at their host and at the grantor |
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
 //! | [`process`] | one host: state, background tasks, metrics |
 
+pub mod admission;
 pub mod connection;
 pub mod process;
 pub mod request;
--- a/crates/cassiafield-gateway/src/process/configuration_sync.rs
+++ b/crates/cassiafield-gateway/src/process/configuration_sync.rs
@@ -199,47 +199,25 @@
         if let Some((revision, age)) = data.reply.configuration {
             if self.state.has_configuration(data.reply.version, revision) {
                 self.state.confirm_configuration(data.known_at(age));
-                reads.configuration = age > self.max_age_micros();
+                reads.configuration = age > max_age_micros(&self.state);
             } else if self.state.record_revision(revision, format_args!("reply of {address}")) {
                 self.schedule.record_notice();
             }
         }
-        let mut verdict = self.apply_list(&data);
+        let mut verdict = apply_peer_list(&self.state, &data);
         if verdict == Some(ListVerdict::Incomplete) && newest_entry > 0 {
             if data.list_digest.is_some() {
                 LogEvent::ListDiffers.log(format_args!("host at {address}"));
             }
             // The revisions do not tell what this host lacks.
             if let Some(data) = self.state.exchange.query(&self.state, address, 0).await {
-                verdict = self.apply_list(&data);
+                verdict = apply_peer_list(&self.state, &data);
             }
         }
         reads.endpoints = !matches!(verdict, Some(ListVerdict::Applied | ListVerdict::Outdated));
         reads
     }
 
-    /// Applies a peer's list of endpoints; returns `None` if it sent none that is recent enough.
-    fn apply_list(&self, data: &ReceivedReply) -> Option<ListVerdict> {
-        let (changes, age) = data.reply.endpoints.clone()?;
-        if age > self.max_age_micros() {
-            return None;
-        }
-        let known_at = data.known_at(age);
-        let mut endpoint_list = self.state.endpoint_list.borrow_mut();
-        let verdict = endpoint_list.apply(changes, data.list_digest, known_at);
-        if verdict == ListVerdict::Applied {
-            let entries = endpoint_list.entries();
-            drop(endpoint_list);
-            apply_endpoints(&self.state, entries, known_at);
-        }
-        Some(verdict)
-    }
-
-    fn max_age_micros(&self) -> u64 {
-        let max_age = self.state.settings.sync_intervals().max_peer_data_age();
-        u64::try_from(max_age.as_micros()).unwrap_or(u64::MAX)
-    }
-
     /// Reads the configuration from the store and applies it; returns `true` if the store answered.
     async fn read(&mut self, role: ReaderRole) -> bool {
         let requested_at = self.state.now();
@@ -287,3 +265,28 @@
         }
     }
 }
+
+/// Applies a peer's list of endpoints; returns `None` if it sent none that is recent enough.
+pub(super) fn apply_peer_list(
+    state: &Rc<GatewayState>,
+    data: &ReceivedReply,
+) -> Option<ListVerdict> {
+    let (changes, age) = data.reply.endpoints.clone()?;
+    if age > max_age_micros(state) {
+        return None;
+    }
+    let known_at = data.known_at(age);
+    let mut endpoint_list = state.endpoint_list.borrow_mut();
+    let verdict = endpoint_list.apply(changes, data.list_digest, known_at);
+    if verdict == ListVerdict::Applied {
+        let entries = endpoint_list.entries();
+        drop(endpoint_list);
+        apply_endpoints(state, entries, known_at);
+    }
+    Some(verdict)
+}
+
+fn max_age_micros(state: &GatewayState) -> u64 {
+    let max_age = state.settings.sync_intervals().max_peer_data_age();
+    u64::try_from(max_age.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,5 +1,8 @@
 use {
-    crate::process::{metric_builder::MetricBuilder, SenderKind},
+    crate::{
+        admission::AdmissionMetrics,
+        process::{MetricBuilder, SenderKind},
+    },
     cassiafield_core::{
         ids::OrganisationId,
         process::CloseReason,
@@ -65,6 +68,8 @@
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
+    /// Requests that wait for room.
+    pub admission: AdmissionMetrics,
 }
 
 impl GatewayMetrics {
@@ -235,6 +240,7 @@
                 "cassiafield_prompt_parts_blocked_total",
                 "Parts of prompts that were blocked, since endpoints ended under them",
             ),
+            admission: AdmissionMetrics::new(&builder),
             registry: builder.into_registry(),
         }
     }
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -1,17 +1,19 @@
 use {
     crate::{
+        admission::AdmissionDesk,
         connection::{
             BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
         },
         process::{
             dropped_line_count,
+            freshness_sync::FreshnessWatch,
             health_probe::{HealthProbe, PathFailure},
             in_flight_request::DispatchedRequest,
             reach_tracking::ReachChecks,
             retry_broker::RetryBroker,
             state_exchange::StateExchange,
-            AdmissionQueue, BootClock, GatewayMetrics, GatewaySettings, GaugeValues,
-            InFlightRequest, ReservedLoad, SendTurn, SenderKind,
+            BootClock, GatewayMetrics, GatewaySettings, GaugeValues, InFlightRequest, ReservedLoad,
+            SendTurn, SenderKind,
         },
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
@@ -29,7 +31,7 @@
     std::{
         cell::{Cell, RefCell},
         fmt,
-        net::SocketAddrV4,
+        net::{SocketAddr, SocketAddrV4},
         rc::Rc,
         time::Duration,
     },
@@ -71,8 +73,8 @@
     pub organisations: RefCell<OrganisationLoad>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    /// Streams that wait for memory at model endpoints.
-    pub admission_queue: AdmissionQueue,
+    /// Requests that wait for memory at model endpoints.
+    pub admission: AdmissionDesk,
     pub(super) in_flight: Cell<u32>,
     /// Requests in flight that other hosts have handed over.
     pub(super) carried: Cell<u32>,
@@ -86,9 +88,10 @@
     pub(super) probe: HealthProbe,
     /// Wakes the peer link when an endpoint was found unresponsive, or a zone's leader has a newer
     /// configuration.
-    pub(super) urgent_message: Notify,
+    pub(crate) urgent_message: Notify,
     /// Wakes the engine monitor when a peer found an endpoint unresponsive.
     pub(super) poll_requested: Notify,
+    pub(super) freshness: FreshnessWatch,
     clock: BootClock,
     table: RefCell<Option<Rc<RouteTable>>>,
     configuration_age: Cell<DataAge>,
@@ -119,6 +122,11 @@
     /// The load balancer checks readiness once a second and needs two failed checks.
     pub const DRAIN_PERIOD: Duration = Duration::from_millis(2_400);
 
+    /// Fraction of the request memory of other zones' endpoints that new streams may fill.
+    ///
+    /// The rest is for requests of the other zone's own callers.
+    const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
+
     /// Time before the platform's stop limit at which no request may be in flight any more.
     const STOP_RESERVE: Duration = Duration::from_millis(750);
 
@@ -144,7 +152,7 @@
             suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
             metrics: GatewayMetrics::new(),
-            admission_queue: AdmissionQueue::default(),
+            admission: AdmissionDesk::default(),
             in_flight: Cell::new(0),
             carried: Cell::new(0),
             live_hosts: Cell::new(1),
@@ -156,6 +164,7 @@
             probe: HealthProbe::default(),
             urgent_message: Notify::new(),
             poll_requested: Notify::new(),
+            freshness: FreshnessWatch::default(),
             clock: BootClock,
             table: RefCell::default(),
             configuration_age: Cell::default(),
@@ -264,8 +273,14 @@
     /// Records that the current configuration was confirmed by a request sent at `requested_at`.
     pub fn confirm_configuration(&self, requested_at: Moment) {
         let mut age = self.configuration_age.get();
+        let max_age = self.settings.sync_intervals().max_peer_data_age();
+        let was_recent = age.is_within(max_age, self.now());
         age.renew(requested_at);
         self.configuration_age.set(age);
+        // The hosts of the zone, and the leaders of the others, wait for it.
+        if !was_recent && age.is_within(max_age, self.now()) && self.is_zone_leader() {
+            self.urgent_message.notify_one();
+        }
     }
 
     /// Returns the store's revision of the configuration; 0 without one.
@@ -618,6 +633,25 @@
         self.zone_leader() == self.settings.host
     }
 
+    /// Returns the number of listed hosts of the availability zone, this one included.
+    pub(crate) fn zone_hosts(&self) -> usize {
+        self.exchange.peer_count() + 1
+    }
+
+    /// Returns the address of a listed host of the availability zone.
+    pub(crate) fn peer_address(&self, host: &HostId) -> Option<SocketAddr> {
+        self.exchange.peer_address(host)
+    }
+
+    /// Returns the fractions of the request memory that a new stream of an organisation may fill in the own
+    /// zone and in other zones.
+    pub(crate) fn memory_fractions(&self, organisation: Option<&OrganisationId>) -> (f64, f64) {
+        let max = OrganisationLoad::MAX_MEMORY_FRACTION;
+        let load = self.organisations.borrow();
+        let own = organisation.map_or(max, |found| load.memory_fraction(found, self.now()));
+        (own, Self::FOREIGN_MEMORY_FRACTION)
+    }
+
     /// Returns a random live peer in the availability zone.
     #[must_use]
     pub fn random_peer(&self) -> Option<HostId> {
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -80,11 +80,10 @@
     /// Releases the reservation.
     pub fn release(&mut self) {
         if let Some(reservation) = self.reservation.take() {
-            self.state.load.borrow_mut().release(reservation);
             if let Some(organisation) = &self.organisation {
                 self.state.organisations.borrow_mut().release(organisation, self.tokens);
             }
-            self.state.admission_queue.record_stream_end(self.state.now());
+            self.state.admission.record_stream_end(reservation, self.tokens, &self.state);
         }
     }
 }
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -1,12 +1,12 @@
 //! State, background tasks and metrics of one host's process.
 
-mod admission_queue;
 mod boot_clock;
 mod configuration_sync;
 mod crash_tracking;
 mod endpoint_exchange;
 mod endpoint_sync;
 mod engine_monitor;
+mod freshness_sync;
 mod gateway_metrics;
 mod gateway_server;
 mod gateway_settings;
@@ -31,7 +31,6 @@
 mod verdict_keeper;
 
 pub use self::{
-    admission_queue::AdmissionQueue,
     boot_clock::BootClock,
     endpoint_exchange::EndpointExchange,
     engine_monitor::EngineMonitor,
@@ -50,3 +49,8 @@
     sender_kind::SenderKind,
     store_sync::StoreSync,
 };
+pub(crate) use self::{
+    metric_builder::MetricBuilder,
+    peer_extension::{encode_extended, PeerExtension},
+    peer_link::PeerMessage,
+};
--- a/crates/cassiafield-gateway/src/process/peer_extension.rs
+++ b/crates/cassiafield-gateway/src/process/peer_extension.rs
@@ -1,7 +1,10 @@
 use {
-    crate::process::peer_link::PeerMessage,
+    crate::{admission::GrantorReply, process::peer_link::PeerMessage},
     cassiafield::process::LogEvent,
-    cassiafield_core::process::ListDigest,
+    cassiafield_core::{
+        admission::{AdmissionNews, AdmissionReport},
+        process::ListDigest,
+    },
     rmp_serde::{decode::Error, Deserializer},
     serde::{Deserialize as _, Serialize as _},
 };
@@ -10,18 +13,30 @@
 ///
 /// Releases that do not know of them read the message and ignore the rest of the datagram; a field added
 /// to a message itself would make them refuse it. Fields are encoded by name, and unknown ones are ignored.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct PeerExtension {
     /// Digest of the sender's list of endpoints.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) list_digest: Option<ListDigest>,
+    pub(crate) list_digest: Option<ListDigest>,
+    /// What the sender tells all hosts of its zone of requests that wait.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) news: Option<AdmissionNews>,
+    /// The sender's requests that wait for grants of the receiver.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) admission: Option<AdmissionReport>,
+    /// Decisions of the sender on requests of the receiver.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) admission_reply: Option<GrantorReply>,
+    /// Age of the sender's configuration, in milliseconds, if it is recent enough for other hosts.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) configuration_age_ms: Option<u32>,
 }
 
 impl PeerExtension {
     /// Encodes a message and the fields that follow it, or logs why it cannot.
-    pub(super) fn encode(self, message: &PeerMessage) -> Option<Vec<u8>> {
+    pub(super) fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
         let mut bytes = encode_message(message)?;
         let mut serializer = rmp_serde::Serializer::new(&mut bytes).with_struct_map();
         match self.serialize(&mut serializer) {
@@ -52,6 +67,11 @@
     }
 }
 
+/// Encodes a message and the fields that follow it, or logs why it cannot.
+pub(crate) fn encode_extended(extension: &PeerExtension, message: &PeerMessage) -> Option<Vec<u8>> {
+    extension.encode(message)
+}
+
 /// Encodes a message, or logs why it cannot.
 pub(super) fn encode_message(message: &PeerMessage) -> Option<Vec<u8>> {
     let encoded = rmp_serde::to_vec(message);
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        admission::AdmissionExchange,
         connection::{StoreCall, StoreClient, StoreResponse},
         process::{
             peer_extension::{encode_message, PeerExtension},
@@ -294,7 +295,8 @@
             }
         };
         self.state.exchange.attach_socket(Rc::clone(&socket));
-        tokio::join!(self.send_messages(&socket), self.receive_messages(&socket));
+        let admission = AdmissionExchange::new(&self.state, &self, &socket);
+        tokio::join!(self.send_messages(&socket), self.receive_messages(&socket), admission.run());
     }
 
     async fn send_messages(&self, socket: &UdpSocket) {
@@ -327,33 +329,13 @@
             } else {
                 Readings::new()
             };
-            let used = self.state.load.borrow().own_usage().clone();
-            let host = self.state.settings.host.clone();
-            let failures = self.failure_reports(None);
             self.state.retries.set_leader(is_zone_leader, now);
             self.state.refresh_turns(is_zone_leader);
-            let requests = self.state.retries.request_counts(now);
-            let grants = self.state.retries.grant_records(now);
-            let readings_copy = readings.clone();
-            let crashes = self.state.crashes.borrow().report(now);
-            let limits = self.state.directory.borrow().limit_reports(is_zone_leader, now);
-            let message = PeerMessage::Host {
-                host,
-                used,
-                readings: readings_copy,
-                failures,
-                requests,
-                grants,
-                links: self.state.load.borrow_mut().links.own_usage(now),
-                organisations: self.state.organisations.borrow().own_usage().clone(),
-                is_stopping: self.state.is_stopping(),
-                configuration_revision,
-                crashes: crashes.clone(),
-                limits: limits.clone(),
-                carrier_status: self.state.carrier_status(),
-            };
+            let message = self.host_message_with(readings.clone());
+            let news = Some(self.state.admission.refresh(&self.state));
+            let extension = PeerExtension { news, ..self.extension() };
             let peers = self.state.exchange.peer_addresses();
-            send_to_all(socket, &message, &peers).await;
+            send_extended(socket, &extension, &message, &peers).await;
             if is_zone_leader && is_due {
                 let used = self.state.load.borrow().zone_usage(now);
                 let zone = self.state.settings.zone.clone();
@@ -366,17 +348,72 @@
                     failures,
                     links,
                     configuration_revision,
-                    crashes,
-                    limits,
+                    crashes: self.state.crashes.borrow().report(now),
+                    limits: self.state.directory.borrow().limit_reports(is_zone_leader, now),
                     hosts: self.state.live_members(),
                     unfit_carriers: self.unfit_carriers(),
                 };
                 let other_zone_hosts = self.other_zone_hosts.borrow().clone();
-                send_to_all(socket, &message, &other_zone_hosts).await;
+                send_extended(socket, &self.extension(), &message, &other_zone_hosts).await;
             }
         }
     }
 
+    /// Returns the fields that follow messages to all hosts.
+    pub(crate) fn extension(&self) -> PeerExtension {
+        let max_age = self.state.settings.sync_intervals().max_peer_data_age();
+        let age = self.state.configuration_age().filter(|age| *age <= max_age);
+        let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        PeerExtension { configuration_age_ms: age_ms, ..PeerExtension::default() }
+    }
+
+    /// Returns a message on this host's load, without readings of endpoints.
+    pub(crate) fn host_message(&self) -> PeerMessage {
+        self.host_message_with(Readings::new())
+    }
+
+    fn host_message_with(&self, readings: Readings) -> PeerMessage {
+        let state = &self.state;
+        let (now, is_zone_leader) = (state.now(), state.is_zone_leader());
+        PeerMessage::Host {
+            host: state.settings.host.clone(),
+            used: state.load.borrow().own_usage().clone(),
+            readings,
+            failures: self.failure_reports(None),
+            requests: state.retries.request_counts(now),
+            grants: state.retries.grant_records(now),
+            links: state.load.borrow_mut().links.own_usage(now),
+            organisations: state.organisations.borrow().own_usage().clone(),
+            is_stopping: state.is_stopping(),
+            configuration_revision: state.configuration_revision(),
+            crashes: state.crashes.borrow().report(now),
+            limits: state.directory.borrow().limit_reports(is_zone_leader, now),
+            carrier_status: state.carrier_status(),
+        }
+    }
+
+    /// Applies the fields that follow a message.
+    ///
+    /// Returns `false` if the usage in the message no longer holds.
+    fn apply_extension(
+        &self,
+        message: &PeerMessage,
+        extension: &PeerExtension,
+        from: SocketAddr,
+    ) -> bool {
+        let (state, now) = (&self.state, self.state.now());
+        let is_own_zone = matches!(message, PeerMessage::Host { .. });
+        if extension.configuration_age_ms.is_some() {
+            state.record_fresh_peer(from, is_own_zone);
+        }
+        match message {
+            PeerMessage::Host { host, .. } => {
+                state.admission.record_news(host, extension.news.as_ref(), now)
+            }
+            _ => true,
+        }
+    }
+
     /// Returns the recent failures of endpoints, of one zone or of all.
     fn failure_reports(&self, zone: Option<&ZoneId>) -> FailureReports {
         let directory = self.state.directory.borrow();
@@ -443,7 +480,14 @@
                         let since = self.state.now().earlier_by(age);
                         self.answer_reach_query(socket, (nonce, service), since, from);
                     }
-                    Ok((message, _)) => {
+                    Ok((
+                        PeerMessage::ReachReply { .. },
+                        PeerExtension { admission_reply: Some(reply), .. },
+                    )) => {
+                        self.state.admission.apply_reply(&reply, self.state.now());
+                    }
+                    Ok((message, extension)) => {
+                        let is_current = self.apply_extension(&message, &extension, from);
                         match &message {
                             PeerMessage::Host { host, .. } => {
                                 let is_new = self.state.exchange.add_peer(host, from);
@@ -456,7 +500,14 @@
                             }
                             _ => {}
                         }
-                        self.apply_message(message, from);
+                        let host = match &message {
+                            PeerMessage::Host { host, .. } => Some(host.clone()),
+                            _ => None,
+                        };
+                        self.apply_message(message, is_current, from);
+                        if let Some((host, report)) = host.zip(extension.admission) {
+                            self.state.admission.record_report(&host, report, &self.state);
+                        }
                     }
                     Err(error) => LogEvent::PeerRefused.log(format_args!("from {from}: {error}")),
                 },
@@ -479,7 +530,7 @@
         }
     }
 
-    fn apply_message(&self, message: PeerMessage, from: SocketAddr) {
+    fn apply_message(&self, message: PeerMessage, is_current: bool, from: SocketAddr) {
         let now = self.state.now();
         let mut load = self.state.load.borrow_mut();
         let (readings, failures, revision, crashes, limits) = match message {
@@ -505,7 +556,9 @@
                 organisation_load.record_peer(host.clone(), organisations, now);
                 load.links.record_peer(host.clone(), links, now);
                 self.state.retries.record_peer(host.clone(), requests, grants, now);
-                load.record_peer_usage(host, used, now);
+                if is_current {
+                    load.record_peer_usage(host, used, now);
+                }
                 (readings, failures, configuration_revision, crashes, limits)
             }
             PeerMessage::Zone {
@@ -575,6 +628,20 @@
     }
 }
 
+async fn send_extended(
+    socket: &UdpSocket,
+    extension: &PeerExtension,
+    message: &PeerMessage,
+    addresses: &[SocketAddr],
+) {
+    if addresses.is_empty() {
+        return;
+    }
+    if let Some(bytes) = extension.encode(message) {
+        send_bytes(socket, &bytes, addresses).await;
+    }
+}
+
 async fn send_bytes(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
     for address in addresses {
         if let Err(error) = socket.send_to(bytes, address).await {
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -115,6 +115,10 @@
         self.peers.borrow().values().copied().collect()
     }
 
+    pub(super) fn peer_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     pub(super) fn peer_address(&self, peer: &HostId) -> Option<SocketAddr> {
         self.peers.borrow().get(peer).copied()
     }
@@ -301,7 +305,8 @@
         let age = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         let endpoint_list = state.endpoint_list.borrow();
         let changes = endpoint_list.changes_since(query.newest_entry);
-        let extension = PeerExtension { list_digest: Some(endpoint_list.digest()) };
+        let list_digest = Some(endpoint_list.digest());
+        let extension = PeerExtension { list_digest, ..PeerExtension::default() };
         let configuration =
             state.configuration_age().map(|found| (state.configuration_revision(), age(found)));
         let endpoints = state.endpoints_age().map(|found| (changes, age(found)));
--- a/crates/cassiafield-gateway/src/process/store_sync.rs
+++ b/crates/cassiafield-gateway/src/process/store_sync.rs
@@ -4,6 +4,7 @@
         process::{
             configuration_sync::ConfigurationSync,
             endpoint_sync::{EndpointRequests, EndpointSync},
+            freshness_sync::FreshnessSync,
             GatewayState,
         },
     },
@@ -21,6 +22,7 @@
 pub struct StoreSync {
     configuration: ConfigurationSync,
     endpoints: EndpointSync,
+    freshness: FreshnessSync,
 }
 
 impl StoreSync {
@@ -38,7 +40,9 @@
         let (configuration, endpoints) = (reader("configuration"), reader("endpoints"));
         let schedule = ReadSchedule::new(state.settings.sync_intervals());
         let requests = Rc::new(EndpointRequests::new(schedule));
+        let freshness = FreshnessSync::new(Rc::clone(&state));
         Self {
+            freshness,
             configuration: ConfigurationSync::new(
                 Rc::clone(&state),
                 configuration,
@@ -50,6 +54,6 @@
 
     /// Synchronises periodically; never returns.
     pub async fn run(self) {
-        tokio::join!(self.configuration.run(), self.endpoints.run());
+        tokio::join!(self.configuration.run(), self.endpoints.run(), self.freshness.run());
     }
 }
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -12,6 +12,7 @@
     bytes::Bytes,
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
+        admission::RequestPriority,
         ids::EndpointId,
         process::EndpointLife,
         request::{CarryNote, RefusalCause, RequestIdentity, RequestVerdict},
@@ -28,6 +29,8 @@
     pub(super) rule: RouteRule,
     pub(super) service: ServiceRule,
     pub(super) request: CallerRequest,
+    /// The request's rank among those that wait.
+    pub(super) priority: RequestPriority,
     /// Counts the request as in flight.
     pub(super) in_flight: InFlightRequest,
     /// What the request has in common with others.
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -46,7 +46,9 @@
 pub(super) struct CarriedMark;
 
 impl HostService {
-    /// Retry delay advised to callers while the host cannot serve them.
+    /// Part of its deadline that a caller waits at most before it returns, in percent.
+    const MAX_RETRY_DELAY_PERCENT: u32 = 30;
+    /// Retry delay advised to hosts that hand over a request which this one cannot carry.
     const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
     /// Creates the service on a host's state.
@@ -255,12 +257,17 @@
     }
 
     async fn dispatch(&self, parts: &Parts, admitted: AdmittedRequest) -> Response<ResponseBody> {
-        let AdmittedRequest { table, rule, request, note } = admitted;
+        let AdmittedRequest { table, rule, mut request, note } = admitted;
         let draw = fastrand::u64(..);
         let Some(service) = rule.target(draw).and_then(|service| table.service(service)) else {
             return self.refuse(parts, RefusalCause::NoEndpoint);
         };
         let service = service.clone();
+        let priority = table.priority(&rule, &service.service, request.organisation.as_ref());
+        if let Some(priority) = priority {
+            let name = self.state.codec.header_names().request_priority.clone();
+            request.headers.insert(name, header::HeaderValue::from(u32::from(priority)));
+        }
         let (organisation, kind) = (request.organisation.clone(), rule.kind);
         let received_at = request.received_at;
         let is_stream = service.engine.is_some() && kind.is_stream();
@@ -276,6 +283,7 @@
             rule,
             service,
             request,
+            priority: priority.unwrap_or_default(),
             in_flight,
             identity,
             note,
@@ -296,20 +304,37 @@
         response
     }
 
+    /// Returns when a caller should return that this host can't serve yet, within its deadline.
+    fn recovery_delay(&self, parts: &Parts) -> Duration {
+        let state = &self.state;
+        let delay = state.admission.next_recovery(state.has_ready_peers(), state.now());
+        let names = state.codec.header_names();
+        let deadline = parts.headers.get(&names.deadline).and_then(|value| value.to_str().ok());
+        let deadline = deadline.and_then(|value| value.trim().parse().ok());
+        let max_delay = deadline.map_or(Duration::MAX, |millis| {
+            Duration::from_millis(millis) / 100 * Self::MAX_RETRY_DELAY_PERCENT
+        });
+        delay.min(max_delay)
+    }
+
     fn refuse(&self, parts: &Parts, cause: RefusalCause) -> Response<ResponseBody> {
         let names = self.state.codec.header_names();
         let id = parts.headers.get(&names.request_id).and_then(|value| value.to_str().ok());
         self.state.metrics.count_refusal(cause);
-        RequestDecision::new(LogEvent::RequestRefused, id.unwrap_or("-"), self.state.snapshot())
-            .cause(cause)
-            .verdict(RequestVerdict::NotRun)
-            .log(format_args!("path {}", parts.uri.path()));
         let retry_after = match cause {
             RefusalCause::NotReady | RefusalCause::StoreUnavailable | RefusalCause::NoEndpoint => {
-                Some(Self::NOT_READY_RETRY_AFTER)
+                Some(self.recovery_delay(parts))
             }
             _ => None,
         };
+        RequestDecision::new(LogEvent::RequestRefused, id.unwrap_or("-"), self.state.snapshot())
+            .cause(cause)
+            .verdict(RequestVerdict::NotRun)
+            .log(format_args!(
+                "path {}, return after {} ms",
+                parts.uri.path(),
+                retry_after.unwrap_or_default().as_millis()
+            ));
         refusal_response(cause, retry_after)
     }
 }
--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -11,9 +11,11 @@
 mod refusal_response;
 mod response_body;
 mod retry_grant;
+mod stream_admission;
 mod stream_call;
 mod stream_failures;
 mod stream_path;
+mod stream_refusal;
 mod stream_relay;
 mod stream_source;
 
--- /dev/null
+++ b/crates/cassiafield-gateway/src/request/stream_admission.rs
@@ -0,0 +1,90 @@
+//! Planning of new streams in the order of all requests that wait.
+
+use {
+    crate::request::{
+        stream_call::{AttemptError, StreamCall},
+        stream_path::QueueWait,
+    },
+    cassiafield::process::LogEvent,
+    cassiafield_core::{
+        admission::{AdmissionTicket, WaitVerdict, WaitingRequest},
+        process::PlannedPath,
+        request::RefusalCause,
+    },
+    std::time::Duration,
+};
+
+impl StreamCall {
+    /// Number of grants whose room this host does not see until a request is refused: the host's view or the
+    /// request differs from what the grantor knows.
+    const MAX_FAILED_GRANTS: u32 = 3;
+
+    /// Returns `true` if the request waits in the order of all: nothing of it has been sent or failed yet.
+    pub(super) fn may_queue(&self) -> bool {
+        self.sends == 0 && self.context.note.is_none() && self.excluded.is_empty()
+    }
+
+    /// Plans a path for a new request, which waits for up to `max_wait` behind those that wait already.
+    pub(super) async fn plan_in_order(
+        &self,
+        wait: QueueWait,
+        max_wait: Duration,
+    ) -> Result<PlannedPath, AttemptError> {
+        let (state, service) = (&self.context.state, &self.context.service.service);
+        let overloaded = || Err(AttemptError::NoPath(RefusalCause::Overloaded));
+        let is_short = state.admission.must_wait(service, state.now());
+        if !is_short || max_wait.is_zero() {
+            let planned = self.plan(wait);
+            let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
+            let pauses_on =
+                self.pause_end().is_some_and(|until| until.since(state.now()) > max_wait);
+            if !is_full || max_wait.is_zero() || pauses_on || state.is_out_of_reach(service) {
+                return planned;
+            }
+        }
+        let Some(place) = state.admission.enter(self.waiting_request(), max_wait, state) else {
+            return overloaded();
+        };
+        let mut failed_grants = 0;
+        let planned = loop {
+            let verdict = place.next().await;
+            if let WaitVerdict::Refuse { return_in } = verdict {
+                self.return_in.set(return_in);
+                // What the log says of the endpoints.
+                drop(self.plan(wait));
+                break overloaded();
+            }
+            let planned = self.plan(wait);
+            let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
+            failed_grants += u32::from(is_full && verdict == WaitVerdict::UseGrant);
+            let is_lost = state.is_out_of_reach(service);
+            if !is_full || is_lost || failed_grants >= Self::MAX_FAILED_GRANTS {
+                break planned;
+            }
+            place.wait_again(verdict).await;
+        };
+        let summary = place.close(planned.is_ok());
+        let decision = self.context.decision(LogEvent::AdmissionWaited);
+        let outcome = if planned.is_ok() { "admitted" } else { "refused" };
+        decision.log(format_args!(
+            "{outcome}: {summary}, rank {}, tokens {}+{}, {:.1} times the equal share in use",
+            self.context.priority,
+            self.prompt_tokens,
+            self.output_tokens,
+            self.organisation_excess()
+        ));
+        planned
+    }
+
+    fn waiting_request(&self) -> WaitingRequest {
+        WaitingRequest {
+            ticket: AdmissionTicket::ZERO,
+            service: self.context.service.service.clone(),
+            organisation: self.context.request.organisation.clone(),
+            priority: self.context.priority,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            wait_left_ms: 0,
+        }
+    }
+}
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -54,11 +54,6 @@
     const MAX_ANNOUNCED: usize = Self::MAX_SENDS as usize;
     /// Maximum number of endpoints that are asked for a turn.
     const MAX_TURN_REQUESTS: u32 = 8;
-    /// Fraction of the request memory of other zones' endpoints that new streams may fill.
-    ///
-    /// The rest is for requests of the other zone's own callers.
-    const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
-
     /// Plans a path; waits for memory as `wait` allows if the endpoints are full, unless this host loses its
     /// way to them.
     pub(super) async fn plan_with_wait(
@@ -67,6 +62,9 @@
     ) -> Result<PlannedPath, AttemptError> {
         let started_at = self.context.state.now();
         let max_wait = wait.duration().min(self.context.remaining_time());
+        if matches!(wait, QueueWait::First(_)) && self.may_queue() {
+            return self.plan_in_order(wait, max_wait).await;
+        }
         let mut has_waited = false;
         loop {
             let planned = self.plan(wait);
@@ -86,12 +84,12 @@
             if is_first && self.pause_end().is_some_and(|until| until.since(now) > left) {
                 return planned;
             }
-            let queue = &self.context.state.admission_queue;
+            let queue = &self.context.state.admission;
             if is_first && !has_waited && !queue.has_capacity(left, now) {
                 return planned;
             }
             has_waited = true;
-            self.context.state.admission_queue.wait().await;
+            queue.wait_for_room().await;
         }
     }
 
@@ -183,7 +181,7 @@
     }
 
     /// Returns when the pauses end that left the last planning without a path, if any did.
-    fn pause_end(&self) -> Option<Moment> {
+    pub(super) fn pause_end(&self) -> Option<Moment> {
         match self.bottleneck.get() {
             Some(PathError::Unavailable { until }) => Some(until),
             _ => None,
@@ -193,7 +191,7 @@
     /// Plans a path.
     ///
     /// It may use the memory of the path that it replaces.
-    fn plan(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
+    pub(super) fn plan(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
         match self.replaced.borrow_mut().as_mut() {
             Some(replaced) => replaced.without(|| self.plan_with_free_memory(wait)),
             None => self.plan_with_free_memory(wait),
@@ -281,11 +279,7 @@
         if matches!(wait, QueueWait::Resume(_)) {
             return (max, max);
         }
-        let state = &self.context.state;
-        let organisation = self.context.request.organisation.as_ref();
-        let load = state.organisations.borrow();
-        let own = organisation.map_or(max, |found| load.memory_fraction(found, state.now()));
-        (own, Self::FOREIGN_MEMORY_FRACTION)
+        self.context.state.memory_fractions(self.context.request.organisation.as_ref())
     }
 
     /// Returns the memory that the request's organisation uses, relative to an equal share.
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -102,6 +102,11 @@
     1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
     1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
     1411 CarryFailed Info "A host did not carry a request of another one.";
+    1420 AdmissionWaited Info "A request waited for room, or was refused since it would have waited too long.";
+    1421 GrantorSilent Warning "The host that grants room does not answer; this host gives away what its own streams leave.";
+    1422 GrantorBack Info "The host that grants room answers again.";
+    1423 AdmissionDecided Info "This host, as the grantor of its zone, decided on a waiting request.";
+    1424 FreshnessHeard Info "Another host has recent data while this one has not, and is asked at once.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
