--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -22,10 +22,14 @@
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
 //! | [`recovery`] | replacement of failed parts of streams' paths, within their objectives |
+//! | [`admission`] | who gets room first while it does not suffice |
+//! | [`returns`] | when refused callers return |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
+pub mod admission;
 pub mod ids;
 pub mod process;
 pub mod recovery;
 pub mod request;
+pub mod returns;
 pub mod version;
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -20,11 +20,13 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | [`admission`] | requests that wait for room, at their host and at the grantor |
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
 //! | [`process`] | one host: state, background tasks, metrics |
 //! | [`recovery`] | doubts about streams' paths, and orders that replace a part of them |
 
+pub mod admission;
 pub mod connection;
 pub mod process;
 pub mod recovery;
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
-        process::{metric_builder::MetricBuilder, SenderKind},
+        admission::AdmissionMetrics,
+        process::{MetricBuilder, SenderKind},
         recovery::RecoveryMetrics,
     },
     cassiafield_core::{
@@ -70,6 +71,8 @@
     blocked_parts: IntCounter,
     /// Of the recovery of streams.
     pub recovery: RecoveryMetrics,
+    /// Requests that wait for room.
+    pub admission: AdmissionMetrics,
 }
 
 impl GatewayMetrics {
@@ -264,6 +267,7 @@
                     &Self::BUCKETS_SECONDS,
                 ),
             },
+            admission: AdmissionMetrics::new(&builder),
             registry: builder.into_registry(),
         }
     }
