--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -21,8 +21,10 @@
 //! | [`request`] | routes, token frames, verdicts, claims and stream recovery of a request |
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
+//! | [`connections`] | which connections to endpoints a host keeps |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
+pub mod connections;
 pub mod ids;
 pub mod process;
 pub mod request;
--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -1,9 +1,12 @@
 use {
     crate::connection::{ConnectionError, HttpConnection},
-    cassiafield_core::ids::Moment,
+    cassiafield_core::{
+        connections::{ConnectionCounts, IdleOutcome},
+        ids::Moment,
+    },
     http::{header, HeaderMap},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::HashMap,
         hash::{DefaultHasher, Hash as _, Hasher as _},
         net::SocketAddrV4,
@@ -73,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>,
+    counts: Cell<ConnectionCounts>,
 }
 
 impl ConnectionPool {
@@ -139,8 +143,7 @@
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections
-            .retain(|idle| idle.http.is_ready() && now.since(idle.since) < idle.idle_timeout);
+        self.drop_unusable(connections, now);
         let may_carry = |idle: &IdleConnection| !idle.refused.contains(need.request_id);
         let index = connections.iter().rposition(may_carry)?;
         let newest = connections.get(index)?;
@@ -165,12 +168,37 @@
     /// Drops connections that are closed or have exceeded their idle timeout.
     pub fn evict_expired(&self, now: Moment) {
         self.idle.borrow_mut().retain(|_, connections| {
-            connections
-                .retain(|idle| idle.http.is_ready() && now.since(idle.since) < idle.idle_timeout);
+            self.drop_unusable(connections, now);
             !connections.is_empty()
         });
     }
 
+    fn drop_unusable(&self, connections: &mut Vec<IdleConnection>, now: Moment) {
+        connections.retain(|idle| {
+            let outcome = if !idle.http.is_ready() {
+                IdleOutcome::Closed
+            } else if now.since(idle.since) >= idle.idle_timeout {
+                IdleOutcome::Expired
+            } else {
+                return true;
+            };
+            self.update_counts(|counts| counts.record_idle_end(outcome));
+            false
+        });
+    }
+
+    /// Changes the counts of connections.
+    pub fn update_counts(&self, change: impl FnOnce(&mut ConnectionCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Returns the counts of connections since the last call.
+    pub fn take_counts(&self) -> ConnectionCounts {
+        self.counts.take()
+    }
+
     /// Drops all idle connections to an address.
     pub fn remove(&self, address: SocketAddrV4) {
         self.idle.borrow_mut().remove(&address);
@@ -218,6 +246,8 @@
         if connections.len() < max_idle {
             let Self { http, idle_timeout, refused, .. } = self;
             connections.push(IdleConnection { http, since: now, idle_timeout, refused });
+        } else {
+            pool.update_counts(|counts| counts.record_idle_end(IdleOutcome::Evicted));
         }
     }
 }
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -6,7 +6,7 @@
             GatewayState, SenderKind,
         },
     },
-    cassiafield_core::ids::EndpointId,
+    cassiafield_core::{connections::ConnectionPurpose, ids::EndpointId},
     std::{collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         task::JoinSet,
@@ -86,7 +86,8 @@
         return (endpoint, connection);
     }
     state.metrics.count_probe();
-    let request = fetch_report(&state, &endpoint, address, &mut connection);
+    let purpose = ConnectionPurpose::Poll;
+    let request = fetch_report(&state, &endpoint, address, &mut connection, purpose);
     let now = state.now();
     if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
         state.load.borrow_mut().record_reading(endpoint.clone(), report.reading, now);
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,7 @@
 use {
     crate::process::{metric_builder::MetricBuilder, SenderKind},
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::OrganisationId,
         process::CloseReason,
         request::{GiveUpReason, RefusalCause},
@@ -65,6 +66,7 @@
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
+    opened_connections: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -235,6 +237,11 @@
                 "cassiafield_prompt_parts_blocked_total",
                 "Parts of prompts that were blocked, since endpoints ended under them",
             ),
+            opened_connections: builder.counters(
+                "cassiafield_connections_opened_total",
+                "Connections opened to endpoints, by what they were opened for",
+                &["purpose"],
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -325,6 +332,11 @@
         self.connections.inc();
     }
 
+    /// Counts a connection opened to an endpoint for a purpose.
+    pub fn count_opened(&self, purpose: ConnectionPurpose) {
+        self.opened_connections.with_label_values(&[purpose.name()]).inc();
+    }
+
     /// Counts a caller's connection that the host closed, and the request that this cut, if any.
     pub fn count_close(&self, reason: CloseReason, is_request_cut: bool) {
         self.closed_connections.with_label_values(&[reason.name()]).inc();
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -145,6 +145,7 @@
         spawn_local(EngineMonitor::new(Rc::clone(state)).run());
         spawn_local(HealthProbe::run_trials(Rc::clone(state)));
         spawn_local(Rc::clone(state).run_reach_trials());
+        spawn_local(Rc::clone(state).run_connection_reports());
         spawn_local(VerdictKeeper::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
@@ -241,6 +242,7 @@
             sleep(GatewayServer::STOP_CHECK_INTERVAL).await;
         }
         self.log_requests("exit");
+        state.log_connections();
         // From here on no request is accepted, so no connection gets busy for long.
         state.begin_exit();
         self.connections.begin_exit();
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -5,6 +5,7 @@
     },
     bytes::Bytes,
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::{EndpointId, Moment},
         request::RouteStage,
     },
@@ -155,9 +156,9 @@
         set_outcome(ProbeOutcome::Running);
         state.metrics.count_probe();
         let mut connection = None;
-        let result =
-            timeout(Self::PROBE_TIMEOUT, fetch_report(state, endpoint, address, &mut connection))
-                .await;
+        let purpose = ConnectionPurpose::Probe;
+        let request = fetch_report(state, endpoint, address, &mut connection, purpose);
+        let result = timeout(Self::PROBE_TIMEOUT, request).await;
         // An endpoint that refuses its report and asks for a pause has responded.
         let is_responsive = matches!(result, Ok(Ok(_))) || state.is_paused(endpoint);
         if is_responsive {
@@ -213,11 +214,15 @@
     endpoint: &EndpointId,
     address: SocketAddrV4,
     connection: &mut Option<HttpConnection>,
+    purpose: ConnectionPurpose,
 ) -> anyhow::Result<EndpointReport> {
-    let open = match connection.take() {
-        Some(open) if open.is_ready() => open,
-        _ => HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await?,
+    let kept = connection.take().filter(HttpConnection::is_ready);
+    let is_reused = kept.is_some();
+    let open = match kept {
+        Some(open) => open,
+        None => HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await?,
     };
+    state.record_connection_use(purpose, is_reused);
     let wire = state.codec.report_request();
     let request = Request::builder()
         .method(wire.method)
--- a/crates/cassiafield-gateway/src/process/layer_placer.rs
+++ b/crates/cassiafield-gateway/src/process/layer_placer.rs
@@ -9,6 +9,7 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::{EndpointId, Moment},
         process::{
             EndpointEntry, EndpointIncarnation, LayerAssignment, LayerPlacement, PlacementCandidate,
@@ -301,6 +302,7 @@
         span: LayerSpan,
     ) -> Result<StatusCode, ConnectionError> {
         let connection = HttpConnection::connect(entry.address, Self::ORDER_TIMEOUT).await?;
+        self.state.record_connection_use(ConnectionPurpose::Order, false);
         let (orders, connection) = self.current_orders(connection, entry).await?;
         self.begin_send(entry)?;
         let wire = self.state.codec.placement_order(span, orders);
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod admission_queue;
 mod boot_clock;
 mod configuration_sync;
+mod connection_tracking;
 mod crash_tracking;
 mod endpoint_exchange;
 mod endpoint_sync;
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -7,6 +7,7 @@
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::{EndpointId, HostId, Moment, ServiceId},
         process::{CarrierStatus, EndpointEntry, ReachPoll},
     },
@@ -181,6 +182,7 @@
         let started_at = self.now();
         let connection = self.pool.open(address, HealthProbe::PROBE_TIMEOUT).await?;
         self.metrics.count_connection();
+        self.record_connection_use(ConnectionPurpose::Reach, false);
         self.record_connection(service, started_at);
         let table = self.route_table();
         if let Some(rule) = table.as_ref().and_then(|table| table.service(service)) {
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -16,6 +16,7 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::{EndpointId, Moment},
         process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
@@ -382,7 +383,9 @@
             Ok(connection) => connection,
             Err(error) => return self.record_failure(entry, error, started_at).await,
         };
-        if !connection.is_reused {
+        let is_reused = connection.is_reused;
+        self.context.state.record_connection_use(ConnectionPurpose::Call, is_reused);
+        if !is_reused {
             self.context.state.metrics.count_connection();
             self.context.state.record_connection(&self.context.service.service, started_at);
         }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -15,6 +15,7 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::{EndpointId, HostId, ModelId},
         process::{BlockedSubject, PathError, PlannedPath},
         request::{
@@ -390,7 +391,9 @@
                 return Err(self.record_connection_failure(&first.endpoint, error, now).await)
             }
         };
-        if !connection.is_reused {
+        let is_reused = connection.is_reused;
+        self.context.state.record_connection_use(ConnectionPurpose::Stream, is_reused);
+        if !is_reused {
             self.context.state.metrics.count_connection();
             self.context.state.record_connection(&self.context.service.service, now);
         }
