--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -22,10 +22,12 @@
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
 //! | [`connections`] | which connections to endpoints a host keeps |
+//! | [`pace`] | how fast streams' events come, and what an endpoint's end costs them |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod connections;
 pub mod ids;
+pub mod pace;
 pub mod process;
 pub mod request;
 pub mod version;
--- /dev/null
+++ b/crates/cassiafield-core/src/pace/mod.rs
@@ -0,0 +1,11 @@
+//! How fast streams' events come, by the endpoints and links that they share.
+
+mod exposure_cost;
+mod pace_model;
+mod path_part;
+
+pub use self::{
+    exposure_cost::{ExposedStage, ExposureCost},
+    pace_model::{PaceModel, PacedStream},
+    path_part::{PathPart, PlannedPart},
+};
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, HostId, Moment, ZoneId},
+        pace::{ExposureCost, PaceModel, PathPart},
         process::LinkLoad,
         request::StageRoute,
     },
@@ -82,6 +83,10 @@
     refused_at: HashMap<EndpointId, Moment>,
     /// Load of the links between availability zones.
     pub links: LinkLoad,
+    /// Pace of the endpoints and links, by the events of this host's streams.
+    pub pace: PaceModel,
+    /// Expected loss by endpoints that end.
+    pub exposure: ExposureCost,
 }
 
 /// A reading, and the memory that was reserved when it arrived.
@@ -218,6 +223,28 @@
         self.known_reading(endpoint, now).map(|known| known.reading)
     }
 
+    /// Returns how much slower than its profile an endpoint is.
+    ///
+    /// What streams measured counts if it is newer than the endpoint's own reading.
+    #[must_use]
+    pub fn slowdown(&self, endpoint: &EndpointId, now: Moment) -> f64 {
+        let reading = self.known_reading(endpoint, now);
+        let measured = self.pace.slowdown(&PathPart::Endpoint(endpoint.clone()), now);
+        match (reading, measured) {
+            (Some(known), Some((factor, at))) if at > known.at => {
+                // Streams through it may all run over other slow parts, or over few of its layers.
+                if factor > 1.0 {
+                    factor
+                } else {
+                    known.reading.slowdown.max(1.0)
+                }
+            }
+            (None, Some((factor, _))) => factor,
+            (Some(known), _) => known.reading.slowdown.max(1.0),
+            (None, None) => 1.0,
+        }
+    }
+
     fn known_reading(&self, endpoint: &EndpointId, now: Moment) -> Option<&KnownReading> {
         let known = self.readings.get(endpoint);
         known.filter(|known| now.since(known.at) < Self::READING_RETENTION)
--- a/crates/cassiafield-core/src/process/link_load.rs
+++ b/crates/cassiafield-core/src/process/link_load.rs
@@ -5,6 +5,7 @@
     },
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
+        fmt,
         time::Duration,
     },
 };
@@ -22,6 +23,12 @@
     }
 }
 
+impl fmt::Display for ZonePair {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.0, self.1)
+    }
+}
+
 /// Bytes of activations that streams send between availability zones within a second.
 pub type LinkUsage = BTreeMap<ZonePair, f64>;
 
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
+        pace::{ExposedStage, PathPart, PlannedPart},
         process::{EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile, ZonePair},
         request::{LayerSpan, RouteDraft, RouteStage, StageRoute},
     },
@@ -42,6 +43,8 @@
     pub first_token_ms: f64,
     /// The links between availability zones that the stages use, each as often as they cross it.
     pub crossings: Vec<ZonePair>,
+    /// The time per event of the path's parts as the profile plans it.
+    pub parts: Vec<PlannedPart>,
 }
 
 /// The reason why no path could be planned.
@@ -124,6 +127,14 @@
     may_be_first: bool,
     /// Expected wait for a turn of a stream that starts at it, in milliseconds.
     turn_wait_ms: f64,
+    /// Price of opening a connection for a stream that starts at it, in milliseconds of its first event.
+    opening_ms: f64,
+    /// How much slower than its profile it is.
+    slowdown: f64,
+    /// Time per token and layer by which one more stream delays the others there, in milliseconds.
+    joined_ms: f64,
+    /// Expected loss by its end per token, in milliseconds.
+    exposure_ms: f64,
 }
 
 impl Candidate<'_> {
@@ -138,6 +149,8 @@
     zones: Vec<&'a ZoneId>,
     /// Used fraction of the bandwidth, by the indices of two zones.
     used: Vec<Vec<f64>>,
+    /// How much slower than planned the links are, by the indices of two zones.
+    slowdown: Vec<Vec<f64>>,
 }
 
 impl<'a> LinkTable<'a> {
@@ -155,7 +168,17 @@
         };
         let row = |one: &&ZoneId| zones.iter().map(|other| fraction(one, other)).collect();
         let used = zones.iter().map(row).collect();
-        Self { zones, used }
+        let slowdown = |one: &ZoneId, other: &ZoneId| {
+            let part = PathPart::Link(ZonePair::new(one, other));
+            planner.load.pace.slowdown(&part, planner.now).map_or(1.0, |(factor, _)| factor)
+        };
+        let row = |one: &&ZoneId| zones.iter().map(|other| slowdown(one, other)).collect();
+        let slowdown = zones.iter().map(row).collect();
+        Self { zones, used, slowdown }
+    }
+
+    fn state(&self, from: usize, to: usize) -> LinkState {
+        LinkState { used: self.used[from][to], slowdown: self.slowdown[from][to] }
     }
 
     fn index(&self, zone: &ZoneId) -> usize {
@@ -183,16 +206,25 @@
     candidate_index: usize,
     /// Number of layers that the stage runs.
     layers: f64,
-    /// Used fraction of the link to the previous stage, if that is in another zone.
-    link_used: Option<f64>,
+    /// The link to the previous stage, if that is in another zone.
+    link: Option<LinkState>,
 }
 
 /// The partial path that a stage extends.
 #[derive(Clone, Copy)]
 struct PathPrefix {
     path_index: usize,
-    /// Used fraction of the link to the stage, if it is in another zone.
-    link_used: Option<f64>,
+    /// The link to the stage, if it is in another zone.
+    link: Option<LinkState>,
+}
+
+/// The state of the link between two availability zones.
+#[derive(Clone, Copy)]
+struct LinkState {
+    /// Used fraction of the bandwidth.
+    used: f64,
+    /// How much slower than planned it is.
+    slowdown: f64,
 }
 
 /// The cheapest partial paths to each boundary, cheapest first.
@@ -218,6 +250,10 @@
     const MAX_LINK_FRACTION: f64 = 0.7;
     /// Cost of a link above that fraction, in milliseconds; higher than that of any other path.
     const FULL_LINK_MS: f64 = 1e6;
+    /// Price of opening a connection, in milliseconds of the first event's time.
+    ///
+    /// Callers would not notice a first event that much later; opening takes the endpoint's time from others.
+    const OPENING_MS: f64 = 15.0;
     /// Number of partial paths kept per boundary, each with a different last endpoint.
     ///
     /// The cheapest one alone is not enough: it may already have used the only endpoint that can
@@ -232,12 +268,33 @@
     ///
     /// Returns a [`PathError`] if no path covers all layers with enough capacity.
     pub fn plan(&self, request: &PathRequest<'a>) -> Result<PlannedPath, PathError> {
+        self.plan_preferring(request, &BTreeSet::new())
+    }
+
+    /// Plans like [`PathPlanner::plan`], and prefers paths that start at one of the given endpoints, to which
+    /// the host has connections, to others of about equal cost.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PathError`] if no path covers all layers with enough capacity.
+    pub fn plan_preferring(
+        &self,
+        request: &PathRequest<'a>,
+        connected: &BTreeSet<EndpointId>,
+    ) -> Result<PlannedPath, PathError> {
         let links = LinkTable::new(self, request);
-        let healthy = self.candidates(request, &links, CandidateFilter::Healthy);
-        match self.search(request, &links, &healthy) {
+        let search = |filter| {
+            let mut candidates = self.candidates(request, &links, filter);
+            for candidate in &mut candidates {
+                if !connected.contains(&candidate.entry.endpoint) {
+                    candidate.opening_ms = Self::OPENING_MS;
+                }
+            }
+            self.search(request, &links, &candidates)
+        };
+        match search(CandidateFilter::Healthy) {
             Err(PathError::NoCover) => {
-                let usable = self.candidates(request, &links, CandidateFilter::Usable);
-                let found = self.search(request, &links, &usable);
+                let found = search(CandidateFilter::Usable);
                 found.map_err(|error| self.availability_error(request, &links).unwrap_or(error))
             }
             found => found,
@@ -332,12 +389,20 @@
                 }
         });
         let candidates = allowed.filter_map(|entry| self.candidate(request, links, entry));
-        candidates
+        let mut candidates: Vec<Candidate<'a>> = candidates
             .map(|candidate| {
                 let has_turn = filter == CandidateFilter::Live || candidate.has_turn(self);
                 Candidate { may_be_first: candidate.may_be_first && has_turn, ..candidate }
             })
-            .collect()
+            .collect();
+        // A stream is exposed at every stage for as long as its whole path takes, which is not known yet:
+        // the time of a path over endpoints of mean speed stands for it.
+        let total_ms: f64 = candidates.iter().map(|candidate| candidate.layer_ms).sum();
+        let token_ms = total_ms / candidates.len().max(1) as f64 * f64::from(self.engine.layers);
+        for candidate in &mut candidates {
+            candidate.exposure_ms *= token_ms;
+        }
+        candidates
     }
 
     fn candidate(
@@ -357,8 +422,14 @@
             + self.engine.context_ms * context;
         let prefill_ms =
             f64::from(request.prompt_tokens) / self.engine.prefill_tokens_per_ms.max(1e-9);
-        let reading = self.load.reading(&entry.endpoint, self.now);
-        let slowdown = reading.map_or(1.0, |reading| reading.slowdown.max(1.0));
+        let slowdown = self.load.slowdown(&entry.endpoint, self.now);
+        let exposed = ExposedStage {
+            streams: used.streams,
+            prompt_ms: prefill_ms * profile.prefill_factor * f64::from(span.layers()) / layers,
+            endpoints: self.directory.len(),
+        };
+        let prompt_context = f64::from(request.prompt_tokens) / 1_000.0;
+        let joined_ms = self.engine.stream_ms + self.engine.context_ms * prompt_context;
         let memory_fraction = if &entry.zone == request.zone {
             request.memory_fraction
         } else {
@@ -383,6 +454,11 @@
                 .allowed_firsts
                 .is_none_or(|firsts| firsts.contains(&entry.endpoint)),
             turn_wait_ms: turn_wait.as_secs_f64() * 1e3,
+            opening_ms: 0.0,
+            slowdown,
+            joined_ms: joined_ms * profile.step_factor * slowdown / layers,
+            // Per millisecond that the stream runs; multiplied by the time of a token when all are known.
+            exposure_ms: self.load.exposure.loss_per_second(exposed, self.now) / 1e3,
         })
     }
 
@@ -435,8 +511,8 @@
                 if at > 0 && previous.is_none() {
                     continue;
                 }
-                let link_used = previous.and_then(|prefix| prefix.link_used);
-                let is_link_full = link_used.is_some_and(|used| used > Self::MAX_LINK_FRACTION);
+                let link = previous.and_then(|prefix| prefix.link);
+                let is_link_full = link.is_some_and(|link| link.used > Self::MAX_LINK_FRACTION);
                 if tokens.is_some() && is_link_full {
                     continue;
                 }
@@ -447,7 +523,7 @@
                         break;
                     }
                     let path = previous.map(|prefix| partial_paths[at][prefix.path_index]);
-                    let step = PathStep { candidate_index, layers, link_used };
+                    let step = PathStep { candidate_index, layers, link };
                     let next = self.extend(request, candidates, path, step);
                     let path_index = previous.map_or(0, |prefix| prefix.path_index);
                     let next = PartialPath { from: at, path_index, ..next };
@@ -475,16 +551,17 @@
         let mut best: Option<(f64, PathPrefix)> = None;
         for (path_index, path) in partial_paths[at].iter().enumerate() {
             let from = candidates[path.candidate_index].zone_index;
-            let link_used = (from != zone_index).then(|| links.used[from][zone_index]);
-            let transition_ms = link_used.map_or(0.0, |used| {
+            let link = (from != zone_index).then(|| links.state(from, zone_index));
+            let transition_ms = link.map_or(0.0, |link| {
                 // A link that is used up is the last resort.
-                let full_ms = if used > Self::MAX_LINK_FRACTION { Self::FULL_LINK_MS } else { 0.0 };
-                Self::ZONE_CROSSING_MS + self.link_wait_ms(used) + full_ms
+                let is_full = link.used > Self::MAX_LINK_FRACTION;
+                let full_ms = if is_full { Self::FULL_LINK_MS } else { 0.0 };
+                Self::ZONE_CROSSING_MS + self.link_wait_ms(link) + full_ms
             });
             let cost = path.cost + transition_ms;
             let is_better = best.is_none_or(|(lowest, _)| cost < lowest);
             if is_better && !visits_candidate(partial_paths, *path, candidate_index) {
-                best = Some((cost, PathPrefix { path_index, link_used }));
+                best = Some((cost, PathPrefix { path_index, link }));
             }
         }
         best.map(|(_, prefix)| prefix)
@@ -493,10 +570,11 @@
     /// Returns the expected wait for other transfers on a link, in milliseconds.
     ///
     /// Transfers of all streams share the link one after another.
-    fn link_wait_ms(&self, used: f64) -> f64 {
-        let busy = used.min(Self::MAX_LINK_FRACTION);
-        self.engine.transfer_ms(self.engine.mean_prompt_tokens) * busy / (1.0 - busy)
-            + self.engine.zone_delay_ms
+    fn link_wait_ms(&self, link: LinkState) -> f64 {
+        let busy = link.used.min(Self::MAX_LINK_FRACTION);
+        let wait_ms = self.engine.transfer_ms(self.engine.mean_prompt_tokens) * busy / (1.0 - busy)
+            + self.engine.zone_delay_ms;
+        wait_ms * link.slowdown
     }
 
     fn extend(
@@ -506,28 +584,31 @@
         prefix: Option<PartialPath>,
         step: PathStep,
     ) -> PartialPath {
-        let PathStep { candidate_index, layers, link_used } = step;
+        let PathStep { candidate_index, layers, link } = step;
         let candidate = &candidates[candidate_index];
         let mut token_ms = candidate.layer_ms * layers + Self::HOP_MS;
         let mut first_ms = candidate.prefill_ms * layers + Self::HOP_MS;
         let mut crossing_ms = 0.0;
+        let mut opening_ms = 0.0;
         if prefix.is_none() {
             first_ms += candidate.turn_wait_ms;
+            opening_ms = candidate.opening_ms;
         }
         if prefix.is_none() && request.zone != &candidate.entry.zone {
             token_ms += self.engine.zone_delay_ms;
             first_ms += self.engine.zone_delay_ms;
             crossing_ms = Self::ZONE_CROSSING_MS;
         }
-        if let Some(used) = link_used {
-            let wait_ms = self.link_wait_ms(used);
+        if let Some(link) = link {
+            let wait_ms = self.link_wait_ms(link);
             token_ms += wait_ms + self.engine.transfer_ms(1);
             first_ms += wait_ms + self.engine.transfer_ms(request.prompt_tokens);
             crossing_ms = Self::ZONE_CROSSING_MS;
         }
         // The prefill time is spread over the answer's tokens, so that the cost is proportional to
         // the time for which the caller waits.
-        let prefill_ms_per_token = first_ms / f64::from(request.output_tokens.max(1));
+        let prefill_ms_per_token =
+            (first_ms + opening_ms) / f64::from(request.output_tokens.max(1));
         let start = PartialPath {
             cost: 0.0,
             token_ms: 0.0,
@@ -538,7 +619,7 @@
         };
         let base = prefix.unwrap_or(start);
         PartialPath {
-            cost: base.cost + token_ms + prefill_ms_per_token + crossing_ms,
+            cost: base.cost + token_ms + prefill_ms_per_token + crossing_ms + candidate.exposure_ms,
             token_ms: base.token_ms + token_ms,
             first_ms: base.first_ms + first_ms,
             candidate_index,
@@ -557,11 +638,15 @@
         let mut step = last;
         let mut stages: Vec<RouteStage> = Vec::new();
         let mut zones: Vec<&ZoneId> = Vec::new();
+        let mut parts: Vec<PlannedPart> = Vec::new();
         let mut at = boundaries.len() - 1;
         while at > 0 {
             let entry = candidates[step.candidate_index].entry;
             let span = LayerSpan::try_from((boundaries[step.from], boundaries[at])).ok()?;
+            let previous = zones.last().copied();
             zones.push(&entry.zone);
+            parts.push(self.planned_part(&candidates[step.candidate_index], span.layers()));
+            parts.extend(previous.and_then(|next| self.planned_link(&entry.zone, next)));
             stages.push(RouteStage {
                 endpoint: entry.endpoint.clone(),
                 address: entry.address.to_compact_string(),
@@ -585,6 +670,31 @@
             token_ms: last.token_ms,
             first_token_ms: last.first_ms,
             crossings,
+            parts,
+        })
+    }
+
+    fn planned_part(&self, candidate: &Candidate<'_>, layers: u16) -> PlannedPart {
+        let scale = f64::from(layers) * f64::from(self.engine.tokens_per_event.max(1));
+        PlannedPart {
+            part: PathPart::Endpoint(candidate.entry.endpoint.clone()),
+            gap_ms: candidate.layer_ms / candidate.slowdown * scale,
+            joined_ms: candidate.joined_ms * scale,
+        }
+    }
+
+    /// Returns the link between the zones of two stages, if they differ.
+    fn planned_link(&self, from: &ZoneId, to: &ZoneId) -> Option<PlannedPart> {
+        let pair = ZonePair::new(from, to);
+        let usage = self.load.links.total_usage(self.now);
+        let used =
+            usage.get(&pair).map_or(0.0, |bytes| bytes / self.engine.link_bytes_per_second());
+        let wait_ms = self.link_wait_ms(LinkState { used, slowdown: 1.0 });
+        let events = f64::from(self.engine.tokens_per_event.max(1));
+        (from != to).then(|| PlannedPart {
+            part: PathPart::Link(pair),
+            gap_ms: (wait_ms + self.engine.transfer_ms(1)) * events,
+            joined_ms: self.engine.transfer_ms(1) * events,
         })
     }
 }
