feat: hosts keep connections by plan, streams correct the pace of their paths

Cause: see docs/design/connections.md and docs/design/pace.md. Change: the gateway feeds PaceModel from event gaps, leaves endpoints at the limit of streams there, prefers first endpoints with idle connections where connections are scarce, and probes over idle ones.

--- a/crates/cassiafield-gateway/src/connection/connection_pool.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_pool.rs
@@ -1,7 +1,7 @@
 use {
     crate::connection::{ConnectionError, HttpConnection},
     cassiafield_core::{
-        connections::{ConnectionCounts, IdleOutcome},
+        connections::{ConnectionCounts, IdleAllowance, IdleOutcome},
         ids::Moment,
     },
     http::{header, HeaderMap},
@@ -31,15 +31,19 @@
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     address: SocketAddrV4,
-    idle_timeout: Duration,
+    /// The endpoint's idle timeout, if it advertises one.
+    advertised: Option<Duration>,
     refused: RefusedRequests,
+    /// Whether the endpoint closes it after the last response.
+    is_closing: bool,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     http: HttpConnection,
     since: Moment,
-    idle_timeout: Duration,
+    advertised: Option<Duration>,
+    idle_time: Duration,
     refused: RefusedRequests,
 }
 
@@ -84,18 +88,9 @@
     const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
     /// Longest advertised idle timeout that counts.
     const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
-    /// Part of the advertised idle timeout after which a connection is dropped, in percent.
-    ///
-    /// The rest allows for network latency and for rounding to whole seconds.
-    const IDLE_TIMEOUT_PERCENT: u32 = 60;
-    /// Part of the advertised idle timeout after which a connection carries no request that must run
-    /// at most once, in percent.
-    const AT_MOST_ONCE_IDLE_TIMEOUT_PERCENT: u32 = 40;
-    /// Maximum number of idle connections to one endpoint.
-    const MAX_IDLE_PER_ENDPOINT: usize = 16;
-    /// Divides an endpoint's connection limit into the number of idle connections that all hosts
-    /// together may keep to it.
-    const IDLE_SHARE_DIVISOR: usize = 2;
+    /// Time after which a connection without an advertised idle timeout carries no request that must run at
+    /// most once.
+    const DEFAULT_AT_MOST_ONCE_TIME: Duration = Duration::from_millis(1_000);
 
     /// Returns an idle connection, or opens a new one.
     ///
@@ -130,8 +125,9 @@
             http,
             is_reused: false,
             address,
-            idle_timeout: Self::DEFAULT_IDLE_TIMEOUT,
+            advertised: None,
             refused: RefusedRequests::default(),
+            is_closing: false,
         })
     }
 
@@ -147,22 +143,39 @@
         let may_carry = |idle: &IdleConnection| !idle.refused.contains(need.request_id);
         let index = connections.iter().rposition(may_carry)?;
         let newest = connections.get(index)?;
-        let idle_timeout = newest.idle_timeout * Self::AT_MOST_ONCE_IDLE_TIMEOUT_PERCENT
-            / Self::IDLE_TIMEOUT_PERCENT;
-        if need.at_most_once && now.since(newest.since) >= idle_timeout {
+        let at_most_once_time = newest
+            .advertised
+            .map_or(Self::DEFAULT_AT_MOST_ONCE_TIME, IdleAllowance::at_most_once_time);
+        if need.at_most_once && now.since(newest.since) >= at_most_once_time {
             return None;
         }
-        let IdleConnection { http, idle_timeout, refused, .. } = connections.remove(index);
-        Some(PooledConnection { http, is_reused: true, address, idle_timeout, refused })
+        let IdleConnection { http, advertised, refused, .. } = connections.remove(index);
+        Some(PooledConnection {
+            http,
+            is_reused: true,
+            address,
+            advertised,
+            refused,
+            is_closing: false,
+        })
     }
 
-    /// Returns how many idle connections a host may keep to one endpoint.
-    ///
-    /// The endpoint accepts `max_connections` from all of the `hosts` hosts.
+    /// Returns an idle connection, if there is one.
+    pub fn checkout_idle_now(
+        &self,
+        address: SocketAddrV4,
+        now: Moment,
+    ) -> Option<PooledConnection> {
+        self.checkout_idle(address, ConnectionNeed::default(), now)
+    }
+
+    /// Returns `true` if there is an idle connection to an address.
     #[must_use]
-    pub fn max_idle_connections(max_connections: u32, hosts: usize) -> usize {
-        let all = usize::try_from(max_connections).unwrap_or(usize::MAX);
-        (all / Self::IDLE_SHARE_DIVISOR / hosts.max(1)).clamp(1, Self::MAX_IDLE_PER_ENDPOINT)
+    pub fn has_idle(&self, address: SocketAddrV4, now: Moment) -> bool {
+        let is_usable =
+            |idle: &IdleConnection| idle.http.is_ready() && now.since(idle.since) < idle.idle_time;
+        let idle = self.idle.borrow();
+        idle.get(&address).is_some_and(|connections| connections.iter().any(is_usable))
     }
 
     /// Drops connections that are closed or have exceeded their idle timeout.
@@ -177,7 +190,7 @@
         connections.retain(|idle| {
             let outcome = if !idle.http.is_ready() {
                 IdleOutcome::Closed
-            } else if now.since(idle.since) >= idle.idle_timeout {
+            } else if now.since(idle.since) >= idle.idle_time {
                 IdleOutcome::Expired
             } else {
                 return true;
@@ -222,33 +235,47 @@
         }
         let advertised = text(header::HeaderName::from_static("keep-alive")).and_then(idle_seconds);
         if let Some(advertised) = advertised {
-            let advertised = advertised.min(ConnectionPool::MAX_IDLE_TIMEOUT);
-            self.idle_timeout = advertised * ConnectionPool::IDLE_TIMEOUT_PERCENT / 100;
+            self.advertised = Some(advertised.min(ConnectionPool::MAX_IDLE_TIMEOUT));
         }
         true
     }
 
+    /// Updates the idle timeout from the head of a report; a connection that is to be closed is not kept.
+    pub fn record_report_head(&mut self, headers: &HeaderMap) {
+        self.is_closing = !self.apply_response_head(headers);
+    }
+
     /// Records that a request was refused on the connection.
     pub fn record_refusal(&mut self, request_id: &str) {
         self.refused.record(request_id);
     }
 
-    /// Returns the connection to the pool, unless `max_idle` connections are idle already or many requests
-    /// were refused on it.
+    /// Returns the connection to the pool, unless many requests were refused on it.
+    ///
+    /// If as many as allowed are idle already, it is dropped, or takes the place of the oldest one where
+    /// connections are scarce.
     ///
     /// The response must have been read to its end.
-    pub fn return_to(self, pool: &ConnectionPool, max_idle: usize, now: Moment) {
-        if self.refused.is_full() {
+    pub fn return_to(self, pool: &ConnectionPool, allowance: IdleAllowance, now: Moment) {
+        if self.refused.is_full() || self.is_closing {
             return;
         }
         let mut idle = pool.idle.borrow_mut();
         let connections = idle.entry(self.address).or_default();
-        if connections.len() < max_idle {
-            let Self { http, idle_timeout, refused, .. } = self;
-            connections.push(IdleConnection { http, since: now, idle_timeout, refused });
-        } else {
+        let is_full = connections.len() >= allowance.max_idle;
+        if is_full {
             pool.update_counts(|counts| counts.record_idle_end(IdleOutcome::Evicted));
         }
+        if is_full && !allowance.is_scarce {
+            return;
+        }
+        if is_full {
+            connections.remove(0);
+        }
+        let Self { http, advertised, refused, .. } = self;
+        let idle_time = advertised
+            .map_or(ConnectionPool::DEFAULT_IDLE_TIMEOUT, |longest| allowance.idle_time(longest));
+        connections.push(IdleConnection { http, since: now, advertised, idle_time, refused });
     }
 }
 
--- a/crates/cassiafield-gateway/src/process/engine_monitor.rs
+++ b/crates/cassiafield-gateway/src/process/engine_monitor.rs
@@ -80,23 +80,33 @@
     state: Rc<GatewayState>,
     endpoint: EndpointId,
     address: SocketAddrV4,
-    mut connection: Option<HttpConnection>,
+    connection: Option<HttpConnection>,
 ) -> (EndpointId, Option<HttpConnection>) {
     if !state.begin_send(&endpoint, SenderKind::Poll) {
         return (endpoint, connection);
     }
     state.metrics.count_probe();
-    let purpose = ConnectionPurpose::Poll;
-    let request = fetch_report(&state, &endpoint, address, &mut connection, purpose);
+    let kept = connection.filter(HttpConnection::is_ready);
+    let is_reused = kept.is_some();
+    let request = async {
+        let open = match kept {
+            Some(open) => open,
+            None => HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await?,
+        };
+        let purpose = ConnectionPurpose::Poll;
+        fetch_report(&state, &endpoint, address, open, purpose, is_reused).await
+    };
     let now = state.now();
-    if let Ok(Ok(report)) = timeout(HealthProbe::PROBE_TIMEOUT, request).await {
+    let polled = timeout(HealthProbe::PROBE_TIMEOUT, request).await;
+    let mut connection = None;
+    if let Ok(Ok((report, open))) = polled {
+        connection = Some(open);
         state.load.borrow_mut().record_reading(endpoint.clone(), report.reading, now);
         state.directory.borrow_mut().record_response(&endpoint, now);
         if let Some(service) = state.service_of(&endpoint) {
             state.record_answer(&service);
         }
     } else {
-        connection = None;
         // An endpoint that refuses its report and asks for a pause has responded.
         if !state.is_paused(&endpoint) {
             state.record_probe_failure(&endpoint, now).await;
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -67,6 +67,7 @@
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
     opened_connections: IntCounterVec,
+    paths_at_limit: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -242,6 +243,11 @@
                 "Connections opened to endpoints, by what they were opened for",
                 &["purpose"],
             ),
+            paths_at_limit: builder.counters(
+                "cassiafield_paths_at_limit_total",
+                "Plans that met endpoints where one more stream makes another one late",
+                &["left"],
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -332,6 +338,11 @@
         self.connections.inc();
     }
 
+    /// Counts a plan that met endpoints at their limit, and whether another path was taken.
+    pub fn count_path_at_limit(&self, is_left: bool) {
+        self.paths_at_limit.with_label_values(&[if is_left { "true" } else { "false" }]).inc();
+    }
+
     /// Counts a connection opened to an endpoint for a purpose.
     pub fn count_opened(&self, purpose: ConnectionPurpose) {
         self.opened_connections.with_label_values(&[purpose.name()]).inc();
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -145,7 +145,7 @@
         spawn_local(EngineMonitor::new(Rc::clone(state)).run());
         spawn_local(HealthProbe::run_trials(Rc::clone(state)));
         spawn_local(Rc::clone(state).run_reach_trials());
-        spawn_local(Rc::clone(state).run_connection_reports());
+        spawn_local(Rc::clone(state).run_connection_plans());
         spawn_local(VerdictKeeper::new(Rc::clone(state)).run());
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -4,6 +4,7 @@
             BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
         },
         process::{
+            connection_tracking::ConnectionPlans,
             dropped_line_count,
             health_probe::{HealthProbe, PathFailure},
             in_flight_request::DispatchedRequest,
@@ -23,7 +24,7 @@
             VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{RetryAfter, RouteStage, StageRoute},
-        version::{CallerLimits, RouteTable, ServiceRule},
+        version::{CallerLimits, RouteTable},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
@@ -44,6 +45,8 @@
     pub codec: Rc<dyn PlatformCodec>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// Which idle connections this host keeps.
+    pub(super) connection_plans: ConnectionPlans,
     /// Memory for the responses that are read whole.
     pub bodies: BodyBudget,
     /// The known endpoints.
@@ -130,6 +133,7 @@
             settings,
             codec,
             pool: ConnectionPool::default(),
+            connection_plans: ConnectionPlans::default(),
             bodies: BodyBudget::new(Self::MAX_BODIES_BYTES),
             directory: RefCell::default(),
             load: RefCell::default(),
@@ -599,12 +603,6 @@
         self.probe.wait_for_path_failure(self, stages, delay).await
     }
 
-    /// Returns how many idle connections this host may keep to one endpoint of a service.
-    #[must_use]
-    pub fn max_idle_connections(&self, service: &ServiceRule) -> usize {
-        ConnectionPool::max_idle_connections(service.max_connections, self.live_hosts.get())
-    }
-
     /// Returns the leader of the availability zone.
     #[must_use]
     pub fn zone_leader(&self) -> HostId {
--- a/crates/cassiafield-gateway/src/process/health_probe.rs
+++ b/crates/cassiafield-gateway/src/process/health_probe.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{EndpointReport, HttpConnection},
+        connection::{EndpointReport, HttpConnection, PooledConnection},
         process::{EndpointExchange, GatewayState, SenderKind},
     },
     bytes::Bytes,
@@ -9,7 +9,7 @@
         ids::{EndpointId, Moment},
         request::RouteStage,
     },
-    http::{header, Request},
+    http::{header, HeaderMap, Request},
     http_body_util::Full,
     std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
@@ -56,6 +56,8 @@
     const MIN_INTERVAL: Duration = Duration::from_millis(600);
     /// Timeout of a probe; endpoints answer probes without queueing.
     pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+    /// Part of that timeout for an idle connection; a new one has the rest.
+    const KEPT_PROBE_TIMEOUT: Duration = Duration::from_millis(50);
     /// Interval between two checks for endpoints that are due to be probed again.
     const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -155,15 +157,15 @@
         // probing it too; a failed probe wakes them.
         set_outcome(ProbeOutcome::Running);
         state.metrics.count_probe();
-        let mut connection = None;
-        let purpose = ConnectionPurpose::Probe;
-        let request = fetch_report(state, endpoint, address, &mut connection, purpose);
-        let result = timeout(Self::PROBE_TIMEOUT, request).await;
+        let answer = match probe_kept(state, endpoint, address).await {
+            Some(answer) => Some(answer),
+            None => probe_anew(state, endpoint, address, started_at).await,
+        };
         // An endpoint that refuses its report and asks for a pause has responded.
-        let is_responsive = matches!(result, Ok(Ok(_))) || state.is_paused(endpoint);
+        let is_responsive = answer.is_some() || state.is_paused(endpoint);
         if is_responsive {
             set_outcome(ProbeOutcome::Responsive);
-            state.record_probe_answer(endpoint, started_at);
+            state.record_probe_answer(endpoint, started_at, answer != Some(ProbeAnswer::Kept));
         } else {
             set_outcome(ProbeOutcome::Unresponsive);
             state.record_probe_failure(endpoint, started_at).await;
@@ -192,6 +194,50 @@
     }
 }
 
+/// Over which connection an endpoint answered a probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeAnswer {
+    /// One that was idle.
+    Kept,
+    /// A new one.
+    New,
+}
+
+/// Probes an endpoint over an idle connection, where connections are scarce.
+///
+/// `None` says nothing of the endpoint: the connection may be dead.
+async fn probe_kept(
+    state: &Rc<GatewayState>,
+    endpoint: &EndpointId,
+    address: SocketAddrV4,
+) -> Option<ProbeAnswer> {
+    let allowance = state.scarce_allowance(endpoint)?;
+    let open = state.pool.checkout_idle_now(address, state.now())?;
+    let fetching = fetch_report(state, endpoint, address, open, ConnectionPurpose::Probe, true);
+    let (_, open) = timeout(HealthProbe::KEPT_PROBE_TIMEOUT, fetching).await.ok()?.ok()?;
+    open.return_to(&state.pool, allowance, state.now());
+    Some(ProbeAnswer::Kept)
+}
+
+/// Probes an endpoint over a new connection, within the time that is left of the probe's.
+async fn probe_anew(
+    state: &Rc<GatewayState>,
+    endpoint: &EndpointId,
+    address: SocketAddrV4,
+    started_at: Moment,
+) -> Option<ProbeAnswer> {
+    let left = HealthProbe::PROBE_TIMEOUT.saturating_sub(state.now().since(started_at));
+    let fetching = async {
+        let open = state.pool.open(address, left).await?;
+        fetch_report(state, endpoint, address, open, ConnectionPurpose::Probe, false).await
+    };
+    let (_, open) = timeout(left, fetching).await.ok()?.ok()?;
+    if let Some(allowance) = state.scarce_allowance(endpoint) {
+        open.return_to(&state.pool, allowance, state.now());
+    }
+    Some(ProbeAnswer::New)
+}
+
 fn known_failure(state: &GatewayState, stages: &[RouteStage]) -> Option<PathFailure> {
     let mut endpoints = stages.iter().map(|stage| &stage.endpoint);
     if endpoints.clone().any(|endpoint| state.is_endpoint_out_of_reach(endpoint)) {
@@ -204,24 +250,22 @@
     (!unresponsive.is_empty()).then_some(PathFailure::Unresponsive(unresponsive))
 }
 
-/// Fetches an endpoint's report, over `connection` if it is open.
+/// Fetches an endpoint's report over an open connection, which is returned with it.
 ///
 /// # Errors
 ///
 /// Returns why there is no report; the connection is dropped then.
-pub(super) async fn fetch_report(
+pub(super) async fn fetch_report<C>(
     state: &Rc<GatewayState>,
     endpoint: &EndpointId,
     address: SocketAddrV4,
-    connection: &mut Option<HttpConnection>,
+    open: C,
     purpose: ConnectionPurpose,
-) -> anyhow::Result<EndpointReport> {
-    let kept = connection.take().filter(HttpConnection::is_ready);
-    let is_reused = kept.is_some();
-    let open = match kept {
-        Some(open) => open,
-        None => HttpConnection::connect(address, HealthProbe::PROBE_TIMEOUT).await?,
-    };
+    is_reused: bool,
+) -> anyhow::Result<(EndpointReport, C)>
+where
+    C: ReportConnection + 'static,
+{
     state.record_connection_use(purpose, is_reused);
     let wire = state.codec.report_request();
     let request = Request::builder()
@@ -235,9 +279,26 @@
         sender: SenderKind::Probe,
         request_id: None,
     };
-    let (response, open) = exchange.send(open, request, HealthProbe::PROBE_TIMEOUT).await?;
-    let body = state.bodies.collect(response.into_body(), GatewayState::MAX_REPORT_BYTES).await?;
+    let (response, mut open) = exchange.send(open, request, HealthProbe::PROBE_TIMEOUT).await?;
+    let (parts, body) = response.into_parts();
+    let body = state.bodies.collect(body, GatewayState::MAX_REPORT_BYTES).await?;
     let report = state.codec.parse_report(&body)?;
-    *connection = Some(open);
-    Ok(report)
+    open.record_head(&parts.headers);
+    Ok((report, open))
+}
+
+/// A connection that a report is fetched over.
+pub(super) trait ReportConnection: AsMut<HttpConnection> {
+    /// Takes what the head of a report says of the connection.
+    fn record_head(&mut self, headers: &HeaderMap);
+}
+
+impl ReportConnection for HttpConnection {
+    fn record_head(&mut self, _: &HeaderMap) {}
+}
+
+impl ReportConnection for PooledConnection {
+    fn record_head(&mut self, headers: &HeaderMap) {
+        self.record_report_head(headers);
+    }
 }
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -2,10 +2,11 @@
     crate::process::GatewayState,
     cassiafield_core::{
         ids::{EndpointId, OrganisationId},
+        pace::{PacedStream, PlannedPart},
         process::LoadReservation,
         request::StageRoute,
     },
-    std::{cell::Cell, rc::Rc},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// Counts a request as in flight on the host until it is dropped.
@@ -52,6 +53,8 @@
     organisation: Option<OrganisationId>,
     /// The reserved tokens.
     tokens: u32,
+    /// The stream in the model of paces, if its route has an objective for them.
+    paced: Option<PacedStream>,
 }
 
 impl ReservedLoad {
@@ -65,7 +68,20 @@
         if let Some(organisation) = &organisation {
             state.organisations.borrow_mut().reserve(organisation, tokens);
         }
-        Self { state, reservation: Some(reservation), route, organisation, tokens }
+        Self { state, reservation: Some(reservation), route, organisation, tokens, paced: None }
+    }
+
+    /// Lets the stream's events correct the pace of its path's parts; they should come within `objective`.
+    pub fn track_pace(&mut self, parts: Vec<PlannedPart>, objective: Duration) {
+        self.paced = Some(self.state.load.borrow_mut().pace.begin(parts, objective));
+    }
+
+    /// Records the time between two events of the stream, if its pace is tracked.
+    pub fn record_gap(&self, gap: Duration) {
+        if let Some(paced) = self.paced {
+            let now = self.state.now();
+            self.state.load.borrow_mut().pace.record_gap(paced, gap, now);
+        }
     }
 
     /// Calls `plan` as if nothing were reserved.
@@ -79,6 +95,9 @@
 
     /// Releases the reservation.
     pub fn release(&mut self) {
+        if let Some(paced) = self.paced.take() {
+            self.state.load.borrow_mut().pace.close(paced);
+        }
         if let Some(reservation) = self.reservation.take() {
             self.state.load.borrow_mut().release(reservation);
             if let Some(organisation) = &self.organisation {
--- a/crates/cassiafield-gateway/src/process/reach_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/reach_tracking.rs
@@ -165,9 +165,10 @@
         count: usize,
     ) -> bool {
         let mut attempts = JoinSet::new();
-        for address in self.reach_candidates(service, except, count) {
+        for (endpoint, address) in self.reach_candidates(service, except, count) {
             let (state, service) = (Rc::clone(self), service.clone());
-            let attempt = async move { state.open_connection(&service, address).await.is_ok() };
+            let attempt =
+                async move { state.open_connection(&service, &endpoint, address).await.is_ok() };
             attempts.spawn_local(attempt);
         }
         any_true(attempts).await
@@ -177,6 +178,7 @@
     async fn open_connection(
         &self,
         service: &ServiceId,
+        endpoint: &EndpointId,
         address: SocketAddrV4,
     ) -> Result<(), ConnectionError> {
         let started_at = self.now();
@@ -186,8 +188,8 @@
         self.record_connection(service, started_at);
         let table = self.route_table();
         if let Some(rule) = table.as_ref().and_then(|table| table.service(service)) {
-            let max_idle = self.max_idle_connections(rule);
-            connection.return_to(&self.pool, max_idle, self.now());
+            let allowance = self.idle_allowance(rule, endpoint);
+            connection.return_to(&self.pool, allowance, self.now());
         }
         Ok(())
     }
@@ -198,7 +200,7 @@
         service: &ServiceId,
         except: Option<&EndpointId>,
         count: usize,
-    ) -> Vec<SocketAddrV4> {
+    ) -> Vec<(EndpointId, SocketAddrV4)> {
         let (directory, now) = (self.directory.borrow(), self.now());
         let mut entries: Vec<&EndpointEntry> = directory
             .live_entries(service)
@@ -219,7 +221,7 @@
                 }
             }
         }
-        chosen.into_iter().map(|entry| entry.address).collect()
+        chosen.into_iter().map(|entry| (entry.endpoint.clone(), entry.address)).collect()
     }
 
     /// Queries other hosts whether they have reached the service since `since`, or reach it now.
@@ -352,12 +354,20 @@
         false
     }
 
-    /// Records that a model endpoint responded to a probe, over a new connection, that began at
-    /// `started_at`.
-    pub(super) fn record_probe_answer(&self, endpoint: &EndpointId, started_at: Moment) {
+    /// Records that a model endpoint responded to a probe that began at `started_at`, over a new connection if
+    /// `is_new`.
+    pub(super) fn record_probe_answer(
+        &self,
+        endpoint: &EndpointId,
+        started_at: Moment,
+        is_new: bool,
+    ) {
         self.directory.borrow_mut().record_response(endpoint, started_at);
-        if let Some(service) = self.service_of(endpoint) {
+        let Some(service) = self.service_of(endpoint) else { return };
+        if is_new {
             self.record_connection(&service, started_at);
+        } else {
+            self.record_answer(&service);
         }
     }
 
@@ -387,7 +397,7 @@
             let entry = state.directory.borrow().entry(&endpoint).cloned();
             let Some(EndpointEntry { address, service, .. }) = entry else { return };
             let started_at = state.now();
-            match state.open_connection(&service, address).await {
+            match state.open_connection(&service, &endpoint, address).await {
                 Ok(()) => {}
                 Err(_) if state.is_own_failure(&service, Some(&endpoint), started_at).await => {}
                 Err(_) => state.record_endpoint_end(&endpoint),
@@ -410,7 +420,7 @@
         }
         let started_at = self.now();
         // A process that has ended accepts no connection; this asks it nothing.
-        match self.open_connection(&service, address).await {
+        match self.open_connection(&service, endpoint, address).await {
             Ok(()) => EndpointFate::Running,
             Err(error) if self.record_endpoint_failure(endpoint, &error, started_at).await => {
                 EndpointFate::Unknown
@@ -443,7 +453,7 @@
             let started_at = self.now();
             let address = self.directory.borrow().entry(endpoint).map(|entry| entry.address);
             let Some(address) = address else { return std::future::pending().await };
-            match self.open_connection(&service, address).await {
+            match self.open_connection(&service, endpoint, address).await {
                 Ok(()) => {}
                 Err(_) if self.is_own_failure(&service, Some(endpoint), started_at).await => return,
                 Err(_) => {}
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -16,7 +16,7 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        connections::ConnectionPurpose,
+        connections::{ConnectionPurpose, IdleAllowance},
         ids::{EndpointId, Moment},
         process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
@@ -212,7 +212,8 @@
         };
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = CallContext::MAX_IDLE_CARRIER_CONNECTIONS;
-            connection.return_to(&state.pool, max_idle, state.now());
+            let allowance = IdleAllowance { max_idle, is_scarce: false };
+            connection.return_to(&state.pool, allowance, state.now());
         }
         if verdict != RequestVerdict::NotRun && is_promise(parts.status) {
             // It holds for what the other host did, not for what this one had done before.
@@ -394,8 +395,8 @@
         };
         let state = &self.context.state;
         if !state.begin_request(&entry.endpoint, SenderKind::Call, &turn) {
-            let max_idle = state.max_idle_connections(&self.context.service);
-            connection.return_to(&state.pool, max_idle, state.now());
+            let allowance = state.idle_allowance(&self.context.service, &entry.endpoint);
+            connection.return_to(&state.pool, allowance, state.now());
             return EndpointOutcome::NotRun;
         }
         *sends += 1;
@@ -532,8 +533,9 @@
             connection.record_refusal(&self.context.request.id);
         }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
-            let max_idle = self.context.state.max_idle_connections(&self.context.service);
-            connection.return_to(&self.context.state.pool, max_idle, self.context.state.now());
+            let state = &self.context.state;
+            let allowance = state.idle_allowance(&self.context.service, &entry.endpoint);
+            connection.return_to(&state.pool, allowance, state.now());
         }
         if verdict == RequestVerdict::NotRun {
             let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -380,7 +380,10 @@
         };
         let tokens = self.prompt_tokens + self.output_tokens / 2;
         let organisation = self.context.request.organisation.as_ref();
-        let reservation = self.context.state.reserve(&path.route, tokens, organisation);
+        let mut reservation = self.context.state.reserve(&path.route, tokens, organisation);
+        if let Some(objective) = self.context.rule.event_gap_objective {
+            reservation.track_pace(path.parts.clone(), objective);
+        }
         let now = self.context.state.now();
         let connect_timeout = Self::CONNECT_TIMEOUT.min(self.context.remaining_time());
         let need = ConnectionNeed { at_most_once: false, request_id: &self.context.request.id };
@@ -405,9 +408,10 @@
             return Err(AttemptError::NoPath(RefusalCause::PromptBlocked));
         }
         if !self.begin_send(&path.route, &turn) {
-            let max_idle = self.context.state.max_idle_connections(&self.context.service);
-            let now = self.context.state.now();
-            connection.return_to(&self.context.state.pool, max_idle, now);
+            let state = &self.context.state;
+            let allowance = state.idle_allowance(&self.context.service, &first.endpoint);
+            let now = state.now();
+            connection.return_to(&state.pool, allowance, now);
             return Err(AttemptError::NotRun);
         }
         self.sends += 1;
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -5,6 +5,7 @@
         process::SendTurn,
         request::stream_call::{AttemptError, StreamCall},
     },
+    cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
         process::{
@@ -13,7 +14,7 @@
         request::{GiveUpReason, RefusalCause},
         version::RequestKind,
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// How long a stream may wait for memory.
@@ -254,8 +255,10 @@
         let excluded_and_suspect: Vec<EndpointId> =
             self.excluded.iter().chain(&self.suspects).cloned().collect();
         let first_choice = PathRequest { excluded: &excluded_and_suspect, ..request.clone() };
-        let planned = match planner.plan(&first_choice) {
-            Err(_) if !self.suspects.is_empty() => planner.plan(&request),
+        let connected = self.context.state.connected_firsts(&self.context.service, planner.now);
+        let planned = self.plan_on_time(&planner, &first_choice, &connected);
+        let planned = match planned {
+            Err(_) if !self.suspects.is_empty() => planner.plan_preferring(&request, &connected),
             planned => planned,
         };
         let path = planned.map_err(|error| {
@@ -274,6 +277,39 @@
         Ok(path)
     }
 
+    /// Plans a path on which neither the stream nor one of those that it joins has late events; if there is
+    /// none, the least late one.
+    fn plan_on_time(
+        &self,
+        planner: &PathPlanner<'_>,
+        request: &PathRequest<'_>,
+        connected: &BTreeSet<EndpointId>,
+    ) -> Result<PlannedPath, PathError> {
+        let state = &self.context.state;
+        let Some(objective) = self.context.rule.event_gap_objective else {
+            return planner.plan_preferring(request, connected);
+        };
+        let limited = planner.load.pace.endpoints_at_limit(planner.now);
+        if limited.is_empty() {
+            return planner.plan_preferring(request, connected);
+        }
+        let excluded: Vec<EndpointId> = request.excluded.iter().chain(&limited).cloned().collect();
+        let is_on_time = |path: &PlannedPath| {
+            path.token_ms * f64::from(planner.engine.tokens_per_event.max(1))
+                <= objective.as_secs_f64() * 1e3
+        };
+        let others = PathRequest { excluded: &excluded, ..request.clone() };
+        let others = planner.plan_preferring(&others, connected);
+        let left = others.ok().filter(is_on_time);
+        state.metrics.count_path_at_limit(left.is_some());
+        LogEvent::PathAtLimit.log(format_args!(
+            "{} endpoints at the limit of streams there; {}",
+            limited.len(),
+            if left.is_some() { "left" } else { "used, since no other path is on time" },
+        ));
+        left.map_or_else(|| planner.plan_preferring(request, connected), Ok)
+    }
+
     /// Returns the fractions of the request memory that the stream may fill in the own zone and in
     /// other zones.
     fn memory_fractions(&self, wait: QueueWait) -> (f64, f64) {
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -12,6 +12,7 @@
     bytes::{Bytes, BytesMut},
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::IdleAllowance,
         ids::{EndpointId, Moment},
         request::{EventError, EventSplitter, GiveUpReason, RefusalCause, StreamTimeouts},
     },
@@ -199,6 +200,12 @@
         if matches!(outcome, ReadOutcome::Events(_)) {
             let gap = state.now().since(waiting_since);
             self.typical_gap = moving_average(self.typical_gap, gap);
+            // The wait for the first event and a stall are no pace.
+            if let Some(reservation) = &self.reservation {
+                if self.began_at.is_some() && !has_stalled {
+                    reservation.record_gap(gap);
+                }
+            }
             if has_stalled {
                 state.record_progress(stages);
             }
@@ -213,12 +220,12 @@
         outcome.unwrap_or(ReadOutcome::Failed(StreamError::DeadlineExceeded))
     }
 
-    async fn release(mut self, state: &GatewayState, max_idle: usize) {
+    async fn release(mut self, state: &GatewayState, allowance: IdleAllowance) {
         /// Time for a connection to become ready again after its response was read.
         const READY_TIMEOUT: Duration = Duration::from_millis(2);
         drop(self.reservation.take());
         if self.is_reusable && self.connection.http.wait_ready(READY_TIMEOUT).await {
-            self.connection.return_to(&state.pool, max_idle, state.now());
+            self.connection.return_to(&state.pool, allowance, state.now());
         }
     }
 }
@@ -319,8 +326,9 @@
         }
         let Self { call, attempt, .. } = self;
         if let Some(attempt) = attempt.filter(|_| call.context.in_flight.is_complete()) {
-            let max_idle = call.context.state.max_idle_connections(&call.context.service);
-            attempt.release(&call.context.state, max_idle).await;
+            let Some(first) = attempt.source.first_endpoint() else { return };
+            let allowance = call.context.state.idle_allowance(&call.context.service, first);
+            attempt.release(&call.context.state, allowance).await;
         }
     }
 
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -103,6 +103,8 @@
     1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
     1411 CarryFailed Info "A host did not carry a request of another one.";
     1440 ConnectionsOpened Info "New connections to endpoints within the last ten seconds, by what they were opened for.";
+    1441 PartsSlow Info "Endpoints or links are slower than planned, by the events of this host's streams.";
+    1442 PathAtLimit Info "A new stream met endpoints where it would make another stream late.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
