--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -24,10 +24,14 @@
 //! | [`recovery`] | replacement of failed parts of streams' paths, within their objectives |
 //! | [`admission`] | who gets room first while it does not suffice |
 //! | [`returns`] | when refused callers return |
+//! | [`connections`] | which connections to endpoints a host keeps |
+//! | [`pace`] | how fast streams' events come, and what an endpoint's end costs them |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod admission;
+pub mod connections;
 pub mod ids;
+pub mod pace;
 pub mod process;
 pub mod recovery;
 pub mod request;
--- a/crates/cassiafield-core/src/recovery/stage_replacement.rs
+++ b/crates/cassiafield-core/src/recovery/stage_replacement.rs
@@ -279,11 +279,11 @@
         };
         let after = gap.after.filter(|_| step.is_last).map(|found| links.index(found));
         for other in [before, after].into_iter().flatten().filter(|other| *other != zone) {
-            let used = links.used[other][zone];
-            if used > PathPlanner::MAX_LINK_FRACTION {
+            let link = links.state(other, zone);
+            if link.used > PathPlanner::MAX_LINK_FRACTION {
                 return None;
             }
-            let link_ms = self.planner.link_wait_ms(used);
+            let link_ms = self.planner.link_wait_ms(link);
             let tokens = narrowed.prompt_tokens;
             token_ms += link_ms + PathPlanner::ZONE_CROSSING_MS;
             stage_ms += link_ms + self.planner.engine.transfer_ms(tokens);
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -5,6 +5,7 @@
         recovery::RecoveryMetrics,
     },
     cassiafield_core::{
+        connections::ConnectionPurpose,
         ids::OrganisationId,
         process::CloseReason,
         request::{GiveUpReason, RefusalCause},
@@ -73,6 +74,8 @@
     pub recovery: RecoveryMetrics,
     /// Requests that wait for room.
     pub admission: AdmissionMetrics,
+    opened_connections: IntCounterVec,
+    paths_at_limit: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -268,6 +271,16 @@
                 ),
             },
             admission: AdmissionMetrics::new(&builder),
+            opened_connections: builder.counters(
+                "cassiafield_connections_opened_total",
+                "Connections opened to endpoints, by what they were opened for",
+                &["purpose"],
+            ),
+            paths_at_limit: builder.counters(
+                "cassiafield_paths_at_limit_total",
+                "Plans that met endpoints where one more stream makes another one late",
+                &["left"],
+            ),
             registry: builder.into_registry(),
         }
     }
@@ -358,6 +371,16 @@
         self.connections.inc();
     }
 
+    /// Counts a plan that met endpoints at their limit, and whether another path was taken.
+    pub fn count_path_at_limit(&self, is_left: bool) {
+        self.paths_at_limit.with_label_values(&[if is_left { "true" } else { "false" }]).inc();
+    }
+
+    /// Counts a connection opened to an endpoint for a purpose.
+    pub fn count_opened(&self, purpose: ConnectionPurpose) {
+        self.opened_connections.with_label_values(&[purpose.name()]).inc();
+    }
+
     /// Counts a caller's connection that the host closed, and the request that this cut, if any.
     pub fn count_close(&self, reason: CloseReason, is_request_cut: bool) {
         self.closed_connections.with_label_values(&[reason.name()]).inc();
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -5,6 +5,7 @@
             BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
         },
         process::{
+            connection_tracking::ConnectionPlans,
             dropped_line_count,
             freshness_sync::FreshnessWatch,
             health_probe::{HealthProbe, PathFailure},
@@ -26,7 +27,7 @@
             VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{RetryAfter, RouteStage, StageRoute},
-        version::{CallerLimits, RouteTable, ServiceRule},
+        version::{CallerLimits, RouteTable},
     },
     http::{header, HeaderMap, HeaderValue, StatusCode},
     std::{
@@ -47,6 +48,8 @@
     pub codec: Rc<dyn PlatformCodec>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// Which idle connections this host keeps.
+    pub(super) connection_plans: ConnectionPlans,
     /// Memory for the responses that are read whole.
     pub bodies: BodyBudget,
     /// The known endpoints.
@@ -141,6 +144,7 @@
             settings,
             codec,
             pool: ConnectionPool::default(),
+            connection_plans: ConnectionPlans::default(),
             bodies: BodyBudget::new(Self::MAX_BODIES_BYTES),
             directory: RefCell::default(),
             load: RefCell::default(),
@@ -623,12 +627,6 @@
         self.probe.wait_for_path_failure(self, stages, delay).await
     }
 
-    /// Returns how many idle connections this host may keep to one endpoint of a service.
-    #[must_use]
-    pub fn max_idle_connections(&self, service: &ServiceRule) -> usize {
-        ConnectionPool::max_idle_connections(service.max_connections, self.live_hosts.get())
-    }
-
     /// Returns the leader of the availability zone.
     #[must_use]
     pub fn zone_leader(&self) -> HostId {
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod boot_clock;
 mod configuration_sync;
+mod connection_tracking;
 mod crash_tracking;
 mod endpoint_exchange;
 mod endpoint_sync;
--- a/crates/cassiafield-gateway/src/recovery/stage_order.rs
+++ b/crates/cassiafield-gateway/src/recovery/stage_order.rs
@@ -5,8 +5,9 @@
     },
     bytes::Bytes,
     cassiafield_core::{
-        ids::ServiceId,
+        connections::ConnectionPurpose,
         request::{RouteStage, StageRoute},
+        version::ServiceRule,
     },
     compact_str::{CompactString, ToCompactString as _},
     http::{header, HeaderValue, Request, StatusCode},
@@ -20,9 +21,7 @@
     /// The state of the host.
     pub state: Rc<GatewayState>,
     /// The service of the path's endpoints.
-    pub service: ServiceId,
-    /// Number of idle connections that the host may keep to the endpoint.
-    pub max_idle: usize,
+    pub service: ServiceRule,
     /// The request's id.
     pub request_id: CompactString,
     /// The new path.
@@ -71,18 +70,20 @@
 
     /// Sends the order and waits for its answer.
     pub async fn send(self) -> OrderOutcome {
-        let Self { state, service, max_idle, request_id, route } = self;
+        let Self { state, service, request_id, route } = self;
         let Some((first, rest)) = route.stages().split_first() else { return OrderOutcome::Unsent };
         let Ok(address) = first.address.parse::<SocketAddrV4>() else {
             return OrderOutcome::Unsent;
         };
+        let allowance = state.idle_allowance(&service, &first.endpoint);
         let now = state.now();
         let need = ConnectionNeed { at_most_once: true, request_id: &request_id };
         let opened = state.pool.checkout(address, need, now, Self::TIMEOUT).await;
         let Ok(connection) = opened else { return OrderOutcome::Unsent };
+        state.record_connection_use(ConnectionPurpose::Order, connection.is_reused);
         if !connection.is_reused {
             state.metrics.count_connection();
-            state.record_connection(&service, now);
+            state.record_connection(&service.service, now);
         }
         let wire = state.codec.replacement_order(&request_id, &route);
         let names = state.codec.header_names();
@@ -96,7 +97,7 @@
         let is_useful = !rest.iter().any(|stage| state.is_paused(&stage.endpoint));
         let Ok(request) = request else { return OrderOutcome::Unsent };
         if !is_useful || !state.begin_send(&first.endpoint, SenderKind::Order) {
-            connection.return_to(&state.pool, max_idle, state.now());
+            connection.return_to(&state.pool, allowance, state.now());
             return OrderOutcome::Unsent;
         }
         let exchange = EndpointExchange {
@@ -126,7 +127,7 @@
         let named = body.as_ref().and_then(|body| state.codec.parse_refused_address(body));
         let address = text(parts.headers.get(&names.failed_address)).or(named);
         if is_reusable && body.is_some() {
-            connection.return_to(&state.pool, max_idle, state.now());
+            connection.return_to(&state.pool, allowance, state.now());
         }
         match parts.status {
             StatusCode::OK | StatusCode::ACCEPTED => OrderOutcome::Accepted,
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -16,6 +16,7 @@
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
+        connections::{ConnectionPurpose, IdleAllowance},
         ids::{EndpointId, Moment},
         process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
@@ -211,7 +212,8 @@
         };
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
             let max_idle = CallContext::MAX_IDLE_CARRIER_CONNECTIONS;
-            connection.return_to(&state.pool, max_idle, state.now());
+            let allowance = IdleAllowance { max_idle, is_scarce: false };
+            connection.return_to(&state.pool, allowance, state.now());
         }
         if verdict != RequestVerdict::NotRun && is_promise(parts.status) {
             // It holds for what the other host did, not for what this one had done before.
@@ -382,7 +384,9 @@
             Ok(connection) => connection,
             Err(error) => return self.record_failure(entry, error, started_at).await,
         };
-        if !connection.is_reused {
+        let is_reused = connection.is_reused;
+        self.context.state.record_connection_use(ConnectionPurpose::Call, is_reused);
+        if !is_reused {
             self.context.state.metrics.count_connection();
             self.context.state.record_connection(&self.context.service.service, started_at);
         }
@@ -391,8 +395,8 @@
         };
         let state = &self.context.state;
         if !state.begin_request(&entry.endpoint, SenderKind::Call, &turn) {
-            let max_idle = state.max_idle_connections(&self.context.service);
-            connection.return_to(&state.pool, max_idle, state.now());
+            let allowance = state.idle_allowance(&self.context.service, &entry.endpoint);
+            connection.return_to(&state.pool, allowance, state.now());
             return EndpointOutcome::NotRun;
         }
         *sends += 1;
@@ -529,8 +533,9 @@
             connection.record_refusal(&self.context.request.id);
         }
         if is_reusable && connection.http.wait_ready(Self::READY_TIMEOUT).await {
-            let max_idle = self.context.state.max_idle_connections(&self.context.service);
-            connection.return_to(&self.context.state.pool, max_idle, self.context.state.now());
+            let state = &self.context.state;
+            let allowance = state.idle_allowance(&self.context.service, &entry.endpoint);
+            connection.return_to(&state.pool, allowance, state.now());
         }
         if verdict == RequestVerdict::NotRun {
             let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/cassiafield-gateway/src/request/stream_repair.rs
+++ b/crates/cassiafield-gateway/src/request/stream_repair.rs
@@ -340,8 +340,7 @@
         self.repair.fence.record_order();
         let order = StageOrder {
             state: Rc::clone(state),
-            service: context.service.service.clone(),
-            max_idle: state.max_idle_connections(&context.service),
+            service: context.service.clone(),
             request_id: context.request.id.to_compact_string(),
             route: plan.route.clone(),
         };
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -111,6 +111,9 @@
     1422 GrantorBack Info "The host that grants room answers again.";
     1423 AdmissionDecided Info "This host, as the grantor of its zone, decided on a waiting request.";
     1424 FreshnessHeard Info "Another host has recent data while this one has not, and is asked at once.";
+    1440 ConnectionsOpened Info "New connections to endpoints within the last ten seconds, by what they were opened for.";
+    1441 PartsSlow Info "Endpoints or links are slower than planned, by the events of this host's streams.";
+    1442 PathAtLimit Info "A new stream met endpoints where it would make another stream late.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
