--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -21,9 +21,11 @@
 //! | [`request`] | routes, token frames, verdicts, claims and stream recovery of a request |
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
+//! | [`prefix`] | which endpoints hold the beginnings of prompts, and when that decides a path |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod ids;
+pub mod prefix;
 pub mod process;
 pub mod request;
 pub mod version;
--- a/crates/cassiafield-core/src/process/engine_profile.rs
+++ b/crates/cassiafield-core/src/process/engine_profile.rs
@@ -1,4 +1,4 @@
-use {crate::ids::AcceleratorKind, crate::request::LayerSpan};
+use {crate::ids::AcceleratorKind, crate::prefix::CacheProfile, crate::request::LayerSpan};
 
 /// Performance and memory figures of one kind of accelerator.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +46,8 @@
     pub mean_output_tokens: u32,
     /// Profiles of the supported kinds of accelerators.
     pub accelerators: Vec<AcceleratorProfile>,
+    /// How the beginnings of prompts are kept after their requests; `None` if they are not.
+    pub prefix_cache: Option<CacheProfile>,
 }
 
 impl EngineProfile {
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod endpoint_pauses;
 mod endpoint_reach;
 mod endpoint_record;
+mod endpoint_standing;
 mod endpoint_table;
 mod engine_load;
 mod engine_profile;
@@ -34,6 +35,7 @@
 mod loan_message;
 mod ordinal_lease;
 mod organisation_load;
+mod path_cost;
 mod path_planner;
 mod rate_bucket;
 mod reach_poll;
@@ -71,6 +73,7 @@
     endpoint_pauses::EndpointPauses,
     endpoint_reach::EndpointReach,
     endpoint_record::{EndpointRecord, EndpointRole, EndpointState},
+    endpoint_standing::EndpointStanding,
     endpoint_table::EndpointTable,
     engine_load::{EngineLoad, EngineReading, EngineUsage, LoadReservation, SharedReading},
     engine_profile::{AcceleratorProfile, EngineProfile},
@@ -89,6 +92,7 @@
     loan_message::{LoanDemand, LoanGrant, LoanRef, LoanRequest, LoanResponse, LoanReturn},
     ordinal_lease::{OrdinalLease, RenewalResult},
     organisation_load::{OrganisationLoad, OrganisationUsage},
+    path_cost::{PathCost, StageCost},
     path_planner::{PathError, PathPlanner, PathRequest, PlannedPath},
     rate_bucket::RateBucket,
     reach_poll::ReachPoll,
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -1,7 +1,10 @@
 use {
     crate::{
         ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
-        process::{EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile, ZonePair},
+        process::{
+            EndpointDirectory, EndpointEntry, EndpointStanding, EngineLoad, EngineProfile,
+            PathCost, StageCost, ZonePair,
+        },
         request::{LayerSpan, RouteDraft, RouteStage, StageRoute},
     },
     compact_str::ToCompactString as _,
@@ -42,6 +45,10 @@
     pub first_token_ms: f64,
     /// The links between availability zones that the stages use, each as often as they cross it.
     pub crossings: Vec<ZonePair>,
+    /// What the search minimises: the caller's expected time per token, with penalties, in milliseconds.
+    pub cost_ms: f64,
+    /// Length of the prompt's beginning that all endpoints of the path are believed to hold, in tokens.
+    pub held_tokens: u32,
 }
 
 /// The reason why no path could be planned.
@@ -244,6 +251,124 @@
         }
     }
 
+    /// Plans a path over `holders` alone, which hold the first `held_tokens` tokens of the prompt, so that
+    /// these are not read again.
+    ///
+    /// The request needs as much memory as without them, and suspect endpoints are not used.
+    #[must_use]
+    pub fn plan_holding(
+        &self,
+        request: &PathRequest<'a>,
+        held_tokens: u32,
+        holders: &[&'a EndpointEntry],
+    ) -> Option<PlannedPath> {
+        let tokens = f64::from(request.prompt_tokens + request.output_tokens);
+        let unread = request.prompt_tokens.saturating_sub(held_tokens);
+        let request = PathRequest { prompt_tokens: unread, ..request.clone() };
+        let links = LinkTable::new(self, &request);
+        let holders = holders.iter().copied();
+        let healthy = self.candidates_among(holders, &request, &links, CandidateFilter::Healthy);
+        let (path, _) = self.cheapest(&request, &links, &healthy, Some(tokens));
+        path.map(|path| PlannedPath { held_tokens, ..path })
+    }
+
+    /// Returns the terms of the cost of a path, if its endpoints hold the first `held_tokens` tokens of the
+    /// prompt; `None` if it has an endpoint that is no longer listed.
+    #[must_use]
+    pub fn path_cost(
+        &self,
+        request: &PathRequest<'a>,
+        route: &StageRoute,
+        held_tokens: u32,
+    ) -> Option<PathCost> {
+        let unread = request.prompt_tokens.saturating_sub(held_tokens);
+        let request = PathRequest { prompt_tokens: unread, ..request.clone() };
+        let links = LinkTable::new(self, &request);
+        let mut stages = Vec::with_capacity(route.stages().len());
+        let mut last_zone: Option<usize> = None;
+        for stage in route.stages() {
+            let entry = self.directory.entry(&stage.endpoint)?;
+            let candidate = self.candidate(&request, &links, entry)?;
+            let zone_index = candidate.zone_index;
+            let crossed = last_zone.filter(|from| *from != zone_index);
+            let link_used = crossed.map(|from| links.used[from][zone_index]);
+            let layers = f64::from(stage.span.layers());
+            let step = PathStep { candidate_index: 0, layers, link_used };
+            let cost = self.stage_cost(&request, &candidate, last_zone.is_none(), step);
+            stages.push((stage.endpoint.clone(), cost));
+            last_zone = Some(zone_index);
+        }
+        Some(PathCost { stages, output_tokens: request.output_tokens })
+    }
+
+    /// Returns the used fraction of an endpoint's request memory; `None` if it holds no layers.
+    #[must_use]
+    pub fn memory_fraction(&self, entry: &EndpointEntry) -> Option<f64> {
+        let capacity = self.memory_capacity(entry).filter(|capacity| *capacity > 0.0)?;
+        Some(self.load.memory_used(&entry.endpoint, self.now) / capacity)
+    }
+
+    /// Returns the request memory of an endpoint that is not in use, in tokens times layers.
+    #[must_use]
+    pub fn free_memory(&self, entry: &EndpointEntry) -> f64 {
+        let capacity = self.memory_capacity(entry).unwrap_or_default();
+        (capacity - self.load.memory_used(&entry.endpoint, self.now)).max(0.0)
+    }
+
+    fn memory_capacity(&self, entry: &EndpointEntry) -> Option<f64> {
+        let profile = self.engine.accelerator(entry.accelerator.as_ref()?)?;
+        Some(self.engine.token_layer_capacity(profile, entry.span?.layers()))
+    }
+
+    /// Returns the standing of each endpoint of the request's service, in order of their names.
+    #[must_use]
+    pub fn endpoint_standings(
+        &self,
+        request: &PathRequest<'_>,
+    ) -> Vec<(EndpointId, EndpointStanding)> {
+        let links = LinkTable::new(self, request);
+        let of_service = |entry: &&EndpointEntry| &entry.service == request.service;
+        let entries = self.directory.entries().filter(of_service);
+        let standing = |entry| self.standing(request, &links, entry);
+        entries.map(|entry| (entry.endpoint.clone(), standing(entry))).collect()
+    }
+
+    fn standing(
+        &self,
+        request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
+        entry: &'a EndpointEntry,
+    ) -> EndpointStanding {
+        let endpoint = &entry.endpoint;
+        if entry.is_leaving {
+            return EndpointStanding::Leaving;
+        }
+        if request.excluded.contains(endpoint) {
+            return EndpointStanding::Excluded;
+        }
+        if let Some(until) = self.directory.blocked_until(endpoint, self.now) {
+            return EndpointStanding::Paused { until };
+        }
+        if self.directory.is_suspect(endpoint, self.now) {
+            return EndpointStanding::Suspect;
+        }
+        let Some(candidate) = self.candidate(request, links, entry) else {
+            return EndpointStanding::NoLayers;
+        };
+        if self.load.is_full(endpoint, self.now) {
+            return EndpointStanding::Full;
+        }
+        let tokens = f64::from(request.prompt_tokens + request.output_tokens);
+        if candidate.free < tokens {
+            return EndpointStanding::NoMemory;
+        }
+        match self.directory.unavailable_until(endpoint, self.now) {
+            Some(until) => EndpointStanding::NoTurn { until },
+            None if !candidate.has_slot => EndpointStanding::NoSlot,
+            None => EndpointStanding::Usable,
+        }
+    }
+
     /// Returns when there is a path again, if pauses or limits are why there is none.
     fn availability_error(
         &self,
@@ -269,9 +394,7 @@
     /// refuses streams.
     #[must_use]
     pub fn is_nearly_full(&self, entry: &EndpointEntry) -> bool {
-        let profile = entry.accelerator.as_ref().and_then(|kind| self.engine.accelerator(kind));
-        let (Some(profile), Some(span)) = (profile, entry.span) else { return false };
-        let capacity = self.engine.token_layer_capacity(profile, span.layers());
+        let Some(capacity) = self.memory_capacity(entry) else { return false };
         self.load.memory_used(&entry.endpoint, self.now) > capacity * Self::NEARLY_FULL_FRACTION
     }
 
@@ -318,8 +441,17 @@
         links: &LinkTable<'_>,
         filter: CandidateFilter,
     ) -> Vec<Candidate<'a>> {
-        let live = self.directory.live_entries(request.service);
-        let allowed = live.filter(|entry| {
+        self.candidates_among(self.directory.live_entries(request.service), request, links, filter)
+    }
+
+    fn candidates_among(
+        &self,
+        entries: impl Iterator<Item = &'a EndpointEntry>,
+        request: &PathRequest<'_>,
+        links: &LinkTable<'_>,
+        filter: CandidateFilter,
+    ) -> Vec<Candidate<'a>> {
+        let allowed = entries.filter(|entry| {
             let endpoint = &entry.endpoint;
             let is_paused = self.directory.blocked_until(endpoint, self.now).is_some();
             !request.excluded.contains(endpoint)
@@ -499,32 +631,48 @@
             + self.engine.zone_delay_ms
     }
 
-    fn extend(
+    /// Returns the terms of the cost of one stage.
+    fn stage_cost(
         &self,
         request: &PathRequest<'_>,
-        candidates: &[Candidate<'a>],
-        prefix: Option<PartialPath>,
+        candidate: &Candidate<'_>,
+        is_first: bool,
         step: PathStep,
-    ) -> PartialPath {
-        let PathStep { candidate_index, layers, link_used } = step;
-        let candidate = &candidates[candidate_index];
-        let mut token_ms = candidate.layer_ms * layers + Self::HOP_MS;
-        let mut first_ms = candidate.prefill_ms * layers + Self::HOP_MS;
-        let mut crossing_ms = 0.0;
-        if prefix.is_none() {
-            first_ms += candidate.turn_wait_ms;
+    ) -> StageCost {
+        let PathStep { layers, link_used, .. } = step;
+        let mut cost = StageCost {
+            decode_ms: candidate.layer_ms * layers,
+            prefill_ms: candidate.prefill_ms * layers,
+            hop_ms: Self::HOP_MS,
+            ..StageCost::default()
+        };
+        if is_first {
+            cost.turn_wait_ms = candidate.turn_wait_ms;
         }
-        if prefix.is_none() && request.zone != &candidate.entry.zone {
-            token_ms += self.engine.zone_delay_ms;
-            first_ms += self.engine.zone_delay_ms;
-            crossing_ms = Self::ZONE_CROSSING_MS;
+        if is_first && request.zone != &candidate.entry.zone {
+            cost.zone_delay_ms = self.engine.zone_delay_ms;
+            cost.crossing_ms = Self::ZONE_CROSSING_MS;
         }
         if let Some(used) = link_used {
-            let wait_ms = self.link_wait_ms(used);
-            token_ms += wait_ms + self.engine.transfer_ms(1);
-            first_ms += wait_ms + self.engine.transfer_ms(request.prompt_tokens);
-            crossing_ms = Self::ZONE_CROSSING_MS;
+            cost.link_wait_ms = self.link_wait_ms(used);
+            cost.token_transfer_ms = self.engine.transfer_ms(1);
+            cost.prompt_transfer_ms = self.engine.transfer_ms(request.prompt_tokens);
+            cost.crossing_ms = Self::ZONE_CROSSING_MS;
         }
+        cost
+    }
+
+    fn extend(
+        &self,
+        request: &PathRequest<'_>,
+        candidates: &[Candidate<'a>],
+        prefix: Option<PartialPath>,
+        step: PathStep,
+    ) -> PartialPath {
+        let PathStep { candidate_index, .. } = step;
+        let cost = self.stage_cost(request, &candidates[candidate_index], prefix.is_none(), step);
+        let (token_ms, first_ms) = (cost.token_ms(), cost.first_ms());
+        let crossing_ms = cost.crossing_ms;
         // The prefill time is spread over the answer's tokens, so that the cost is proportional to
         // the time for which the caller waits.
         let prefill_ms_per_token = first_ms / f64::from(request.output_tokens.max(1));
@@ -585,6 +733,8 @@
             token_ms: last.token_ms,
             first_token_ms: last.first_ms,
             crossings,
+            cost_ms: last.cost,
+            held_tokens: 0,
         })
     }
 }
--- a/crates/cassiafield-core/src/request/prompt_prefix.rs
+++ b/crates/cassiafield-core/src/request/prompt_prefix.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PromptPrefix {
     shared: Vec<PromptPart>,
+    /// Lengths of the first shared parts, up to one whose length is not stated or that is repeated.
+    lengths: Vec<u32>,
     own: u64,
 }
 
@@ -32,6 +34,14 @@
         &self.shared
     }
 
+    /// Returns the parts at the beginning of the prompt whose lengths are known, with their lengths in
+    /// tokens.
+    ///
+    /// It ends before a part that is invalid or repeated: what follows is not known to be a beginning.
+    pub fn beginning(&self) -> impl Iterator<Item = (&PromptPart, u32)> {
+        self.shared.iter().zip(self.lengths.iter().copied())
+    }
+
     /// Returns a number that is equal for requests with the same last part.
     #[must_use]
     pub const fn own(&self) -> u64 {
@@ -48,12 +58,18 @@
         let id = |entry: &str| entry.split(':').next().unwrap_or_default().trim().parse().ok();
         let mut hasher = DefaultHasher::new();
         last.split(':').next().unwrap_or_default().trim().hash(&mut hasher);
+        let length = |entry: &str| entry.split(':').nth(1)?.trim().parse::<u32>().ok();
         let mut shared: Vec<PromptPart> = Vec::new();
-        for part in rest.split(',').take(Self::MAX_PARTS).filter_map(id) {
-            if !shared.contains(&part) {
-                shared.push(part);
-            }
+        let mut lengths: Vec<u32> = Vec::new();
+        let mut is_beginning = true;
+        for entry in rest.split(',').take(Self::MAX_PARTS) {
+            let part: Option<PromptPart> = id(entry);
+            let is_new = part.as_ref().is_some_and(|part| !shared.contains(part));
+            let length = length(entry).filter(|_| is_new && is_beginning);
+            is_beginning = length.is_some();
+            lengths.extend(length);
+            shared.extend(part.filter(|_| is_new));
         }
-        Ok(Self { shared, own: hasher.finish() })
+        Ok(Self { shared, lengths, own: hasher.finish() })
     }
 }
--- a/crates/cassiafield-core/src/version/route_rule.rs
+++ b/crates/cassiafield-core/src/version/route_rule.rs
@@ -61,6 +61,8 @@
     pub priority: u32,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
+    /// Whether requests state the parts of their prompts, so that a path may be chosen by them.
+    pub has_affinity: bool,
 }
 
 impl RouteRule {
--- a/crates/cassiafield-core/tests/engine_support/mod.rs
+++ b/crates/cassiafield-core/tests/engine_support/mod.rs
@@ -62,6 +62,7 @@
             accelerator("middle", 43_000.0, 5.6, 2.7),
             accelerator("slow", 21_600.0, 16.0, 8.2),
         ],
+        prefix_cache: None,
     }
 }
 
--- a/crates/cassiafield-core/tests/route_tables.rs
+++ b/crates/cassiafield-core/tests/route_tables.rs
@@ -32,6 +32,7 @@
         event_gap_objective: None,
         priority: 0,
         is_public: false,
+        has_affinity: false,
     }
 }
 
--- a/crates/cassiafield-standin/tests/zone_simulator.rs
+++ b/crates/cassiafield-standin/tests/zone_simulator.rs
@@ -50,6 +50,7 @@
             accelerator("middle", 43_200.0, 5.6, 2.7),
             accelerator("slow", 21_600.0, 16.0, 8.2),
         ],
+        prefix_cache: None,
     }
 }
 
