--- a/crates/cassiafield-core/src/prefix/prefix_choice.rs
+++ b/crates/cassiafield-core/src/prefix/prefix_choice.rs
@@ -187,11 +187,12 @@
             let confidence = self.path_confidence(&path.route, *link);
             (confidence >= Self::MIN_CONFIDENCE).then_some((*link, confidence))
         });
-        let (held_tokens, saved_ms) = held.map_or((0, 0.0), |(link, confidence)| {
-            let saved_ms = self.saved_ms(request, &path.route, link).unwrap_or_default();
-            (link.tokens, saved_ms * confidence)
-        });
-        let path = PlannedPath { held_tokens, ..path };
+        let (held_tokens, spared_ms, saved_ms) =
+            held.map_or((0, 0.0, 0.0), |(link, confidence)| {
+                let spared_ms = self.saved_ms(request, &path.route, link).unwrap_or_default();
+                (link.tokens, spared_ms, spared_ms * confidence)
+            });
+        let path = PlannedPath { held_tokens, spared_ms, ..path };
         HeldOption { path, saved_ms, extra_ms: 0.0, expected_uses: 0.0 }
     }
 
@@ -220,7 +221,10 @@
             return Err(PrefixReason::NoPath);
         }
         let full = self.planner.path_cost(request, &path.route, 0).ok_or(PrefixReason::NoPath)?;
-        let saved_ms = self.saved_ms(request, &path.route, link).unwrap_or_default() * confidence;
+        let spared_ms = self.saved_ms(request, &path.route, link).unwrap_or_default();
+        let first_token_ms = path.first_token_ms + spared_ms;
+        let path = PlannedPath { spared_ms, first_token_ms, ..path };
+        let saved_ms = spared_ms * confidence;
         let extra_ms = (full.total_ms() - plain_total_ms).max(0.0);
         let copies =
             holders.iter().filter(|entry| entry.span.is_some_and(|span| span.start() == 0));
@@ -279,6 +283,7 @@
 impl HeldOption {
     fn into_decision(self, reason: PrefixReason) -> PrefixDecision {
         let Self { path, saved_ms, extra_ms, expected_uses } = self;
+        let path = PlannedPath { prefix_reason: Some(reason), ..path };
         PrefixDecision { path, reason, saved_ms, extra_ms, expected_uses }
     }
 }
--- a/crates/cassiafield-core/src/prefix/prefix_table.rs
+++ b/crates/cassiafield-core/src/prefix/prefix_table.rs
@@ -88,6 +88,8 @@
     /// Time after which the trust has returned half-way to its initial value, so that an endpoint is tried
     /// again.
     const TRUST_HALF_LIFE: Duration = Duration::from_secs(30);
+    /// Time after which an unused belief is forgotten; little confidence is left by then.
+    const MAX_RETENTION: Duration = Duration::from_secs(180);
     /// Time over which the demand for a beginning is counted.
     pub const DEMAND_WINDOW: Duration = Duration::from_secs(10);
 
@@ -201,9 +203,9 @@
 
     /// Forgets what endpoints held before they ended, restarted or changed their weights or layers, and
     /// what has not been used for too long.
-    pub fn expire(&mut self, directory: &EndpointDirectory, cache: &CacheProfile, now: Moment) {
+    pub fn expire(&mut self, directory: &EndpointDirectory, now: Moment) {
         self.holders.retain(|endpoint, holder| {
-            holder.beliefs.retain(|_, belief| now.since(belief.used_at) < cache.idle_retention);
+            holder.beliefs.retain(|_, belief| now.since(belief.used_at) < Self::MAX_RETENTION);
             let state = directory.entry(endpoint).and_then(HolderState::of);
             state.as_ref() == Some(&holder.state)
         });
--- a/crates/cassiafield-core/src/process/engine_load.rs
+++ b/crates/cassiafield-core/src/process/engine_load.rs
@@ -218,6 +218,12 @@
         self.known_reading(endpoint, now).map(|known| known.reading)
     }
 
+    /// Returns the time since the latest reading of an endpoint was requested, unless it is too old.
+    #[must_use]
+    pub fn reading_age(&self, endpoint: &EndpointId, now: Moment) -> Option<Duration> {
+        self.known_reading(endpoint, now).map(|known| now.since(known.at))
+    }
+
     fn known_reading(&self, endpoint: &EndpointId, now: Moment) -> Option<&KnownReading> {
         let known = self.readings.get(endpoint);
         known.filter(|known| now.since(known.at) < Self::READING_RETENTION)
--- a/crates/cassiafield-core/src/process/path_planner.rs
+++ b/crates/cassiafield-core/src/process/path_planner.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
+        prefix::PrefixReason,
         process::{
             EndpointDirectory, EndpointEntry, EndpointStanding, EngineLoad, EngineProfile,
             PathCost, StageCost, ZonePair,
@@ -49,6 +50,10 @@
     pub cost_ms: f64,
     /// Length of the prompt's beginning that all endpoints of the path are believed to hold, in tokens.
     pub held_tokens: u32,
+    /// Reading time that this spares if it is true, in milliseconds; `first_token_ms` includes it.
+    pub spared_ms: f64,
+    /// What the beginning of the prompt had to do with the choice of the path; `None` if it was not asked.
+    pub prefix_reason: Option<PrefixReason>,
 }
 
 /// The reason why no path could be planned.
@@ -735,6 +740,8 @@
             crossings,
             cost_ms: last.cost,
             held_tokens: 0,
+            spared_ms: 0.0,
+            prefix_reason: None,
         })
     }
 }
--- a/crates/cassiafield-core/src/version/route_table.rs
+++ b/crates/cassiafield-core/src/version/route_table.rs
@@ -96,6 +96,12 @@
         self.keys.is_some()
     }
 
+    /// Returns `true` if an organisation has an API key.
+    #[must_use]
+    pub fn has_organisation(&self, organisation: &OrganisationId) -> bool {
+        self.keys.as_ref().is_some_and(|keys| keys.values().any(|found| found == organisation))
+    }
+
     /// Returns the organisation that owns the API key `key`.
     #[must_use]
     pub fn organisation(&self, key: &str) -> Option<&OrganisationId> {
--- a/crates/cassiafield-core/tests/prefix_choice.rs
+++ b/crates/cassiafield-core/tests/prefix_choice.rs
@@ -278,7 +278,7 @@
     list[0].incarnation = EndpointIncarnation(2);
     play.directory.apply_list(list, play.now);
     assert_eq!(play.decide(&chain).reason, PrefixReason::NotHeld);
-    play.table.expire(&play.directory, &CACHE, play.now);
+    play.table.expire(&play.directory, play.now);
     assert!(play.table.is_empty());
 }
 
--- a/crates/cassiafield-daemons/src/control/control_program.rs
+++ b/crates/cassiafield-daemons/src/control/control_program.rs
@@ -1,5 +1,5 @@
 use {
-    crate::control::{explain_command, list_command, view_command, ControlError},
+    crate::control::{dry_run_command, explain_command, list_command, view_command, ControlError},
     cassiafield::{
         connection::{EtcdStore, PlatformStore},
         version::{EditReceipt, ListEditor},
@@ -27,6 +27,9 @@
   status                           print the state of hosts (--hosts)
   report                           print the usage report (--hours, --format)
   explain ID [FILE...]             explain a request from logs; - or no file: standard input
+  dry-run FIELD=VALUE...           show where a request would go now, and why, without sending it
+                                   (--at; fields: host, path, organisation, service, model,
+                                   prompt=ID:TOKENS,..., tokens=PROMPT,OUTPUT)
   key-hash                         read a key from standard input and print its hash
 
 Exit codes:
@@ -64,6 +67,7 @@
         options.optopt("p", "plan", "plan of an organisation", "NAME");
         options.optmulti("k", "key-hash", "SHA-256 hash of a key; may be repeated", "HASH");
         options.optopt("", "hosts", "peer addresses of hosts, separated by commas", "ADDRESSES");
+        options.optopt("", "at", "metrics address of the host that is asked (dry-run)", "ADDRESS");
         options.optopt("", "hours", "hours that the report covers (default 24)", "N");
         options.optopt("f", "format", "format of the report: text, csv or json", "FORMAT");
         options.optflag("j", "json", "print JSON");
@@ -93,6 +97,9 @@
             };
             return explain_command::explain(request, files, matches.opt_present("json"));
         }
+        if let ["dry-run", ref fields @ ..] = command[..] {
+            return dry_run_command::dry_run(&matches, fields);
+        }
         let context = ControlContext::new(matches)?;
         match command[..] {
             ["plan", "list"] => list_command::list_plans(&context),
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -22,8 +22,10 @@
 //! |---|---|
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
+//! | [`prefix`] | what endpoints are believed to hold of prompts |
 //! | [`process`] | one host: state, background tasks, metrics |
 
 pub mod connection;
+pub mod prefix;
 pub mod process;
 pub mod request;
--- a/crates/cassiafield-gateway/src/process/admission_queue.rs
+++ b/crates/cassiafield-gateway/src/process/admission_queue.rs
@@ -40,6 +40,18 @@
         self.returns.borrow_mut().next_return(now, max_delay)
     }
 
+    /// Returns what [`next_return`](Self::next_return) would, without promising it to anyone.
+    #[must_use]
+    pub fn expected_return(&self, max_delay: Duration, now: Moment) -> Duration {
+        self.returns.borrow().clone().next_return(now, max_delay)
+    }
+
+    /// Returns the number of streams that wait.
+    #[must_use]
+    pub const fn waiting(&self) -> u32 {
+        self.waiters.get()
+    }
+
     /// Waits until a stream ends or the next check is due.
     pub async fn wait(&self) {
         self.waiters.set(self.waiters.get() + 1);
--- a/crates/cassiafield-gateway/src/process/crash_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/crash_tracking.rs
@@ -78,6 +78,12 @@
         self.crashes.borrow_mut().check(identity, self.now())
     }
 
+    /// Returns the parts of prompts and the requests that are kept from endpoints now.
+    #[must_use]
+    pub fn blocked_subjects(&self) -> Vec<BlockedSubject> {
+        self.crashes.borrow().blocked(self.now())
+    }
+
     /// Returns the parts of prompts that are kept from endpoints, one a line.
     #[must_use]
     pub fn describe_blocked_parts(&self) -> String {
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,5 +1,8 @@
 use {
-    crate::process::{metric_builder::MetricBuilder, SenderKind},
+    crate::{
+        prefix::PrefixMetrics,
+        process::{metric_builder::MetricBuilder, SenderKind},
+    },
     cassiafield_core::{
         ids::OrganisationId,
         process::CloseReason,
@@ -65,6 +68,7 @@
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
+    prefixes: PrefixMetrics,
 }
 
 impl GatewayMetrics {
@@ -235,6 +239,7 @@
                 "cassiafield_prompt_parts_blocked_total",
                 "Parts of prompts that were blocked, since endpoints ended under them",
             ),
+            prefixes: PrefixMetrics::new(&builder),
             registry: builder.into_registry(),
         }
     }
@@ -399,6 +404,12 @@
         self.blocked_parts.inc();
     }
 
+    /// Returns the metrics of the placement by held beginnings of prompts.
+    #[must_use]
+    pub const fn prefixes(&self) -> &PrefixMetrics {
+        &self.prefixes
+    }
+
     /// Sets the gauges to `values` and returns all metrics in the text format.
     ///
     /// # Errors
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -4,11 +4,13 @@
             CallerConnection, CallerListener, CallerService as _, ConnectionRegistry, PlatformCodec,
         },
         process::{
-            health_probe::HealthProbe, monitoring_server::MonitoringServer,
-            verdict_keeper::VerdictKeeper, EngineMonitor, GatewaySettings, GatewayState,
-            LayerPlacer, PeerLink, ProcessSignals, StoreSync,
+            health_probe::HealthProbe,
+            monitoring_server::{MonitoringRequest, MonitoringServer},
+            verdict_keeper::VerdictKeeper,
+            EngineMonitor, GatewaySettings, GatewayState, LayerPlacer, PeerLink, ProcessSignals,
+            StoreSync,
         },
-        request::{CarrierService, HostService},
+        request::{CarrierService, DryRunService, HostService},
     },
     anyhow::Context as _,
     cassiafield::process::{LogEvent, RequestDecision},
@@ -91,10 +93,18 @@
         let service = Rc::new(HostService::new(Rc::clone(&state)));
         let connections = Rc::new(ConnectionRegistry::default());
         Self::serve_hosts(&state, &service, &connections, max_connections);
-        Self::spawn_background(&state, readiness_server).await;
+        let metrics_address = Self::spawn_background(&state, readiness_server).await;
         let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
         let listener = spawn_local(serving);
-        Ok(RunningHost { state, service, connections, listener, caller_address, ready_address })
+        Ok(RunningHost {
+            state,
+            service,
+            connections,
+            listener,
+            caller_address,
+            ready_address,
+            metrics_address,
+        })
     }
 
     /// Serves the requests that other hosts hand over.
@@ -121,19 +131,29 @@
         }
     }
 
-    async fn spawn_background(state: &Rc<GatewayState>, readiness_server: MonitoringServer) {
+    /// Starts the background tasks; returns the address of the metrics, if they are served.
+    async fn spawn_background(
+        state: &Rc<GatewayState>,
+        readiness_server: MonitoringServer,
+    ) -> Option<SocketAddr> {
         let readiness = Rc::clone(state);
-        spawn_local(readiness_server.serve(Rc::new(move |_, _| {
+        spawn_local(readiness_server.serve(Rc::new(move |_| {
             let is_ready = readiness.is_ready();
             let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             (status, Vec::new())
         })));
+        let mut metrics_address = None;
         match MonitoringServer::bind(state.settings.metrics_address).await {
             Ok(server) => {
                 let metrics = Rc::clone(state);
-                spawn_local(server.serve(Rc::new(move |method, path| {
-                    match path.strip_prefix(Self::PROMPT_PARTS_PATH) {
-                        Some(rest) => answer_operator(&metrics, method, rest),
+                let dry_runs = DryRunService::new(Rc::clone(state));
+                metrics_address = server.address().ok();
+                spawn_local(server.serve(Rc::new(move |request: MonitoringRequest<'_>| {
+                    if request.path == DryRunService::PATH {
+                        return dry_runs.answer(request.method, request.query, request.is_local);
+                    }
+                    match request.path.strip_prefix(Self::PROMPT_PARTS_PATH) {
+                        Some(rest) => answer_operator(&metrics, request.method, rest),
                         None => encode_metrics(&metrics),
                     }
                 })));
@@ -149,6 +169,7 @@
         let link = Rc::new(PeerLink::new(Rc::clone(state)));
         spawn_local(Rc::clone(&link).maintain_host_entry());
         spawn_local(link.run_messages());
+        metrics_address
     }
 }
 
@@ -185,6 +206,7 @@
     listener: JoinHandle<()>,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
+    metrics_address: Option<SocketAddr>,
 }
 
 impl RunningHost {
@@ -215,6 +237,12 @@
         self.ready_address
     }
 
+    /// Returns the address of the metrics and of dry runs, if they are served.
+    #[must_use]
+    pub const fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics_address
+    }
+
     /// Stops the host.
     ///
     /// It asks callers to reconnect elsewhere, keeps serving for [`GatewayState::DRAIN_PERIOD`] and
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -3,6 +3,7 @@
         connection::{
             BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
         },
+        prefix::PrefixTracker,
         process::{
             dropped_line_count,
             health_probe::{HealthProbe, PathFailure},
@@ -69,6 +70,8 @@
     pub(super) suspect_turns: Mutex<()>,
     /// Memory in use by organisation.
     pub organisations: RefCell<OrganisationLoad>,
+    /// What endpoints are believed to hold of prompts.
+    pub prefixes: PrefixTracker,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Streams that wait for memory at model endpoints.
@@ -143,6 +146,7 @@
             crashes: RefCell::default(),
             suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
+            prefixes: PrefixTracker::default(),
             metrics: GatewayMetrics::new(),
             admission_queue: AdmissionQueue::default(),
             in_flight: Cell::new(0),
--- a/crates/cassiafield-gateway/src/process/metric_builder.rs
+++ b/crates/cassiafield-gateway/src/process/metric_builder.rs
@@ -6,34 +6,34 @@
 ///
 /// Every method panics if a name or label is invalid or used twice. All of them are constants, so a
 /// test that creates the metrics once rules this out.
-pub(super) struct MetricBuilder {
+pub(crate) struct MetricBuilder {
     registry: Registry,
 }
 
 impl MetricBuilder {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self { registry: Registry::new() }
     }
 
     /// Returns the registry with all created metrics.
-    pub(super) fn into_registry(self) -> Registry {
+    pub(crate) fn into_registry(self) -> Registry {
         self.registry
     }
 
-    pub(super) fn counter(&self, name: &str, help: &str) -> IntCounter {
+    pub(crate) fn counter(&self, name: &str, help: &str) -> IntCounter {
         self.add(IntCounter::new(name, help))
     }
 
-    pub(super) fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    pub(crate) fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
         self.add(IntCounterVec::new(Opts::new(name, help), labels))
     }
 
-    pub(super) fn gauge(&self, name: &str, help: &str) -> Gauge {
+    pub(crate) fn gauge(&self, name: &str, help: &str) -> Gauge {
         self.add(Gauge::new(name, help))
     }
 
     /// Creates histograms with the given bucket bounds, in seconds.
-    pub(super) fn histograms(
+    pub(crate) fn histograms(
         &self,
         name: &str,
         help: &str,
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -30,6 +30,7 @@
 mod store_sync;
 mod verdict_keeper;
 
+pub(crate) use self::metric_builder::MetricBuilder;
 pub use self::{
     admission_queue::AdmissionQueue,
     boot_clock::BootClock,
--- a/crates/cassiafield-gateway/src/process/monitoring_server.rs
+++ b/crates/cassiafield-gateway/src/process/monitoring_server.rs
@@ -19,8 +19,18 @@
     },
 };
 
-/// Returns the status and text for a request's method and path.
-pub(super) type PathHandler = dyn Fn(&Method, &str) -> (StatusCode, Vec<u8>);
+/// A request to a [`MonitoringServer`].
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MonitoringRequest<'a> {
+    pub(super) method: &'a Method,
+    pub(super) path: &'a str,
+    pub(super) query: Option<&'a str>,
+    /// Whether it comes from the host itself.
+    pub(super) is_local: bool,
+}
+
+/// Returns the status and text for a request.
+pub(super) type PathHandler = dyn Fn(MonitoringRequest<'_>) -> (StatusCode, Vec<u8>);
 
 /// Serves short requests from the platform: readiness and metrics.
 pub(super) struct MonitoringServer {
@@ -44,8 +54,8 @@
     /// Answers every request by its path; never returns.
     pub(super) async fn serve(self, handler: Rc<PathHandler>) {
         loop {
-            let stream = match self.listener.accept().await {
-                Ok((stream, _)) => stream,
+            let (stream, peer) = match self.listener.accept().await {
+                Ok(accepted) => accepted,
                 Err(error) => {
                     LogEvent::AcceptFailed.log(error);
                     sleep(Self::ACCEPT_BACKOFF).await;
@@ -53,9 +63,16 @@
                 }
             };
             let handler = Rc::clone(&handler);
+            let own = stream.local_addr();
+            let is_local = peer.ip().is_loopback() || own.is_ok_and(|own| own.ip() == peer.ip());
             spawn_local(async move {
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (status, text) = handler(request.method(), request.uri().path());
+                    let (status, text) = handler(MonitoringRequest {
+                        method: request.method(),
+                        path: request.uri().path(),
+                        query: request.uri().query(),
+                        is_local,
+                    });
                     let mut response = Response::new(ResponseBody::from_bytes(Bytes::from(text)));
                     *response.status_mut() = status;
                     std::future::ready(Ok::<_, Infallible>(response))
--- a/crates/cassiafield-gateway/src/process/peer_extension.rs
+++ b/crates/cassiafield-gateway/src/process/peer_extension.rs
@@ -1,7 +1,7 @@
 use {
     crate::process::peer_link::PeerMessage,
     cassiafield::process::LogEvent,
-    cassiafield_core::process::ListDigest,
+    cassiafield_core::{prefix::PrefixDigest, process::ListDigest},
     rmp_serde::{decode::Error, Deserializer},
     serde::{Deserialize as _, Serialize as _},
 };
@@ -10,19 +10,25 @@
 ///
 /// Releases that do not know of them read the message and ignore the rest of the datagram; a field added
 /// to a message itself would make them refuse it. Fields are encoded by name, and unknown ones are ignored.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct PeerExtension {
     /// Digest of the sender's list of endpoints.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) list_digest: Option<ListDigest>,
+    /// Beginnings of prompts that the sender has seen endpoints read.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) held_prefixes: Option<PrefixDigest>,
 }
 
 impl PeerExtension {
     /// Encodes a message and the fields that follow it, or logs why it cannot.
     pub(super) fn encode(self, message: &PeerMessage) -> Option<Vec<u8>> {
         let mut bytes = encode_message(message)?;
+        if self == Self::default() {
+            return Some(bytes);
+        }
         let mut serializer = rmp_serde::Serializer::new(&mut bytes).with_struct_map();
         match self.serialize(&mut serializer) {
             Ok(()) => Some(bytes),
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -353,7 +353,14 @@
                 carrier_status: self.state.carrier_status(),
             };
             let peers = self.state.exchange.peer_addresses();
-            send_to_all(socket, &message, &peers).await;
+            self.state.prefixes.refresh(&self.state);
+            let held_prefixes = self.state.prefixes.due_digest(peers.len() + 1, now);
+            let extension = PeerExtension { held_prefixes, ..PeerExtension::default() };
+            if !peers.is_empty() {
+                if let Some(bytes) = extension.encode(&message) {
+                    send_bytes(socket, &bytes, &peers).await;
+                }
+            }
             if is_zone_leader && is_due {
                 let used = self.state.load.borrow().zone_usage(now);
                 let zone = self.state.settings.zone.clone();
@@ -443,9 +450,14 @@
                         let since = self.state.now().earlier_by(age);
                         self.answer_reach_query(socket, (nonce, service), since, from);
                     }
-                    Ok((message, _)) => {
+                    Ok((message, extension)) => {
                         match &message {
                             PeerMessage::Host { host, .. } => {
+                                if let Some(digest) = extension.held_prefixes {
+                                    let directory = self.state.directory.borrow();
+                                    let now = self.state.now();
+                                    self.state.prefixes.merge(digest, &directory, now);
+                                }
                                 let is_new = self.state.exchange.add_peer(host, from);
                                 self.greet_peer(is_new);
                             }
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -301,7 +301,8 @@
         let age = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         let endpoint_list = state.endpoint_list.borrow();
         let changes = endpoint_list.changes_since(query.newest_entry);
-        let extension = PeerExtension { list_digest: Some(endpoint_list.digest()) };
+        let extension =
+            PeerExtension { list_digest: Some(endpoint_list.digest()), ..PeerExtension::default() };
         let configuration =
             state.configuration_age().map(|found| (state.configuration_revision(), age(found)));
         let endpoints = state.endpoints_age().map(|found| (changes, age(found)));
--- a/crates/cassiafield-gateway/src/request/mod.rs
+++ b/crates/cassiafield-gateway/src/request/mod.rs
@@ -6,6 +6,9 @@
 mod carried_stream;
 mod carrier_service;
 mod carry_refusal;
+mod dry_run;
+mod dry_run_query;
+mod held_prefix;
 mod host_service;
 mod plain_call;
 mod refusal_response;
@@ -20,6 +23,8 @@
 pub use self::{
     caller_request::CallerRequest,
     carrier_service::CarrierService,
+    dry_run::DryRunService,
+    dry_run_query::DryRunQuery,
     host_service::HostService,
     response_body::{ResponseAborted, ResponseBody},
 };
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -107,11 +107,11 @@
     pub(super) const OUT_OF_REACH_RETRY_DELAY: Duration = Duration::from_millis(400);
     /// Minimum retry delay advised to callers while layers have no endpoint; jitter raises it up to
     /// threefold.
-    const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+    pub(super) const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
     /// Time over which callers return that were refused during the same pause.
     const PAUSE_SPREAD: Duration = Duration::from_millis(500);
     /// Part of the remaining time that callers wait at most before they return, in percent.
-    const MAX_RETRY_DELAY_PERCENT: u32 = 30;
+    pub(super) const MAX_RETRY_DELAY_PERCENT: u32 = 30;
     /// Maximum number of response chunks buffered for a slow caller.
     const MAX_BUFFERED_CHUNKS: usize = 16;
 
@@ -413,6 +413,7 @@
             self.context.state.metrics.count_send_after_end();
         }
         self.record_transfers(&path);
+        self.context.record_prefix_request(&self.model, &path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
         }
@@ -502,6 +503,7 @@
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
                 self.context.state.record_progress(path.route.stages());
+                self.context.record_prefix_answer(&self.model, &path, sent_at);
                 self.context.decision(LogEvent::StreamStarted).sends(self.sends).log(format_args!(
                     "{} ms after its arrival, {} ms after it was sent; planned first {:.1} ms, token {:.1} ms; tokens {}+{}; route {}",
                     now.since(self.context.request.received_at).as_millis(),
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -11,7 +11,7 @@
             EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
         },
         request::{GiveUpReason, RefusalCause},
-        version::RequestKind,
+        version::{RequestKind, RouteRule},
     },
     std::time::Duration,
 };
@@ -45,7 +45,7 @@
     /// Fraction of the objective that a request may wait for memory.
     ///
     /// The rest is left for the first event.
-    const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
+    pub(super) const MAX_QUEUE_TIME_FRACTION: f64 = 0.5;
     /// Maximum planned gap between events, in multiples of the route's event-gap objective.
     ///
     /// Callers disconnect after eight times the objective.
@@ -57,7 +57,7 @@
     /// Fraction of the request memory of other zones' endpoints that new streams may fill.
     ///
     /// The rest is for requests of the other zone's own callers.
-    const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
+    pub(super) const FOREIGN_MEMORY_FRACTION: f64 = 0.88;
 
     /// Plans a path; waits for memory as `wait` allows if the endpoints are full, unless this host loses its
     /// way to them.
@@ -271,7 +271,8 @@
             self.bottleneck.set(Some(PathError::TooSlow));
             return Err(AttemptError::NoPath(RefusalCause::Overloaded));
         }
-        Ok(path)
+        let is_allowed = |held: &PlannedPath| self.sends > 0 || !self.is_too_slow(engine, held);
+        Ok(self.context.prefer_held(&planner, &first_choice, path, is_allowed))
     }
 
     /// Returns the fractions of the request memory that the stream may fill in the own zone and in
@@ -298,10 +299,17 @@
 
     /// Returns `true` if the path's events would come so slowly that callers would disconnect.
     fn is_too_slow(&self, engine: &EngineProfile, path: &PlannedPath) -> bool {
+        Self::is_path_too_slow(&self.context.rule, engine, path)
+    }
+
+    /// Returns `true` if a path's events would come too slowly for a route.
+    pub(super) fn is_path_too_slow(
+        rule: &RouteRule,
+        engine: &EngineProfile,
+        path: &PlannedPath,
+    ) -> bool {
         let gap_ms = path.token_ms * f64::from(engine.tokens_per_event.max(1));
-        self.context
-            .rule
-            .event_gap_objective
+        rule.event_gap_objective
             .is_some_and(|gap| gap_ms > gap.as_secs_f64() * 1e3 * Self::MAX_EVENT_GAP_FACTOR)
     }
 
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -102,6 +102,9 @@
     1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
     1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
     1411 CarryFailed Info "A host did not carry a request of another one.";
+    1470 PrefixHeld Info "A request goes to endpoints that hold the beginning of its prompt.";
+    1471 PrefixMissed Info "Endpoints did not hold the beginning of a prompt as believed.";
+    1472 DryRunAnswered Info "An operator asked where a request would go.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
--- a/crates/cassiafield/src/process/mod.rs
+++ b/crates/cassiafield/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_controller;
 mod allowance_controller;
+mod dry_run_report;
 mod entry_host;
 mod entry_metrics;
 mod entry_server;
@@ -24,6 +25,10 @@
 pub use self::{
     admission_controller::{AdmissionController, AdmissionRefusal, AdmissionRequest},
     allowance_controller::AllowanceController,
+    dry_run_report::{
+        DryRunOutcome, DryRunReport, EndpointView, HolderView, PathReport, PrefixReport,
+        StageReport,
+    },
     entry_host::{EntryDependencies, EntryHost},
     entry_metrics::{EntryMetrics, TokenLatencies},
     entry_server::EntryServer,
