--- a/crates/cassiafield-daemons/src/bin/cassiafield-standin.rs
+++ b/crates/cassiafield-daemons/src/bin/cassiafield-standin.rs
@@ -154,6 +154,7 @@
         record: record(matches, role)?,
         token_time: millis(matches, "token-ms", "5")?,
         prompt_time: millis(matches, "prompt-ms", "0")?,
+        kept: None,
     })
 }
 
--- a/crates/cassiafield-standin/src/engine_standin.rs
+++ b/crates/cassiafield-standin/src/engine_standin.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         standin_http::{read_json, register, respond_json, serve},
-        ToyModel,
+        KeptPrefixes, KeptUse, ToyModel,
     },
     cassiafield::connection::{
         ChunkedResponse, EngineEvent, HttpListener, StreamRequest, HEARTBEAT_INTERVAL,
@@ -15,6 +15,7 @@
     serde_json::{json, Value},
     std::{
         collections::BTreeSet,
+        hash::{DefaultHasher, Hash as _, Hasher as _},
         io,
         net::SocketAddr,
         str::FromStr,
@@ -38,6 +39,9 @@
     pub token_time: Duration,
     /// Prefill time of a prompt.
     pub prompt_time: Duration,
+    /// How the beginnings of prompts are kept after their requests; `None` if they are not. A word counts
+    /// as a token.
+    pub kept: Option<KeptPrefixes>,
 }
 
 /// Fault that an [`EngineStandin`] injects into its streams.
@@ -93,6 +97,8 @@
     span: LayerSpan,
     token_time: Duration,
     prompt_time: Duration,
+    /// Lost with the process.
+    kept: Option<Mutex<KeptPrefixes>>,
     running: AtomicU32,
     opened: AtomicU32,
     hops: AtomicU32,
@@ -142,6 +148,7 @@
             span,
             token_time: spec.token_time,
             prompt_time: spec.prompt_time,
+            kept: spec.kept.map(Mutex::new),
             running: AtomicU32::new(0),
             opened: AtomicU32::new(0),
             hops: AtomicU32::new(0),
@@ -253,7 +260,13 @@
     fn load(&self) -> Value {
         let running = self.running.load(Ordering::SeqCst);
         let opened = self.opened.load(Ordering::SeqCst);
-        json!({ "running": running, "queued": 0, "slots": self.slots, "opened": opened })
+        let mut load =
+            json!({ "running": running, "queued": 0, "slots": self.slots, "opened": opened });
+        let kept = self.kept.as_ref().map(lock).filter(|kept| kept.is_reported());
+        if let Some(kept) = kept {
+            load["kept_tokens"] = json!(kept.kept_tokens());
+        }
+        load
     }
 
     /// Handles `/v1/streams/{stream}/{attempt}/cancel`; other paths are ignored.
@@ -280,21 +293,41 @@
         {
             // A stream counts once its head is sent: without one it may still be given up.
             self.opened.fetch_add(1, Ordering::SeqCst);
-            let _ = self.send_tokens(&mut response, request);
+            let used = self.find_kept(&request.prompt);
+            let found_tokens = used.as_ref().map_or(0, |used| used.found_tokens);
+            let _ = self.send_tokens(&mut response, request, found_tokens);
+            if let (Some(kept), Some(used)) = (&self.kept, used) {
+                lock(kept).end(used);
+            }
             let _ = response.close();
         }
         self.running.fetch_sub(1, Ordering::SeqCst);
         lock(&self.cancelled).remove(&(request.stream, request.attempt));
     }
 
+    /// Finds the blocks of a prompt that are kept; `None` if none ever are.
+    fn find_kept(&self, prompt: &str) -> Option<KeptUse> {
+        let mut kept = lock(self.kept.as_ref()?);
+        let word_number = |word: &str| {
+            let mut hasher = DefaultHasher::new();
+            word.hash(&mut hasher);
+            hasher.finish()
+        };
+        let blocks = kept.blocks_of(prompt.split_whitespace().map(word_number));
+        Some(kept.begin(&blocks))
+    }
+
     fn send_tokens(
         &self,
         response: &mut ChunkedResponse,
         request: &StreamRequest,
+        found_tokens: u32,
     ) -> io::Result<()> {
         let mut previous = request.generated.last().cloned();
         let start = u32::try_from(request.generated.len()).unwrap_or(u32::MAX);
-        sleep_with_heartbeats(response, self.prompt_time)?;
+        let tokens = request.prompt.split_whitespace().count().max(1);
+        let unread = 1.0 - (f64::from(found_tokens) / tokens as f64).min(1.0);
+        sleep_with_heartbeats(response, self.prompt_time.mul_f64(unread))?;
         for position in start..request.max_tokens {
             if lock(&self.cancelled).contains(&(request.stream, request.attempt)) {
                 return Ok(());
--- a/crates/cassiafield-standin/src/local_fleet.rs
+++ b/crates/cassiafield-standin/src/local_fleet.rs
@@ -201,8 +201,12 @@
     for stage in 0..spec.stages {
         for replica in 0..spec.replicas {
             let record = stage_record(spec, stage, replica)?;
-            let engine_spec =
-                EngineSpec { record, token_time: spec.token_time, prompt_time: Duration::ZERO };
+            let engine_spec = EngineSpec {
+                record,
+                token_time: spec.token_time,
+                prompt_time: Duration::ZERO,
+                kept: None,
+            };
             engines.push(EngineStandin::start(LocalFleet::FREE_PORT_ADDRESS, engine_spec)?);
         }
     }
--- a/crates/cassiafield-standin/src/zone_simulator.rs
+++ b/crates/cassiafield-standin/src/zone_simulator.rs
@@ -1,11 +1,13 @@
 use {
+    crate::{KeptPrefixes, KeptUse},
     cassiafield_core::{
-        ids::{EndpointId, ModelId, Moment, ZoneId},
+        ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
+        prefix::{CacheProfile, PrefixChoice, PrefixTable, PromptChain},
         process::{
             AcceleratorProfile, EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile,
             LoadReservation, OrganisationLoad, PathPlanner, PathRequest,
         },
-        request::LayerSpan,
+        request::{LayerSpan, PromptPrefix, StageRoute},
     },
     std::{
         cmp::Reverse,
@@ -29,6 +31,47 @@
     pub seed: u64,
 }
 
+/// Prompts that begin alike, and what engines keep of them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedPrompts {
+    /// Fraction of the streams whose prompt begins with a shared part.
+    pub share: f64,
+    /// Number of different shared parts, each as likely as the others.
+    pub parts: u32,
+    /// Length of a shared part; it comes before the prompt's own part.
+    pub part_tokens: u32,
+    /// How engines keep beginnings.
+    pub cache: CacheProfile,
+    /// Memory of an endpoint for kept beginnings, in tokens.
+    pub kept_tokens: u32,
+    /// Whether paths are chosen by held beginnings.
+    pub is_choosing: bool,
+}
+
+/// The outcomes of a simulation, and when first events came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SimulationReport {
+    /// Counts of streams by outcome.
+    pub outcome: SimulationOutcome,
+    /// Time from arrival to the first event of each stream that completed, in ascending order.
+    pub first_events: Vec<Duration>,
+    /// Prompt tokens that were read, counted once a stream.
+    pub read_tokens: u64,
+    /// Prompt tokens that all stages found kept.
+    pub found_tokens: u64,
+}
+
+impl SimulationReport {
+    /// Returns the time within which a fraction of the first events came; zero without any.
+    #[must_use]
+    pub fn first_event(&self, fraction: f64) -> Duration {
+        let last = self.first_events.len().saturating_sub(1);
+        // The index is not negative and at most `last`.
+        let index = (fraction.clamp(0.0, 1.0) * last as f64).round() as usize;
+        self.first_events.get(index).copied().unwrap_or_default()
+    }
+}
+
 /// Counts of simulated streams by outcome.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SimulationOutcome {
@@ -65,11 +108,14 @@
     streams: Vec<SimulatedStream>,
     /// Scheduled events, earliest first, with their virtual time in microseconds.
     event_queue: BinaryHeap<Reverse<(u64, SimulationEvent)>>,
-    outcome: SimulationOutcome,
+    shared: Option<SharedPrompts>,
+    table: PrefixTable,
+    report: SimulationReport,
 }
 
 #[derive(Debug)]
 struct SimulatedEndpoint {
+    kept: Option<KeptPrefixes>,
     profile: AcceleratorProfile,
     /// Indexes of the streams that wait for a pass of this endpoint.
     queue: VecDeque<usize>,
@@ -82,6 +128,12 @@
     reservation: Option<LoadReservation>,
     stage: usize,
     prompt_tokens: u32,
+    /// Prompt tokens that every stage found kept.
+    found_tokens: u32,
+    chain: PromptChain,
+    route: StageRoute,
+    /// Blocks in use at the endpoints of the path.
+    kept: Vec<KeptUse>,
     /// Prompt tokens not yet prefilled by the endpoint at `stage`.
     pending_prompt_tokens: u32,
     output_tokens: u32,
@@ -110,8 +162,12 @@
             .iter()
             .filter_map(|entry| {
                 let profile = engine.accelerator(entry.accelerator.as_ref()?)?.clone();
-                let endpoint =
-                    SimulatedEndpoint { profile, queue: VecDeque::new(), is_busy: false };
+                let endpoint = SimulatedEndpoint {
+                    kept: None,
+                    profile,
+                    queue: VecDeque::new(),
+                    is_busy: false,
+                };
                 Some((entry.endpoint.clone(), endpoint))
             })
             .collect();
@@ -124,13 +180,36 @@
             endpoints,
             streams: Vec::new(),
             event_queue: BinaryHeap::new(),
-            outcome: SimulationOutcome::default(),
+            shared: None,
+            table: PrefixTable::default(),
+            report: SimulationReport::default(),
         }
     }
 
+    /// Makes a part of the prompts begin alike, and engines keep what they have read.
+    #[must_use]
+    pub fn with_shared_prompts(mut self, shared: SharedPrompts) -> Self {
+        for endpoint in self.endpoints.values_mut() {
+            let block_tokens = shared.cache.block_tokens;
+            endpoint.kept = Some(KeptPrefixes::new(block_tokens, shared.kept_tokens, false));
+        }
+        self.shared = Some(shared);
+        self
+    }
+
     /// Runs the simulation until every stream has ended and returns their outcomes.
     #[must_use]
-    pub fn run(mut self, zone: &ZoneId, traffic: &SimulatedTraffic) -> SimulationOutcome {
+    pub fn run(self, zone: &ZoneId, traffic: &SimulatedTraffic) -> SimulationOutcome {
+        self.run_with_report(zone, traffic).outcome
+    }
+
+    /// Runs the simulation like [`ZoneSimulator::run`] and returns when first events came, too.
+    #[must_use]
+    pub fn run_with_report(
+        mut self,
+        zone: &ZoneId,
+        traffic: &SimulatedTraffic,
+    ) -> SimulationReport {
         let mut random = fastrand::Rng::with_seed(traffic.seed);
         let end = as_micros(traffic.duration);
         self.schedule(0, SimulationEvent::Arrival);
@@ -149,7 +228,8 @@
                 }
             }
         }
-        self.outcome
+        self.report.first_events.sort_unstable();
+        self.report
     }
 
     fn schedule(&mut self, at: u64, event: SimulationEvent) {
@@ -157,7 +237,7 @@
     }
 
     fn handle_arrival(&mut self, zone: &ZoneId, random: &mut fastrand::Rng, now: u64) {
-        self.outcome.arrived += 1;
+        self.report.outcome.arrived += 1;
         let mut sample_tokens = |mean: u32| {
             let sample = -random.f64().max(1e-9).ln() * f64::from(mean);
             sample.clamp(f64::from(mean) * 0.1, f64::from(mean) * 3.0) as u32
@@ -166,6 +246,11 @@
             sample_tokens(self.engine.mean_prompt_tokens),
             sample_tokens(self.engine.mean_output_tokens),
         );
+        let part = self.shared.filter(|shared| random.f64() < shared.share).map(|shared| {
+            let number = random.u32(0..shared.parts.max(1));
+            (number, shared.part_tokens)
+        });
+        let prompt_tokens = prompt_tokens + part.map_or(0, |(_, tokens)| tokens);
         let model_and_endpoint: (ModelId, _) = match (self.endpoints.keys().next(), "m".parse()) {
             (Some(first), Ok(model)) => (model, first.clone()),
             _ => return,
@@ -194,21 +279,40 @@
             foreign_memory_fraction: OrganisationLoad::MAX_MEMORY_FRACTION,
         };
         let Ok(planned) = planner.plan(&request) else {
-            self.outcome.refused += 1;
+            self.report.outcome.refused += 1;
             return;
         };
+        let chain = chain_of(self.shared, part, &service, &model_and_endpoint.0);
+        let planned = match self.shared.filter(|shared| shared.is_choosing) {
+            Some(SharedPrompts { cache, .. }) if !chain.is_empty() => {
+                let (table, cache) = (&self.table, &cache);
+                let choice = PrefixChoice { planner: &planner, table, cache };
+                choice.choose(&request, &chain, planned).path
+            }
+            _ => planned,
+        };
+        self.table.record_request(&chain, at);
         let reservation =
             self.load.reserve(&planned.route, prompt_tokens + self.engine.mean_output_tokens / 2);
         let stages = planned.route.stages().iter();
         let path: Vec<_> = stages.map(|stage| (stage.endpoint.clone(), stage.span)).collect();
         let first = path[0].0.clone();
+        let (kept, found_tokens) = self.find_kept(&path, part);
+        let found_tokens = found_tokens.min(prompt_tokens);
+        self.report.read_tokens += u64::from(prompt_tokens - found_tokens);
+        self.report.found_tokens += u64::from(found_tokens);
         let index = self.streams.len();
         self.streams.push(SimulatedStream {
             path,
             reservation: Some(reservation),
             stage: 0,
             prompt_tokens,
-            pending_prompt_tokens: prompt_tokens,
+            found_tokens,
+            chain,
+            route: planned.route,
+            kept,
+            // Something is left to read: the last token of a prompt yields the first one of the answer.
+            pending_prompt_tokens: (prompt_tokens - found_tokens).max(1),
             output_tokens: output_tokens.max(1),
             generated_tokens: 0,
             arrived_micros: now,
@@ -218,6 +322,27 @@
         self.enqueue(&first, index, now);
     }
 
+    /// Finds the blocks of a prompt at the endpoints of a path, and how many tokens all of them kept.
+    fn find_kept(
+        &mut self,
+        path: &[(EndpointId, LayerSpan)],
+        part: Option<(u32, u32)>,
+    ) -> (Vec<KeptUse>, u32) {
+        let Some((number, tokens)) = part else { return (Vec::new(), 0) };
+        let (mut uses, mut found) = (Vec::new(), u32::MAX);
+        for (endpoint, _) in path {
+            let endpoint = self.endpoints.get_mut(endpoint);
+            let Some(kept) = endpoint.and_then(|endpoint| endpoint.kept.as_mut()) else { continue };
+            let content = (0..tokens).map(|token| u64::from(number) << 32 | u64::from(token));
+            let blocks = kept.blocks_of(content);
+            let used = kept.begin(&blocks);
+            found = found.min(used.found_tokens);
+            uses.push(used);
+        }
+        let is_whole = uses.len() == path.len();
+        (uses, if is_whole { found } else { 0 })
+    }
+
     fn enqueue(&mut self, id: &EndpointId, stream: usize, now: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.queue.push_back(stream);
@@ -286,10 +411,15 @@
         let stream = &mut self.streams[index];
         stream.stage += 1;
         if stream.stage < stream.path.len() {
-            stream.pending_prompt_tokens = if is_prefill { stream.prompt_tokens } else { 0 };
+            stream.pending_prompt_tokens =
+                if is_prefill { (stream.prompt_tokens - stream.found_tokens).max(1) } else { 0 };
         } else {
             stream.stage = 0;
             stream.generated_tokens += 1;
+            if stream.generated_tokens == 1 {
+                let at = Moment::from_micros(now);
+                self.table.record_read(stream.route.stages(), &stream.chain, &self.directory, at);
+            }
             let is_done = stream.generated_tokens >= stream.output_tokens;
             if is_done
                 || stream.generated_tokens.is_multiple_of(self.engine.tokens_per_event.max(1))
@@ -300,6 +430,10 @@
                 } else {
                     (stream.last_event_micros, traffic.event_gap_limit)
                 };
+                if is_first {
+                    let time = Duration::from_micros(now - stream.arrived_micros);
+                    self.report.first_events.push(time);
+                }
                 stream.is_late |= now - since > as_micros(limit);
                 stream.last_event_micros = now;
             }
@@ -319,13 +453,35 @@
             self.load.release(reservation);
         }
         if stream.is_late {
-            self.outcome.late += 1;
+            self.report.outcome.late += 1;
         } else {
-            self.outcome.on_time += 1;
+            self.report.outcome.on_time += 1;
+        }
+        let uses = std::mem::take(&mut stream.kept);
+        let endpoints = stream.path.iter().map(|(endpoint, _)| endpoint);
+        for (endpoint, used) in endpoints.zip(uses) {
+            let endpoint = self.endpoints.get_mut(endpoint);
+            if let Some(kept) = endpoint.and_then(|endpoint| endpoint.kept.as_mut()) {
+                kept.end(used);
+            }
         }
     }
 }
 
+/// Returns the beginnings of a prompt with a shared part.
+fn chain_of(
+    shared: Option<SharedPrompts>,
+    part: Option<(u32, u32)>,
+    service: &ServiceId,
+    model: &ModelId,
+) -> PromptChain {
+    let (Some(shared), Some((number, tokens))) = (shared, part) else {
+        return PromptChain::default();
+    };
+    let prefix: PromptPrefix = format!("{number:x}:{tokens},0:1").parse().unwrap_or_default();
+    PromptChain::new(&prefix, service, model, &shared.cache)
+}
+
 fn as_micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
