--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -26,12 +26,14 @@
 //! | [`returns`] | when refused callers return |
 //! | [`connections`] | which connections to endpoints a host keeps |
 //! | [`pace`] | how fast streams' events come, and what an endpoint's end costs them |
+//! | [`prefix`] | which endpoints hold the beginnings of prompts, and when that decides a path |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod admission;
 pub mod connections;
 pub mod ids;
 pub mod pace;
+pub mod prefix;
 pub mod process;
 pub mod recovery;
 pub mod request;
--- a/crates/cassiafield-gateway/src/admission/admission_desk.rs
+++ b/crates/cassiafield-gateway/src/admission/admission_desk.rs
@@ -162,6 +162,16 @@
         self.returns.borrow_mut().next_return(now, max_delay)
     }
 
+    /// Returns what [`next_return`](Self::next_return) would, without promising it to anyone.
+    pub(crate) fn expected_return(&self, max_delay: Duration, now: Moment) -> Duration {
+        self.returns.borrow().clone().next_return(now, max_delay)
+    }
+
+    /// Returns the number of requests of this host that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.host.borrow().waiting()
+    }
+
     /// Returns after which delay a caller returns that is refused since this host can't know yet.
     ///
     /// `is_alone` says that other hosts are likely to serve it.
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -23,11 +23,13 @@
 //! | [`admission`] | requests that wait for room, at their host and at the grantor |
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
+//! | [`prefix`] | what endpoints are believed to hold of prompts |
 //! | [`process`] | one host: state, background tasks, metrics |
 //! | [`recovery`] | doubts about streams' paths, and orders that replace a part of them |
 
 pub mod admission;
 pub mod connection;
+pub mod prefix;
 pub mod process;
 pub mod recovery;
 pub mod request;
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         admission::AdmissionMetrics,
+        prefix::PrefixMetrics,
         process::{MetricBuilder, SenderKind},
         recovery::RecoveryMetrics,
     },
@@ -76,6 +77,7 @@
     pub admission: AdmissionMetrics,
     opened_connections: IntCounterVec,
     paths_at_limit: IntCounterVec,
+    prefixes: PrefixMetrics,
 }
 
 impl GatewayMetrics {
@@ -281,6 +283,7 @@
                 "Plans that met endpoints where one more stream makes another one late",
                 &["left"],
             ),
+            prefixes: PrefixMetrics::new(&builder),
             registry: builder.into_registry(),
         }
     }
@@ -455,6 +458,12 @@
         self.blocked_parts.inc();
     }
 
+    /// Returns the metrics of the placement by held beginnings of prompts.
+    #[must_use]
+    pub const fn prefixes(&self) -> &PrefixMetrics {
+        &self.prefixes
+    }
+
     /// Sets the gauges to `values` and returns all metrics in the text format.
     ///
     /// # Errors
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -4,6 +4,7 @@
         connection::{
             BodyBudget, CarrierConnector, ConnectionPool, HttpCarrierConnector, PlatformCodec,
         },
+        prefix::PrefixTracker,
         process::{
             connection_tracking::ConnectionPlans,
             dropped_line_count,
@@ -75,6 +76,8 @@
     pub(super) suspect_turns: Mutex<()>,
     /// Memory in use by organisation.
     pub organisations: RefCell<OrganisationLoad>,
+    /// What endpoints are believed to hold of prompts.
+    pub prefixes: PrefixTracker,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Requests that wait for memory at model endpoints.
@@ -158,6 +161,7 @@
             crashes: RefCell::default(),
             suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
+            prefixes: PrefixTracker::default(),
             metrics: GatewayMetrics::new(),
             admission: AdmissionDesk::default(),
             in_flight: Cell::new(0),
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -31,6 +31,7 @@
 mod store_sync;
 mod verdict_keeper;
 
+pub(crate) use self::metric_builder::MetricBuilder;
 pub use self::{
     boot_clock::BootClock,
     endpoint_exchange::EndpointExchange,
@@ -51,7 +52,6 @@
     store_sync::StoreSync,
 };
 pub(crate) use self::{
-    metric_builder::MetricBuilder,
     peer_extension::{encode_extended, PeerExtension},
     peer_link::PeerMessage,
 };
--- a/crates/cassiafield-gateway/src/process/peer_extension.rs
+++ b/crates/cassiafield-gateway/src/process/peer_extension.rs
@@ -3,6 +3,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         admission::{AdmissionNews, AdmissionReport},
+        prefix::PrefixDigest,
         process::ListDigest,
     },
     rmp_serde::{decode::Error, Deserializer},
@@ -13,7 +14,7 @@
 ///
 /// Releases that do not know of them read the message and ignore the rest of the datagram; a field added
 /// to a message itself would make them refuse it. Fields are encoded by name, and unknown ones are ignored.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct PeerExtension {
@@ -32,12 +33,18 @@
     /// Age of the sender's configuration, in milliseconds, if it is recent enough for other hosts.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) configuration_age_ms: Option<u32>,
+    /// Beginnings of prompts that the sender has seen endpoints read.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) held_prefixes: Option<PrefixDigest>,
 }
 
 impl PeerExtension {
     /// Encodes a message and the fields that follow it, or logs why it cannot.
     pub(super) fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
         let mut bytes = encode_message(message)?;
+        if *self == Self::default() {
+            return Some(bytes);
+        }
         let mut serializer = rmp_serde::Serializer::new(&mut bytes).with_struct_map();
         match self.serialize(&mut serializer) {
             Ok(()) => Some(bytes),
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -335,6 +335,9 @@
             let news = Some(self.state.admission.refresh(&self.state));
             let extension = PeerExtension { news, ..self.extension() };
             let peers = self.state.exchange.peer_addresses();
+            self.state.prefixes.refresh(&self.state);
+            let held_prefixes = self.state.prefixes.due_digest(peers.len() + 1, now);
+            let extension = PeerExtension { held_prefixes, ..extension };
             send_extended(socket, &extension, &message, &peers).await;
             if is_zone_leader && is_due {
                 let used = self.state.load.borrow().zone_usage(now);
@@ -490,6 +493,11 @@
                         let is_current = self.apply_extension(&message, &extension, from);
                         match &message {
                             PeerMessage::Host { host, .. } => {
+                                if let Some(digest) = extension.held_prefixes {
+                                    let directory = self.state.directory.borrow();
+                                    let now = self.state.now();
+                                    self.state.prefixes.merge(digest, &directory, now);
+                                }
                                 let is_new = self.state.exchange.add_peer(host, from);
                                 self.greet_peer(is_new);
                             }
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -346,6 +346,7 @@
             self.context.state.metrics.count_send_after_end();
         }
         self.record_transfers(&path);
+        self.context.record_prefix_request(&self.model, &path);
         if !self.sent_to.contains(&first.endpoint) {
             self.sent_to.push(first.endpoint.clone());
         }
@@ -435,6 +436,7 @@
             ReadOutcome::Events(first) => {
                 let now = self.context.state.now();
                 self.context.state.record_progress(path.route.stages());
+                self.context.record_prefix_answer(&self.model, &path, sent_at);
                 self.context.decision(LogEvent::StreamStarted).sends(self.sends).log(format_args!(
                     "{} ms after its arrival, {} ms after it was sent; planned first {:.1} ms, token {:.1} ms; tokens {}+{}; route {}",
                     now.since(self.context.request.received_at).as_millis(),
--- a/crates/cassiafield-gateway/src/request/stream_refusal.rs
+++ b/crates/cassiafield-gateway/src/request/stream_refusal.rs
@@ -14,11 +14,11 @@
 impl StreamCall {
     /// Minimum retry delay advised to callers while layers have no endpoint; jitter raises it up to
     /// threefold.
-    const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+    pub(super) const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
     /// Time over which callers return that were refused during the same pause.
     const PAUSE_SPREAD: Duration = Duration::from_millis(500);
     /// Part of the remaining time that callers wait at most before they return, in percent.
-    const MAX_RETRY_DELAY_PERCENT: u32 = 30;
+    pub(super) const MAX_RETRY_DELAY_PERCENT: u32 = 30;
 
     pub(super) fn refuse(
         &self,
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -114,6 +114,9 @@
     1440 ConnectionsOpened Info "New connections to endpoints within the last ten seconds, by what they were opened for.";
     1441 PartsSlow Info "Endpoints or links are slower than planned, by the events of this host's streams.";
     1442 PathAtLimit Info "A new stream met endpoints where it would make another stream late.";
+    1470 PrefixHeld Info "A request goes to endpoints that hold the beginning of its prompt.";
+    1471 PrefixMissed Info "Endpoints did not hold the beginning of a prompt as believed.";
+    1472 DryRunAnswered Info "An operator asked where a request would go.";
     1501 ClaimUnsettled Warning "The outcome of a claimed call is not recorded yet.";
     1502 ClaimSettled Info "The outcome of a claimed call was recorded after a retry.";
     1601 OrdinalTaken Info "The host holds an ordinal of its availability zone.";
