--- a/crates/cassiafield-gateway/src/request/stream_failures.rs
+++ b/crates/cassiafield-gateway/src/request/stream_failures.rs
@@ -7,7 +7,6 @@
             caller_request::strip_hop_headers,
             stream_call::{AttemptError, StreamCall},
             stream_relay::{StreamAttempt, StreamError},
-            stream_source::StallCause,
             ResponseBody,
         },
     },
@@ -147,9 +146,6 @@
         if !self.context.needs_carrier() {
             self.excluded.extend(error.endpoints_to_exclude(attempt));
         }
-        if let StreamError::Stalled(StallCause::Suspect(found)) = error {
-            self.suspects.extend(found.iter().cloned());
-        }
         if error.is_unexplained_stall() {
             let now = self.context.state.now();
             let since = now.earlier_by(attempt.timeouts.stall_timeout());
--- a/crates/cassiafield-gateway/src/request/stream_relay.rs
+++ b/crates/cassiafield-gateway/src/request/stream_relay.rs
@@ -127,7 +127,9 @@
     /// Returns the endpoints that the next path must avoid.
     pub(super) fn endpoints_to_exclude(&self, attempt: &StreamAttempt) -> Vec<EndpointId> {
         match self {
-            StreamError::Stalled(StallCause::Unresponsive(unresponsive)) => unresponsive.clone(),
+            StreamError::Stalled(
+                StallCause::Unresponsive(unresponsive) | StallCause::Suspect(unresponsive),
+            ) => unresponsive.clone(),
             StreamError::Broken(_)
             | StreamError::Event(_)
             | StreamError::Truncated
@@ -135,8 +137,9 @@
             | StreamError::EndpointEnded => {
                 attempt.source.first_endpoint().cloned().into_iter().collect()
             }
-            StreamError::Stalled(StallCause::OutOfReach | StallCause::Suspect(_))
-            | StreamError::DeadlineExceeded => Vec::new(),
+            StreamError::Stalled(StallCause::OutOfReach) | StreamError::DeadlineExceeded => {
+                Vec::new()
+            }
         }
     }
 }
--- a/crates/cassiafield-gateway/src/request/stream_repair.rs
+++ b/crates/cassiafield-gateway/src/request/stream_repair.rs
@@ -193,8 +193,13 @@
             };
             match outcome {
                 OrderOutcome::Accepted => return None,
-                // The endpoint that cannot take its part is avoided from now on.
-                OrderOutcome::Refused { address: Some(_), .. } => {}
+                OrderOutcome::Refused { address: Some(address), .. } => {
+                    let Some(named) = self.stage_on_path(&address) else { continue };
+                    // A stage that was to be kept has failed too; a new one is avoided from now on.
+                    if !doubt.endpoints.contains(&named) {
+                        doubt.endpoints.push(named);
+                    }
+                }
                 OrderOutcome::Refused { .. }
                 | OrderOutcome::Unknown
                 | OrderOutcome::Unanswered
@@ -207,6 +212,12 @@
         }
     }
 
+    /// Returns the endpoint of the path in use at an address.
+    fn stage_on_path(&self, address: &str) -> Option<EndpointId> {
+        let stages = self.attempt.as_ref()?.source.stages().iter();
+        stages.filter(|s| s.address == address).map(|stage| stage.endpoint.clone()).next()
+    }
+
     /// Returns how long the stream lets others go first, since it misses its objective in any case; `None` if it
     /// need not.
     fn yield_delay(&self, plan: &ReplacementPlan) -> Option<Duration> {
