--- a/crates/cassiafield-gateway/src/request/stream_repair.rs
+++ b/crates/cassiafield-gateway/src/request/stream_repair.rs
@@ -37,6 +37,8 @@
     avoided: Vec<EndpointId>,
     /// Whether the present gap is left to the verdict on the endpoints.
     is_waived: bool,
+    /// Whether the run has been ordered over another path.
+    has_replaced: bool,
     /// Planned time until the first event over a path that was just ordered.
     restart: Duration,
     /// What was found about the present break, and how the stream goes on.
@@ -89,6 +91,7 @@
             pending: None,
             avoided: Vec::new(),
             is_waived: false,
+            has_replaced: false,
             restart: Duration::ZERO,
             present_break: None,
             track,
@@ -99,7 +102,7 @@
     pub(super) fn restart(&mut self, attempt: &StreamAttempt) {
         self.track.record_path(attempt.source.stages());
         self.fence = OrderFence::default();
-        (self.pending, self.restart) = (None, Duration::ZERO);
+        (self.pending, self.restart, self.has_replaced) = (None, Duration::ZERO, false);
         self.present_break = self.present_break.map(|(found, _)| (found, "resumed"));
     }
 
@@ -285,8 +288,10 @@
         }
         let state = &context.state;
         // What ends endpoints must not reach others.
-        let is_suspicious =
-            call.ends > 0 || state.blocked_subject(context.known_identity()).is_some();
+        let is_repeated_beginning = !attempt.is_under_way && self.repair.has_replaced;
+        let is_suspicious = is_repeated_beginning
+            || call.ends > 0
+            || state.blocked_subject(context.known_identity()).is_some();
         if is_suspicious {
             return Err(RepairRefusal::Suspicious);
         }
@@ -375,6 +380,7 @@
             OrderOutcome::Accepted => {
                 self.repair.fence.record_answer();
                 self.repair.restart = plan.read_time;
+                self.repair.has_replaced = true;
                 self.repair.present_break =
                     self.repair.present_break.map(|(found, _)| (found, "replaced"));
                 context.decision(LogEvent::StageReplaced).sends(call.sends).log(format_args!(
