--- a/crates/cassiafield-core/src/prefix/prefix_choice.rs
+++ b/crates/cassiafield-core/src/prefix/prefix_choice.rs
@@ -102,8 +102,8 @@
 impl PrefixChoice<'_, '_> {
     /// Confidence below which a beginning counts as not held.
     ///
-    /// At even odds a wrong belief costs as much as a right one saves.
-    const MIN_CONFIDENCE: f64 = 0.5;
+    /// The expected saving is weighed by the confidence; this bounds how many doubtful paths are planned.
+    const MIN_CONFIDENCE: f64 = 0.25;
     /// Fraction of an endpoint's request memory in use above which its beginnings do not count.
     ///
     /// Beyond it the engine needs the memory of kept beginnings for running requests.
@@ -135,6 +135,7 @@
         let Some(plain_cost) = plain_cost else {
             return plain.into_decision(PrefixReason::NotHeld);
         };
+        let plain_ms = plain_cost.total_ms() + self.reading_wait_ms(&plain.path.route);
         let mut reason = PrefixReason::NotHeld;
         let mut found: Option<HeldOption> = None;
         let mut plans = 0;
@@ -147,7 +148,7 @@
             if plans > Self::MAX_PLANS {
                 break;
             }
-            let option = match self.held_option(request, *link, &holders, plain_cost.total_ms()) {
+            let option = match self.held_option(request, *link, &holders, plain_ms) {
                 Ok(option) => option,
                 Err(error) => {
                     reason = error;
@@ -165,7 +166,7 @@
             }
         }
         let Some(option) = found else { return plain.into_decision(reason) };
-        let max_extra_ms = plain_cost.total_ms() * Self::MAX_EXTRA_FRACTION;
+        let max_extra_ms = plain_ms * Self::MAX_EXTRA_FRACTION;
         let is_worth_it =
             option.gain_ms(plain.saved_ms) >= Self::MIN_GAIN_MS && option.extra_ms <= max_extra_ms;
         if is_worth_it {
@@ -225,7 +226,8 @@
         let first_token_ms = path.first_token_ms + spared_ms;
         let path = PlannedPath { spared_ms, first_token_ms, ..path };
         let saved_ms = spared_ms * confidence;
-        let extra_ms = (full.total_ms() - plain_total_ms).max(0.0);
+        let total_ms = full.total_ms() + self.reading_wait_ms(&path.route);
+        let extra_ms = (total_ms - plain_total_ms).max(0.0);
         let copies =
             holders.iter().filter(|entry| entry.span.is_some_and(|span| span.start() == 0));
         let expected_uses = self.expected_uses(link, copies.count());
@@ -252,6 +254,11 @@
         Some(full.first_ms() - held.first_ms())
     }
 
+    /// Returns how long the prompt waits on a path for others to be read, in milliseconds.
+    fn reading_wait_ms(&self, route: &StageRoute) -> f64 {
+        self.table.reading_wait(route.stages(), self.now()).as_secs_f64() * 1e3
+    }
+
     /// Returns how likely all stages of a path hold a beginning.
     fn path_confidence(&self, route: &StageRoute, link: ChainLink) -> f64 {
         let of_stage = |stage: &RouteStage| {
--- a/crates/cassiafield-core/src/prefix/prefix_table.rs
+++ b/crates/cassiafield-core/src/prefix/prefix_table.rs
@@ -4,7 +4,7 @@
         prefix::{
             CacheProfile, ChainLink, DigestEntry, HolderState, PrefixDigest, PrefixKey, PromptChain,
         },
-        process::{EndpointDirectory, EndpointEntry},
+        process::{EndpointDirectory, EndpointEntry, PlannedPath},
         request::{LayerSpan, RouteStage},
     },
     std::{
@@ -35,6 +35,8 @@
 pub struct PrefixTable {
     holders: BTreeMap<EndpointId, PrefixHolder>,
     demand: HashMap<PrefixKey, PrefixDemand>,
+    /// When endpoints are expected to have read the prompts that this host has sent them.
+    reading_until: HashMap<EndpointId, Moment>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,11 +85,13 @@
     const PEER_CONFIDENCE: f64 = 0.8;
     /// Trust in an endpoint of which nothing is known yet.
     const INITIAL_TRUST: f64 = 0.8;
-    /// Weight of the latest evidence in the trust; two false beliefs in a row end the reliance on an endpoint.
+    /// Weight of the latest evidence in the trust; four false beliefs in a row end the reliance on an endpoint.
     const TRUST_WEIGHT: f64 = 0.3;
     /// Time after which the trust has returned half-way to its initial value, so that an endpoint is tried
     /// again.
     const TRUST_HALF_LIFE: Duration = Duration::from_secs(30);
+    /// Longest reading of a prompt that is counted, in milliseconds; a longer one is an absurd report.
+    const MAX_READING_MS: f64 = 10_000.0;
     /// Time after which an unused belief is forgotten; little confidence is left by then.
     const MAX_RETENTION: Duration = Duration::from_secs(180);
     /// Time over which the demand for a beginning is counted.
@@ -110,6 +114,29 @@
         }
     }
 
+    /// Records that a prompt is being sent over a path, whose endpoints read what they do not hold.
+    ///
+    /// Endpoints read one prompt after another, so later ones wait.
+    pub fn record_reading(&mut self, path: &PlannedPath, now: Moment) {
+        self.reading_until.retain(|_, until| *until > now);
+        let reading_ms = (path.first_token_ms - path.spared_ms).clamp(0.0, Self::MAX_READING_MS);
+        let stages = path.route.stages();
+        let layers: f64 = stages.iter().map(|stage| f64::from(stage.span.layers())).sum();
+        for stage in stages {
+            let part = f64::from(stage.span.layers()) / layers.max(1.0);
+            let time = Duration::from_secs_f64(reading_ms * part / 1e3);
+            let until = self.reading_until.entry(stage.endpoint.clone()).or_insert(now);
+            *until = (*until).max(now) + time;
+        }
+    }
+
+    /// Returns how long a prompt waits on a path for others of this host to be read.
+    #[must_use]
+    pub fn reading_wait(&self, stages: &[RouteStage], now: Moment) -> Duration {
+        let until = stages.iter().filter_map(|stage| self.reading_until.get(&stage.endpoint));
+        until.max().map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Returns how many requests with a beginning have come to this host lately; the count decays over
     /// [`PrefixTable::DEMAND_WINDOW`].
     #[must_use]
@@ -159,17 +186,18 @@
         evidence: PrefixEvidence,
         now: Moment,
     ) {
-        let is_right = match evidence {
-            PrefixEvidence::Reported { tokens } => tokens >= expected,
-            PrefixEvidence::Timed { is_early } => is_early,
+        let outcome = match evidence {
+            PrefixEvidence::Reported { tokens } => {
+                (f64::from(tokens) / f64::from(expected.max(1))).min(1.0)
+            }
+            PrefixEvidence::Timed { is_early } => f64::from(u8::from(is_early)),
         };
         for stage in stages {
             let Some(holder) = self.holders.get_mut(&stage.endpoint) else { continue };
-            let outcome = f64::from(u8::from(is_right));
             let trust = holder.trust(now);
             holder.trust = trust + (outcome - trust) * Self::TRUST_WEIGHT;
             holder.trust_at = now;
-            if !is_right {
+            if outcome < 1.0 {
                 holder.refuted_at = now;
             }
             if let PrefixEvidence::Reported { tokens } = evidence {
--- a/crates/cassiafield-core/tests/prefix_choice.rs
+++ b/crates/cassiafield-core/tests/prefix_choice.rs
@@ -114,6 +114,7 @@
         let names = (model(), service(), zone("a"));
         let request = request(&names, OrganisationLoad::MAX_MEMORY_FRACTION);
         let cost = self.planner().path_cost(&request, &path.route, found).expect("listed");
+        self.table.record_reading(&path, now);
         self.waited_ms += cost.total_ms();
         self.found += u32::from(found > 0);
         *self.sent_to.entry(first).or_default() += 1;
@@ -321,6 +322,21 @@
     assert_eq!((decision.reason, first(&decision)), (PrefixReason::ReadAgain, endpoint("e2")));
 }
 
+#[test]
+fn prompts_that_a_holder_still_reads_count_as_a_wait() {
+    let (mut play, chain) = held_at_the_busier_endpoint();
+    let held = play.decide(&chain).path;
+    assert_eq!(held.route.stages()[0].endpoint, endpoint("e1"));
+    let whole = PlannedPath { spared_ms: 0.0, ..held };
+    for _ in 0..3 {
+        play.table.record_reading(&whole, play.now);
+    }
+    let decision = play.decide(&chain);
+    assert_eq!((decision.reason, first(&decision)), (PrefixReason::ReadAgain, endpoint("e2")));
+    play.now = play.now + Duration::from_secs(5);
+    assert_eq!(first(&play.decide(&chain)), endpoint("e1"));
+}
+
 #[test]
 fn a_beginning_at_an_endpoint_short_of_memory_does_not_count() {
     let (mut play, chain) = held_at_the_busier_endpoint();
--- a/crates/cassiafield-gateway/src/prefix/prefix_tracker.rs
+++ b/crates/cassiafield-gateway/src/prefix/prefix_tracker.rs
@@ -73,9 +73,11 @@
         choice.choose(request, &prompt.chain, best)
     }
 
-    /// Records that a request is being sent.
-    pub fn record_request(&self, prompt: &PlacedPrompt<'_>, now: Moment) {
-        self.table.borrow_mut().record_request(&prompt.chain, now);
+    /// Records that a request is being sent over a path.
+    pub fn record_request(&self, prompt: &PlacedPrompt<'_>, path: &PlannedPath, now: Moment) {
+        let mut table = self.table.borrow_mut();
+        table.record_request(&prompt.chain, now);
+        table.record_reading(path, now);
     }
 
     /// Records the first event of an answer, `waited` after the request was sent.
--- a/crates/cassiafield-gateway/src/process/admission_queue.rs
+++ b/crates/cassiafield-gateway/src/process/admission_queue.rs
@@ -48,7 +48,7 @@
 
     /// Returns the number of streams that wait.
     #[must_use]
-    pub const fn waiting(&self) -> u32 {
+    pub fn waiting(&self) -> u32 {
         self.waiters.get()
     }
 
--- a/crates/cassiafield-gateway/src/request/held_prefix.rs
+++ b/crates/cassiafield-gateway/src/request/held_prefix.rs
@@ -31,7 +31,7 @@
     /// Records that the request is being sent over a path.
     pub(super) fn record_prefix_request(&self, model: &ModelId, path: &PlannedPath) {
         let Some(prompt) = self.placed_prompt(model) else { return };
-        self.state.prefixes.record_request(&prompt, self.state.now());
+        self.state.prefixes.record_request(&prompt, path, self.state.now());
         if let Some(reason) = path.prefix_reason {
             self.state.metrics.prefixes().count_decision(reason);
         }
--- a/crates/cassiafield-standin/src/kept_prefixes.rs
+++ b/crates/cassiafield-standin/src/kept_prefixes.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     hash::{DefaultHasher, Hash as _, Hasher as _},
 };
@@ -22,6 +23,8 @@
 struct KeptBlock {
     users: u32,
     used_at: u64,
+    /// Position in the prompt; a block is of use only while those before it are kept.
+    depth: usize,
 }
 
 /// The blocks that a running request uses; to be given back by [`KeptPrefixes::end`].
@@ -68,6 +71,7 @@
                 let block = self.blocks.entry(*name).or_default();
                 block.users += 1;
                 block.used_at = self.clock;
+                block.depth = index;
                 used.push(*name);
             } else {
                 break;
@@ -119,10 +123,11 @@
         self.blocks.len() < self.capacity || self.evict() && self.blocks.len() < self.capacity
     }
 
-    /// Drops the least recently used block that no running request uses; returns `false` without one.
+    /// Drops the least recently used block that no running request uses, of a prompt the last one; returns
+    /// `false` without one.
     fn evict(&mut self) -> bool {
         let idle = self.blocks.iter().filter(|(_, block)| block.users == 0);
-        let oldest = idle.min_by_key(|(name, block)| (block.used_at, **name));
+        let oldest = idle.min_by_key(|(name, block)| (block.used_at, Reverse(block.depth), **name));
         let oldest = oldest.map(|(name, _)| *name);
         oldest.is_some_and(|name| self.blocks.remove(&name).is_some())
     }
--- a/crates/cassiafield-standin/src/zone_simulator.rs
+++ b/crates/cassiafield-standin/src/zone_simulator.rs
@@ -2,7 +2,7 @@
     crate::{KeptPrefixes, KeptUse},
     cassiafield_core::{
         ids::{EndpointId, ModelId, Moment, ServiceId, ZoneId},
-        prefix::{CacheProfile, PrefixChoice, PrefixTable, PromptChain},
+        prefix::{CacheProfile, PrefixChoice, PrefixEvidence, PrefixTable, PromptChain},
         process::{
             AcceleratorProfile, EndpointDirectory, EndpointEntry, EngineLoad, EngineProfile,
             LoadReservation, OrganisationLoad, PathPlanner, PathRequest,
@@ -44,6 +44,8 @@
     pub cache: CacheProfile,
     /// Memory of an endpoint for kept beginnings, in tokens.
     pub kept_tokens: u32,
+    /// Whether answers report how many tokens were found kept.
+    pub is_reported: bool,
     /// Whether paths are chosen by held beginnings.
     pub is_choosing: bool,
 }
@@ -130,6 +132,8 @@
     prompt_tokens: u32,
     /// Prompt tokens that every stage found kept.
     found_tokens: u32,
+    /// Prompt tokens that they were believed to keep.
+    expected_tokens: u32,
     chain: PromptChain,
     route: StageRoute,
     /// Blocks in use at the endpoints of the path.
@@ -191,7 +195,8 @@
     pub fn with_shared_prompts(mut self, shared: SharedPrompts) -> Self {
         for endpoint in self.endpoints.values_mut() {
             let block_tokens = shared.cache.block_tokens;
-            endpoint.kept = Some(KeptPrefixes::new(block_tokens, shared.kept_tokens, false));
+            endpoint.kept =
+                Some(KeptPrefixes::new(block_tokens, shared.kept_tokens, shared.is_reported));
         }
         self.shared = Some(shared);
         self
@@ -292,6 +297,9 @@
             _ => planned,
         };
         self.table.record_request(&chain, at);
+        if !chain.is_empty() {
+            self.table.record_reading(&planned, at);
+        }
         let reservation =
             self.load.reserve(&planned.route, prompt_tokens + self.engine.mean_output_tokens / 2);
         let stages = planned.route.stages().iter();
@@ -308,6 +316,7 @@
             stage: 0,
             prompt_tokens,
             found_tokens,
+            expected_tokens: planned.held_tokens,
             chain,
             route: planned.route,
             kept,
@@ -418,7 +427,20 @@
             stream.generated_tokens += 1;
             if stream.generated_tokens == 1 {
                 let at = Moment::from_micros(now);
-                self.table.record_read(stream.route.stages(), &stream.chain, &self.directory, at);
+                let SimulatedStream { route, chain, expected_tokens, found_tokens, .. } = stream;
+                let stages = route.stages();
+                let is_reported = self.shared.is_some_and(|shared| shared.is_reported);
+                if is_reported && *expected_tokens > 0 {
+                    let evidence = PrefixEvidence::Reported { tokens: *found_tokens };
+                    let expected = *expected_tokens;
+                    self.table.record_evidence(stages, chain, expected, evidence, at);
+                }
+                self.table.record_read(stages, chain, &self.directory, at);
+                for stage in stages.iter().filter(|_| !chain.is_empty()) {
+                    let kept_tokens = self.shared.map_or(0, |shared| shared.kept_tokens);
+                    let free = f64::from(kept_tokens) * f64::from(stage.span.layers());
+                    self.table.record_free_memory(&stage.endpoint, free);
+                }
             }
             let is_done = stream.generated_tokens >= stream.output_tokens;
             if is_done
--- a/crates/cassiafield-standin/tests/held_prefixes.rs
+++ b/crates/cassiafield-standin/tests/held_prefixes.rs
@@ -23,7 +23,7 @@
 const LIGHT: f64 = 12.0;
 const FULL: f64 = 80.0;
 
-fn simulate(rate: f64, shared: SharedPrompts) -> SimulationReport {
+fn simulate(rate: f64, shared: SharedPrompts, seed: u64) -> SimulationReport {
     let engine = EngineProfile {
         layers: 40,
         layer_mb: 100.0,
@@ -65,7 +65,7 @@
         duration: Duration::from_secs(20),
         first_event_limit: Duration::from_millis(350),
         event_gap_limit: Duration::from_millis(200),
-        seed: 11,
+        seed,
     };
     let simulator = ZoneSimulator::new(engine, entries.collect()).with_shared_prompts(shared);
     simulator.run_with_report(&zone(), &traffic)
@@ -76,14 +76,21 @@
 }
 
 fn shared(share: f64, parts: u32, kept_tokens: u32) -> SharedPrompts {
-    let (part_tokens, is_choosing) = (1_600, false);
-    SharedPrompts { share, parts, part_tokens, cache: CACHE, kept_tokens, is_choosing }
+    SharedPrompts {
+        share,
+        parts,
+        part_tokens: 1_600,
+        cache: CACHE,
+        kept_tokens,
+        is_reported: false,
+        is_choosing: false,
+    }
 }
 
 /// Plays a pattern without and with the choice, and prints both.
 fn compare(name: &str, rate: f64, shared: SharedPrompts) -> [SimulationReport; 2] {
     [false, true].map(|is_choosing| {
-        let report = simulate(rate, SharedPrompts { is_choosing, ..shared });
+        let report = simulate(rate, SharedPrompts { is_choosing, ..shared }, 11);
         let [p50, p90, p99] = [0.5, 0.9, 0.99].map(|part| report.first_event(part).as_millis());
         println!(
             "{name}, {rate} a second, choosing {is_choosing}: first events {p50} {p90} {p99} ms, \
@@ -110,8 +117,10 @@
 
 #[test]
 fn many_beginnings_at_short_memory_are_served_no_worse() {
-    for rate in [LIGHT, FULL] {
-        let [without, with] = compare("40 beginnings, short memory", rate, shared(0.8, 40, 6_400));
+    for (rate, is_reported) in [(LIGHT, false), (FULL, false), (LIGHT, true), (FULL, true)] {
+        let short = SharedPrompts { is_reported, ..shared(0.8, 40, 6_400) };
+        let name = format!("40 beginnings, short memory, reported {is_reported}");
+        let [without, with] = compare(&name, rate, short);
         assert!(with.read_tokens <= without.read_tokens);
         assert!(with.outcome.on_time_ratio() >= without.outcome.on_time_ratio() - 0.01);
     }
@@ -141,3 +150,18 @@
     assert_eq!(kept.begin(&other).found_tokens, 0);
     assert_eq!(KeptPrefixes::new(4, 16, false).report(&third), None);
 }
+
+#[test]
+fn short_memory_at_full_load_serves_no_fewer_with_any_of_eight_seeds() {
+    for is_reported in [false, true] {
+        let short = SharedPrompts { is_reported, ..shared(0.8, 40, 6_400) };
+        for seed in 1..=8 {
+            let [without, with] = [false, true].map(|is_choosing| {
+                let report = simulate(FULL, SharedPrompts { is_choosing, ..short }, seed);
+                report.outcome.on_time_ratio()
+            });
+            println!("seed {seed}, reported {is_reported}: {without:.3} -> {with:.3} on time");
+            assert!(with >= without, "seed {seed}, reported {is_reported}: {without} {with}");
+        }
+    }
+}
