--- a/crates/cassiafield-core/src/returns/recovery_schedule.rs
+++ b/crates/cassiafield-core/src/returns/recovery_schedule.rs
@@ -14,7 +14,7 @@
 ///
 /// let mut schedule = RecoverySchedule::default();
 /// let early = schedule.next_return(false, Moment::from_millis(1_000));
-/// let late = schedule.next_return(false, Moment::from_millis(3_000));
+/// let late = schedule.next_return(false, Moment::from_millis(2_500));
 /// assert!(early < late);
 /// ```
 #[derive(Clone, Debug, Default)]
