--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -21,9 +21,11 @@
 //! | [`request`] | routes, token frames, verdicts, claims and stream recovery of a request |
 //! | [`version`] | the operators' lists, their edits and the routing configuration |
 //! | [`process`] | endpoints, allowances, queues and retry budgets of a host |
+//! | [`resources`] | memory and connections that a host holds for others |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod ids;
 pub mod process;
 pub mod request;
+pub mod resources;
 pub mod version;
--- a/crates/cassiafield-core/src/process/connection_activity.rs
+++ b/crates/cassiafield-core/src/process/connection_activity.rs
@@ -34,6 +34,8 @@
     Exiting,
     /// The platform's stop limit was reached.
     StopLimit,
+    /// Other callers need the connection's room, and nothing has passed on it for some time.
+    NoRoom,
     /// The last response was announced as the last one on the connection.
     LastResponse,
     /// The connection broke, the caller's bytes are invalid, or the response was aborted.
@@ -196,6 +198,15 @@
         self.response_bytes
     }
 
+    /// Returns the time for which nothing has passed, as of the latest check.
+    #[must_use]
+    pub fn quiet_time(&self, now: Moment) -> Duration {
+        match self.checked {
+            Some((count, since)) if count == self.change_count => now.since(since),
+            Some(_) | None => Duration::ZERO,
+        }
+    }
+
     /// Returns how long the host should wait for the caller to close its side, after the host has
     /// closed its own.
     ///
@@ -227,6 +238,7 @@
                 let is_used = self.request_count > 0;
                 let wish = policy.wish.filter(|&wish| match wish {
                     CloseReason::Exiting => is_used || quiet_time >= Self::FIRST_REQUEST_TIME,
+                    CloseReason::NoRoom => !quiet_time.is_zero(),
                     // The first request of a new connection is likely to be on its way.
                     _ => is_used && !quiet_time.is_zero(),
                 });
@@ -276,6 +288,7 @@
             CloseReason::NotReady => "not-ready",
             CloseReason::Exiting => "exiting",
             CloseReason::StopLimit => "stop-limit",
+            CloseReason::NoRoom => "no-room",
             CloseReason::LastResponse => "last-response",
             CloseReason::Failed => "failed",
         }
--- a/crates/cassiafield-core/src/request/refusal_cause.rs
+++ b/crates/cassiafield-core/src/request/refusal_cause.rs
@@ -41,13 +41,15 @@
     EndpointFailed,
     /// The call needs the platform store, which is unreachable.
     StoreUnavailable,
+    /// The host has no memory left for the request, or needs it for others while the request arrives slowly.
+    NoRoom,
     /// The host is stopping or has not loaded its lists yet.
     NotReady,
 }
 
 impl RefusalCause {
     /// All causes, for metrics and documentation.
-    pub const ALL: [RefusalCause; 19] = [
+    pub const ALL: [RefusalCause; 20] = [
         RefusalCause::BadRequest,
         RefusalCause::Unauthorised,
         RefusalCause::NotInPlan,
@@ -66,6 +68,7 @@
         RefusalCause::RequestBlocked,
         RefusalCause::EndpointFailed,
         RefusalCause::StoreUnavailable,
+        RefusalCause::NoRoom,
         RefusalCause::NotReady,
     ];
 
@@ -89,6 +92,7 @@
             | RefusalCause::PromptBlocked
             | RefusalCause::RequestBlocked
             | RefusalCause::StoreUnavailable
+            | RefusalCause::NoRoom
             | RefusalCause::NotReady => 503,
         }
     }
@@ -115,6 +119,7 @@
             RefusalCause::RequestBlocked => "request-blocked",
             RefusalCause::EndpointFailed => "endpoint-failed",
             RefusalCause::StoreUnavailable => "store-unavailable",
+            RefusalCause::NoRoom => "no-room",
             RefusalCause::NotReady => "not-ready",
         }
     }
--- a/crates/cassiafield-gateway/src/connection/caller_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_connection.rs
@@ -1,4 +1,5 @@
 use {
+    crate::resources::{MemoryCharge, WriteGate},
     cassiafield_core::{
         ids::Moment,
         process::{ClosePolicy, CloseReason, ConnectionActivity},
@@ -12,7 +13,7 @@
         mem::MaybeUninit,
         net::Shutdown,
         pin::Pin,
-        rc::Rc,
+        rc::{Rc, Weak},
         task::{ready, Poll},
         time::Duration,
     },
@@ -29,6 +30,11 @@
     pub(super) activity: RefCell<ConnectionActivity>,
     request: RefCell<Option<RequestLabel>>,
     is_closing: Cell<bool>,
+    pub(super) gate: WriteGate,
+    /// The charge of the answer that is being written, if it has one.
+    answer: RefCell<Weak<MemoryCharge>>,
+    /// Whether others need the connection's room.
+    is_unwanted: Cell<bool>,
 }
 
 /// Labels of a connection's current request in the log.
@@ -56,9 +62,36 @@
             activity: RefCell::default(),
             request: RefCell::default(),
             is_closing: Cell::new(false),
+            gate: WriteGate::default(),
+            answer: RefCell::default(),
+            is_unwanted: Cell::new(false),
         }
     }
 
+    /// Sets the charge of the answer that is being written.
+    pub fn set_answer(&self, charge: &Rc<MemoryCharge>) {
+        *self.answer.borrow_mut() = Rc::downgrade(charge);
+    }
+
+    /// Has the connection closed as soon as nothing passes on it.
+    pub(super) fn set_unwanted(&self) {
+        self.is_unwanted.set(true);
+    }
+
+    pub(super) fn is_unwanted(&self) -> bool {
+        self.is_unwanted.get()
+    }
+
+    /// Returns `true` if a part of a held answer has not been written.
+    pub(super) fn has_unread_answer(&self) -> bool {
+        self.answer.borrow().strong_count() > 0
+    }
+
+    /// Returns `true` if others need the memory of the answer that is being written.
+    pub(super) fn is_answer_evicted(&self) -> bool {
+        self.answer.borrow().upgrade().is_some_and(|charge| charge.is_evicted())
+    }
+
     /// Returns `true` if a part of a request has been read and the request not been answered
     /// completely.
     #[must_use]
--- a/crates/cassiafield-gateway/src/connection/caller_listener.rs
+++ b/crates/cassiafield-gateway/src/connection/caller_listener.rs
@@ -2,12 +2,14 @@
     crate::{
         connection::{tracked_stream::TrackedStream, CallerConnection, ConnectionRegistry},
         request::ResponseBody,
+        resources::ResourceKeeper,
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::Moment,
-        process::{ClosePolicy, CloseReason},
+        process::{ClosePolicy, CloseReason, ConnectionPhase},
+        resources::{ConnectionShares, ListenerKind},
     },
     http::{Request, Response},
     hyper::{
@@ -66,7 +68,8 @@
 #[derive(Debug)]
 pub struct CallerListener {
     listener: TcpListener,
-    max_connections: usize,
+    kind: ListenerKind,
+    resources: Rc<ResourceKeeper>,
 }
 
 impl CallerListener {
@@ -85,19 +88,23 @@
     /// Minimum read buffer that hyper accepts, in bytes.
     const MIN_BUFFER_BYTES: usize = 8 * 1_024;
 
-    /// Listens on `address` and accepts up to `max_connections` connections at a time.
+    /// Listens on `address`; connections count as those of `kind` in the host's account.
     ///
     /// # Errors
     ///
     /// Returns an error if the address cannot be bound.
-    pub fn bind(address: SocketAddrV4, max_connections: usize) -> io::Result<Self> {
+    pub fn bind(
+        address: SocketAddrV4,
+        kind: ListenerKind,
+        resources: Rc<ResourceKeeper>,
+    ) -> io::Result<Self> {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&std::net::SocketAddr::V4(address).into())?;
         socket.listen(Self::BACKLOG)?;
         let listener = TcpListener::from_std(socket.into())?;
-        Ok(Self { listener, max_connections })
+        Ok(Self { listener, kind, resources })
     }
 
     /// Returns the local address.
@@ -162,10 +169,11 @@
         service: &Rc<S>,
         registry: &Rc<ConnectionRegistry>,
     ) {
-        if registry.len() >= self.max_connections {
-            LogEvent::AcceptFailed.log("too many open connections");
-            return;
+        let (slot, quiet_count) = self.resources.accept(self.kind);
+        if quiet_count > 0 {
+            registry.trim(quiet_count, service.now());
         }
+        let Some(slot) = slot else { return };
         if let Err(error) = stream.set_nodelay(true) {
             LogEvent::AcceptFailed.log(error);
             return;
@@ -175,7 +183,7 @@
         let (service, registry) = (Rc::clone(service), Rc::clone(registry));
         spawn_local(async move {
             serve_connection(connection, service, registry).await;
-            drop(entry);
+            drop((entry, slot));
         });
     }
 }
@@ -196,7 +204,8 @@
     }
     service.record_close(&connection, reason);
     // A response that was aborted must not look complete, and the caller has nothing to read.
-    let is_aborted = matches!(reason, CloseReason::Failed | CloseReason::IdleTimeout);
+    let is_aborted =
+        matches!(reason, CloseReason::Failed | CloseReason::IdleTimeout | CloseReason::NoRoom);
     if is_aborted && activity.has_open_request() {
         return;
     }
@@ -217,7 +226,11 @@
                 connection.record_body_end();
             }
             let response = Rc::clone(&service).respond(request, Rc::clone(&connection));
-            async move { Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard))) }
+            let connection = Rc::clone(&connection);
+            async move {
+                connection.gate.opened().await;
+                Ok::<_, Infallible>(response.await.map(|body| body.with_guard(guard)))
+            }
         })
     };
     let mut builder = Builder::new();
@@ -231,13 +244,18 @@
             }
             () = wait_for_check(registry) => {}
         }
-        let wish = registry.is_exiting().then_some(CloseReason::Exiting);
+        let unwanted = connection.is_unwanted().then_some(CloseReason::NoRoom);
+        let wish = registry.is_exiting().then_some(CloseReason::Exiting).or(unwanted);
         let policy = ClosePolicy {
             idle_timeout: service.idle_timeout() + CallerListener::IDLE_MARGIN,
             header_timeout: service.header_timeout() + CallerListener::IDLE_MARGIN,
             wish: wish.or_else(|| service.close_wish()),
         };
-        match connection.check(&policy, service.now()) {
+        let reason = connection.check(&policy, service.now());
+        if let Some(reason) = stall_reason(connection, &policy, service.now()) {
+            return reason;
+        }
+        match reason {
             Some(CloseReason::HeaderTimeout) if !connection.has_unread_input() => {
                 return CloseReason::HeaderTimeout
             }
@@ -257,6 +275,27 @@
     }
 }
 
+/// Returns why a connection is closed although a request is open there, which has not run or whose answer its
+/// caller does not read.
+fn stall_reason(
+    connection: &CallerConnection,
+    policy: &ClosePolicy,
+    now: Moment,
+) -> Option<CloseReason> {
+    if connection.is_answer_evicted() {
+        return Some(CloseReason::NoRoom);
+    }
+    let activity = connection.activity();
+    let quiet_time = activity.quiet_time(now);
+    let is_unread = connection.gate.is_awaited() || connection.has_unread_answer();
+    if is_unread && quiet_time >= policy.idle_timeout {
+        return Some(CloseReason::IdleTimeout);
+    }
+    let is_stalled = activity.phase() == ConnectionPhase::ReadingBody
+        && quiet_time >= ConnectionShares::MIN_QUIET_TIME;
+    (is_stalled && connection.is_unwanted()).then_some(CloseReason::NoRoom)
+}
+
 /// Waits until a connection should be checked.
 async fn wait_for_check(registry: &ConnectionRegistry) {
     if registry.is_exiting() {
--- a/crates/cassiafield-gateway/src/connection/connection_registry.rs
+++ b/crates/cassiafield-gateway/src/connection/connection_registry.rs
@@ -1,5 +1,6 @@
 use {
     crate::connection::CallerConnection,
+    cassiafield_core::{ids::Moment, process::ConnectionPhase, resources::ConnectionShares},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
@@ -69,6 +70,28 @@
         }
     }
 
+    /// Has the `count` connections closed that have been quiet for longest; what the host works on is spared.
+    pub(super) fn trim(&self, count: usize, now: Moment) {
+        let connections = self.connections.borrow();
+        let mut quiet: Vec<_> = connections
+            .values()
+            .filter(|connection| !connection.is_unwanted())
+            .map(|connection| (connection.activity(), connection))
+            .filter(|(activity, _)| {
+                matches!(
+                    activity.phase(),
+                    ConnectionPhase::BetweenRequests | ConnectionPhase::ReadingBody
+                )
+            })
+            .map(|(activity, connection)| (activity.quiet_time(now), connection))
+            .filter(|(quiet_time, _)| *quiet_time >= ConnectionShares::MIN_QUIET_TIME)
+            .collect();
+        quiet.sort_unstable_by_key(|(quiet_time, _)| std::cmp::Reverse(*quiet_time));
+        for (_, connection) in quiet.into_iter().take(count) {
+            connection.set_unwanted();
+        }
+    }
+
     pub(super) fn add(self: &Rc<Self>, connection: &Rc<CallerConnection>) -> RegistryEntry {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
--- a/crates/cassiafield-gateway/src/connection/tracked_stream.rs
+++ b/crates/cassiafield-gateway/src/connection/tracked_stream.rs
@@ -30,6 +30,7 @@
     }
 
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.connection.gate.record_write(&written);
         if let Poll::Ready(Ok(count)) = &written {
             self.connection.activity.borrow_mut().record_write(*count);
         }
@@ -85,6 +86,7 @@
     /// The HTTP library calls this only when its own buffer is empty.
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = self.poll_socket(|socket| socket.poll_flush(context));
+        self.connection.gate.record_flush(&flushed);
         if let Poll::Ready(Ok(())) = &flushed {
             self.connection.activity.borrow_mut().record_flush();
         }
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -22,8 +22,10 @@
 //! |---|---|
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
+//! | [`resources`] | the account of what a host holds for callers |
 //! | [`process`] | one host: state, background tasks, metrics |
 
 pub mod connection;
 pub mod process;
 pub mod request;
+pub mod resources;
--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -4,6 +4,7 @@
         ids::OrganisationId,
         process::CloseReason,
         request::{GiveUpReason, RefusalCause},
+        resources::ByteCount,
         version::RequestKind,
     },
     prometheus::{
@@ -65,6 +66,7 @@
     ends_under_requests: IntCounter,
     sends_after_end: IntCounter,
     blocked_parts: IntCounter,
+    held_bytes: Gauge,
 }
 
 impl GatewayMetrics {
@@ -235,10 +237,28 @@
                 "cassiafield_prompt_parts_blocked_total",
                 "Parts of prompts that were blocked, since endpoints ended under them",
             ),
+            held_bytes: builder.gauge(
+                "cassiafield_held_bytes",
+                "Memory that bodies of requests and unread answers take",
+            ),
             registry: builder.into_registry(),
         }
     }
 
+    /// Adds a metric that another part of the host keeps.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name is in use; all names are constants.
+    pub fn register(&self, metric: Box<dyn prometheus::core::Collector>) {
+        self.registry.register(metric).expect("each metric is registered once");
+    }
+
+    /// Records the memory that is held for callers.
+    pub fn record_held(&self, held: ByteCount) {
+        self.held_bytes.set(held.bytes() as f64);
+    }
+
     /// Counts a response and records the time to its head.
     pub fn record_response(
         &self,
--- a/crates/cassiafield-gateway/src/process/gateway_server.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_server.rs
@@ -12,7 +12,7 @@
     },
     anyhow::Context as _,
     cassiafield::process::{LogEvent, RequestDecision},
-    cassiafield_core::{ids::CrashSubject, process::CloseReason},
+    cassiafield_core::{ids::CrashSubject, process::CloseReason, resources::ListenerKind},
     http::{Method, StatusCode},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -29,8 +29,6 @@
 impl GatewayServer {
     /// Path on the metrics address of the parts of prompts that are kept from endpoints.
     const PROMPT_PARTS_PATH: &'static str = "/prompt-parts";
-    /// File descriptors reserved for uses other than callers' connections.
-    const RESERVED_DESCRIPTORS: usize = 600;
     /// Time before the platform's stop limit at which a stopping host exits in any case.
     const STOP_MARGIN: Duration = Duration::from_millis(250);
     /// Interval at which a stopping host checks for requests in flight.
@@ -75,13 +73,14 @@
     pub async fn start(self) -> anyhow::Result<RunningHost> {
         let state = self.state;
         let settings = &state.settings;
-        let max_connections =
-            settings.max_descriptors.saturating_sub(Self::RESERVED_DESCRIPTORS).max(64);
-        let callers = CallerListener::bind(settings.caller_address, max_connections)
-            .with_context(|| format!("cannot listen on {}", settings.caller_address))?;
-        let readiness_server = MonitoringServer::bind(settings.ready_address)
-            .await
-            .with_context(|| format!("cannot listen on {}", settings.ready_address))?;
+        let resources = || Rc::clone(&state.resources);
+        let callers =
+            CallerListener::bind(settings.caller_address, ListenerKind::Callers, resources())
+                .with_context(|| format!("cannot listen on {}", settings.caller_address))?;
+        let readiness_server =
+            MonitoringServer::bind(settings.ready_address, ListenerKind::Readiness, resources())
+                .await
+                .with_context(|| format!("cannot listen on {}", settings.ready_address))?;
         let caller_address = callers.address()?;
         let ready_address = readiness_server.address()?;
         LogEvent::HostStarted.log(format_args!(
@@ -90,7 +89,7 @@
         ));
         let service = Rc::new(HostService::new(Rc::clone(&state)));
         let connections = Rc::new(ConnectionRegistry::default());
-        Self::serve_hosts(&state, &service, &connections, max_connections);
+        Self::serve_hosts(&state, &service, &connections);
         Self::spawn_background(&state, readiness_server).await;
         let serving = callers.serve(Rc::clone(&service), Rc::clone(&connections));
         let listener = spawn_local(serving);
@@ -104,10 +103,10 @@
         state: &Rc<GatewayState>,
         service: &Rc<HostService>,
         connections: &Rc<ConnectionRegistry>,
-        max_connections: usize,
     ) {
         let address = state.settings.carry_address;
-        let bound = CallerListener::bind(address, max_connections);
+        let resources = Rc::clone(&state.resources);
+        let bound = CallerListener::bind(address, ListenerKind::Hosts, resources);
         let bound = bound.and_then(|listener| Ok((listener.address()?, listener)));
         match bound {
             Ok((SocketAddr::V4(address), listener)) => {
@@ -128,7 +127,8 @@
             let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             (status, Vec::new())
         })));
-        match MonitoringServer::bind(state.settings.metrics_address).await {
+        let (address, resources) = (state.settings.metrics_address, Rc::clone(&state.resources));
+        match MonitoringServer::bind(address, ListenerKind::Metrics, resources).await {
             Ok(server) => {
                 let metrics = Rc::clone(state);
                 spawn_local(server.serve(Rc::new(move |method, path| {
--- a/crates/cassiafield-gateway/src/process/gateway_settings.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_settings.rs
@@ -2,6 +2,7 @@
     cassiafield_core::{
         ids::{HostId, ZoneId},
         process::SyncIntervals,
+        resources::ResourceSettings,
     },
     std::{net::SocketAddrV4, num::NonZeroU32, time::Duration},
 };
@@ -43,6 +44,8 @@
     pub retry_window: Duration,
     /// Maximum number of open file descriptors of the process.
     pub max_descriptors: usize,
+    /// What the host may hold for callers.
+    pub resources: ResourceSettings,
 }
 
 impl GatewaySettings {
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -13,6 +13,7 @@
             AdmissionQueue, BootClock, GatewayMetrics, GatewaySettings, GaugeValues,
             InFlightRequest, ReservedLoad, SendTurn, SenderKind,
         },
+        resources::ResourceKeeper,
     },
     cassiafield::process::{HostSnapshot, LogEvent, LogRateLimiter},
     cassiafield_core::{
@@ -44,8 +45,10 @@
     pub codec: Rc<dyn PlatformCodec>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
-    /// Memory for the responses that are read whole.
+    /// Memory for the reports and errors of endpoints that are read whole.
     pub bodies: BodyBudget,
+    /// The account of what is held for callers.
+    pub resources: Rc<ResourceKeeper>,
     /// The known endpoints.
     pub directory: RefCell<EndpointDirectory>,
     /// Load of the model endpoints.
@@ -107,7 +110,9 @@
     /// Maximum age of a ready host's configuration, in percent of the revocation limit.
     const MAX_READY_AGE_PERCENT: u32 = 50;
 
-    /// Memory for all responses that are read whole at the same time, in bytes.
+    /// Percentage of the memory for reports and errors of endpoints that are read whole at the same time.
+    const BODIES_PERCENT: u64 = 10;
+    /// Memory for all of them, in bytes.
     ///
     /// An endpoint may send bytes without end; the memory of a host is a few hundred MB.
     const MAX_BODIES_BYTES: usize = 64 * 1_024 * 1_024;
@@ -126,11 +131,17 @@
     #[must_use]
     pub fn new(settings: GatewaySettings, codec: Rc<dyn PlatformCodec>) -> Self {
         let retries = RetryBroker::new(&settings, BootClock.now());
+        let resources = Rc::new(ResourceKeeper::new(settings.resources));
+        let metrics = GatewayMetrics::new();
+        metrics.register(Box::new(resources.refusals()));
+        let max_bodies_bytes = Self::MAX_BODIES_BYTES
+            .min(settings.resources.memory.percent(Self::BODIES_PERCENT).bytes() as usize);
         Self {
             settings,
             codec,
             pool: ConnectionPool::default(),
-            bodies: BodyBudget::new(Self::MAX_BODIES_BYTES),
+            bodies: BodyBudget::new(max_bodies_bytes),
+            resources,
             directory: RefCell::default(),
             load: RefCell::default(),
             members: RefCell::default(),
@@ -143,7 +154,7 @@
             crashes: RefCell::default(),
             suspect_turns: Mutex::default(),
             organisations: RefCell::default(),
-            metrics: GatewayMetrics::new(),
+            metrics,
             admission_queue: AdmissionQueue::default(),
             in_flight: Cell::new(0),
             carried: Cell::new(0),
@@ -629,6 +640,7 @@
     /// Returns the values of the gauges.
     #[must_use]
     pub fn gauge_values(&self) -> GaugeValues {
+        self.metrics.record_held(self.resources.used());
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
         GaugeValues {
             configuration_age: seconds(self.configuration_age()),
--- a/crates/cassiafield-gateway/src/process/monitoring_server.rs
+++ b/crates/cassiafield-gateway/src/process/monitoring_server.rs
@@ -1,11 +1,16 @@
 use {
-    crate::request::ResponseBody,
+    crate::{
+        request::ResponseBody,
+        resources::{GatedStream, ResourceKeeper, WriteGate},
+    },
     bytes::Bytes,
     cassiafield::process::LogEvent,
+    cassiafield_core::resources::ListenerKind,
     http::{Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
+        collections::VecDeque,
         convert::Infallible,
         io,
         net::{SocketAddr, SocketAddrV4},
@@ -14,7 +19,7 @@
     },
     tokio::{
         net::TcpListener,
-        task::spawn_local,
+        task::{spawn_local, JoinHandle},
         time::{sleep, timeout},
     },
 };
@@ -25,6 +30,8 @@
 /// Serves short requests from the platform: readiness and metrics.
 pub(super) struct MonitoringServer {
     listener: TcpListener,
+    kind: ListenerKind,
+    resources: Rc<ResourceKeeper>,
 }
 
 impl MonitoringServer {
@@ -33,8 +40,15 @@
     /// Delay after a failed accept.
     const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-    pub(super) async fn bind(address: SocketAddrV4) -> io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(address).await? })
+    /// Largest head of a request, in bytes; also the least that the HTTP library takes.
+    const MAX_HEAD_BYTES: usize = 8 * 1_024;
+
+    pub(super) async fn bind(
+        address: SocketAddrV4,
+        kind: ListenerKind,
+        resources: Rc<ResourceKeeper>,
+    ) -> io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(address).await?, kind, resources })
     }
 
     pub(super) fn address(&self) -> io::Result<SocketAddr> {
@@ -42,7 +56,11 @@
     }
 
     /// Answers every request by its path; never returns.
+    ///
+    /// A new connection takes the place of the oldest one if there are too many: requests are answered at once, so
+    /// an old one is idle or slow.
     pub(super) async fn serve(self, handler: Rc<PathHandler>) {
+        let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
         loop {
             let stream = match self.listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -52,18 +70,38 @@
                     continue;
                 }
             };
+            open.retain(|task| !task.is_finished());
+            let (mut slot, _) = self.resources.accept(self.kind);
+            while slot.is_none() {
+                let Some(oldest) = open.pop_front() else { break };
+                oldest.abort();
+                // Returns once the connection has been dropped.
+                drop(oldest.await);
+                (slot, _) = self.resources.accept(self.kind);
+            }
+            let Some(slot) = slot else { continue };
             let handler = Rc::clone(&handler);
-            spawn_local(async move {
+            open.push_back(spawn_local(async move {
+                let gate = Rc::new(WriteGate::default());
+                let stream = GatedStream::new(stream, Rc::clone(&gate));
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (status, text) = handler(request.method(), request.uri().path());
-                    let mut response = Response::new(ResponseBody::from_bytes(Bytes::from(text)));
-                    *response.status_mut() = status;
-                    std::future::ready(Ok::<_, Infallible>(response))
+                    let (gate, handler) = (Rc::clone(&gate), Rc::clone(&handler));
+                    async move {
+                        gate.opened().await;
+                        let (status, text) = handler(request.method(), request.uri().path());
+                        let mut response =
+                            Response::new(ResponseBody::from_bytes(Bytes::from(text)));
+                        *response.status_mut() = status;
+                        Ok::<_, Infallible>(response)
+                    }
                 });
-                let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+                let mut builder = Builder::new();
+                builder.max_buf_size(Self::MAX_HEAD_BYTES);
+                let connection = builder.serve_connection(TokioIo::new(stream), service);
                 // Errors concern only this connection and are ignored.
                 drop(timeout(Self::CONNECTION_TIMEOUT, connection).await);
-            });
+                drop(slot);
+            }));
         }
     }
 }
--- a/crates/cassiafield-gateway/src/request/call_context.rs
+++ b/crates/cassiafield-gateway/src/request/call_context.rs
@@ -70,7 +70,7 @@
     pub(super) fn endpoint_request(&self, endpoint: &EndpointId) -> Option<Request<Full<Bytes>>> {
         let names = self.state.codec.header_names();
         let headers = self.request.outgoing_headers(names, endpoint.as_str(), self.state.now());
-        let mut request = Request::new(Full::new(self.request.body.clone()));
+        let mut request = Request::new(Full::new(self.request.body.bytes().clone()));
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.target.parse().ok()?;
         *request.headers_mut() = headers;
--- a/crates/cassiafield-gateway/src/request/caller_request.rs
+++ b/crates/cassiafield-gateway/src/request/caller_request.rs
@@ -1,6 +1,5 @@
 use {
-    crate::connection::HeaderNames,
-    bytes::Bytes,
+    crate::{connection::HeaderNames, resources::HeldBytes},
     cassiafield_core::{
         ids::{Moment, OrganisationId},
         request::{FingerprintSource, PromptPrefix, RequestFingerprint, RequestIdentity},
@@ -29,7 +28,7 @@
     /// The caller's credentials, which no endpoint gets.
     pub credentials: Option<HeaderValue>,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldBytes,
     /// How long the caller waits, counted from `received_at`.
     pub timeout: Option<Duration>,
     /// The organisation that the request is accounted to.
@@ -106,7 +105,7 @@
             target: &self.target,
             organisation: self.organisation.as_ref().map_or("", OrganisationId::as_str),
             prompt: header(&names.prompt_parts),
-            body: &self.body,
+            body: self.body.bytes(),
         })
     }
 
--- a/crates/cassiafield-gateway/src/request/carried_call.rs
+++ b/crates/cassiafield-gateway/src/request/carried_call.rs
@@ -219,7 +219,7 @@
             unanswered: progress.unanswered,
             sent_to: progress.sent_to.clone(),
         };
-        let mut request = Request::new(Full::new(self.request.body.clone()));
+        let mut request = Request::new(Full::new(self.request.body.bytes().clone()));
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.target.parse().ok()?;
         let mut headers = self.request.headers.clone();
--- a/crates/cassiafield-gateway/src/request/carrier_service.rs
+++ b/crates/cassiafield-gateway/src/request/carrier_service.rs
@@ -31,7 +31,11 @@
         request: Request<Incoming>,
         connection: Rc<CallerConnection>,
     ) -> Pin<Box<dyn Future<Output = Response<ResponseBody>>>> {
-        Box::pin(async move { self.service.handle_carried(request, &connection).await })
+        Box::pin(async move {
+            let response = self.service.handle_carried(request, &connection).await;
+            response.body().charge_to(&connection);
+            response
+        })
     }
 
     fn idle_timeout(&self) -> Duration {
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -13,17 +13,18 @@
             stream_call::StreamCall,
             CallerRequest, ResponseBody,
         },
+        resources::{HeldBytes, HoldError},
     },
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::{Moment, OrganisationId},
         process::CloseReason,
         request::{CarryNote, RefusalCause, RequestVerdict},
+        resources::HoldingKind,
         version::{RouteRule, RouteTable},
     },
     http::{header, request::Parts, Request, Response},
-    http_body_util::{BodyExt as _, LengthLimitError, Limited},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     std::{cell::Cell, future::Future, pin::Pin, rc::Rc, time::Duration},
 };
 
@@ -48,6 +49,9 @@
 impl HostService {
     /// Retry delay advised to callers while the host cannot serve them.
     const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
+    /// Minimum retry delay of a request without room, after which bodies that have stalled have made room; jitter
+    /// raises it up to twofold.
+    const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
     /// Creates the service on a host's state.
     #[must_use]
@@ -157,13 +161,19 @@
             received_at: admitted.request.received_at,
         });
         let limit = admitted.table.limits().max_body_bytes;
-        match Limited::new(body, limit).collect().await {
-            Ok(collected) => admitted.request.body = collected.to_bytes(),
-            Err(error) => {
-                let is_too_large = error.downcast_ref::<LengthLimitError>().is_some();
-                let cause =
-                    if is_too_large { RefusalCause::TooLarge } else { RefusalCause::BadRequest };
-                return self.refuse(parts, cause);
+        if !body.is_end_stream() {
+            let organisation = admitted.request.organisation.as_ref();
+            let charge = self.state.resources.open(HoldingKind::RequestBody, organisation);
+            match HeldBytes::collect(body, limit, charge).await {
+                Ok(held) => admitted.request.body = held,
+                Err(error) => {
+                    let cause = match error {
+                        HoldError::TooLarge => RefusalCause::TooLarge,
+                        HoldError::NoRoom | HoldError::Evicted => RefusalCause::NoRoom,
+                        HoldError::Broken(_) => RefusalCause::BadRequest,
+                    };
+                    return self.refuse(parts, cause);
+                }
             }
         }
         connection.record_body_end();
@@ -222,7 +232,7 @@
             target,
             headers,
             credentials,
-            body: bytes::Bytes::new(),
+            body: HeldBytes::default(),
             timeout: timeout.map(Duration::from_millis),
             organisation,
         };
@@ -305,6 +315,7 @@
             .verdict(RequestVerdict::NotRun)
             .log(format_args!("path {}", parts.uri.path()));
         let retry_after = match cause {
+            RefusalCause::NoRoom => Some(Self::NO_ROOM_RETRY_AFTER.mul_f64(1.0 + fastrand::f64())),
             RefusalCause::NotReady | RefusalCause::StoreUnavailable | RefusalCause::NoEndpoint => {
                 Some(Self::NOT_READY_RETRY_AFTER)
             }
@@ -322,6 +333,7 @@
     ) -> Pin<Box<dyn Future<Output = Response<ResponseBody>>>> {
         Box::pin(async move {
             let mut response = self.handle(request, &connection).await;
+            response.body().charge_to(&connection);
             self.set_connection_close(&mut response);
             response
         })
--- a/crates/cassiafield-gateway/src/request/plain_call.rs
+++ b/crates/cassiafield-gateway/src/request/plain_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{BodyError, ConnectionError, ConnectionNeed, PooledConnection},
+        connection::{ConnectionError, ConnectionNeed, PooledConnection},
         process::{EndpointFate, SendTurn, SenderKind},
         request::{
             call_context::CallContext,
@@ -12,6 +12,7 @@
             stream_call::StreamCall,
             ResponseBody,
         },
+        resources::{HeldBytes, HoldError},
     },
     bytes::Bytes,
     cassiafield::process::LogEvent,
@@ -19,6 +20,7 @@
         ids::{EndpointId, Moment},
         process::{BlockedSubject, EndpointEntry, ServiceChoice},
         request::{RefusalCause, RequestVerdict},
+        resources::HoldingKind,
         version::RequestKind,
     },
     http::{header, HeaderValue, Request, Response, StatusCode},
@@ -204,7 +206,9 @@
         let state = &self.context.state;
         let is_reusable = connection.apply_response_head(response.headers());
         let (mut parts, body) = response.into_parts();
-        let reading = state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
+        let charge =
+            state.resources.open(HoldingKind::Answer, self.context.request.organisation.as_ref());
+        let reading = HeldBytes::collect(body, Self::MAX_RESPONSE_BYTES, charge);
         let body = match timeout(self.context.remaining_time(), reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) | Err(_) => return None,
@@ -224,7 +228,7 @@
         let status = parts.status.as_u16();
         let host = &load.carrier.host;
         self.context.record_completion(0, format_args!("status {status} from host {host}"));
-        Some(Response::from_parts(parts, ResponseBody::from_bytes(body)))
+        Some(Response::from_parts(parts, ResponseBody::from_held(body)))
     }
 
     fn log_attempt(&self, sends: u32, entry: &EndpointEntry, outcome: &EndpointOutcome) {
@@ -500,14 +504,16 @@
         }
         let is_reusable = connection.apply_response_head(response.headers());
         let (mut parts, body) = response.into_parts();
-        let reading = self.context.state.bodies.collect(body, Self::MAX_RESPONSE_BYTES);
+        let organisation = self.context.request.organisation.as_ref();
+        let charge = self.context.state.resources.open(HoldingKind::Answer, organisation);
+        let reading = HeldBytes::collect(body, Self::MAX_RESPONSE_BYTES, charge);
         let body = match timeout(self.context.remaining_time(), reading).await {
             Ok(Ok(body)) => body,
-            Ok(Err(BodyError::Broken(_))) => {
+            Ok(Err(HoldError::Broken(_))) => {
                 self.record_break(entry).await;
                 return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
             }
-            Ok(Err(BodyError::TooLarge | BodyError::NoMemory)) | Err(_) => {
+            Ok(Err(HoldError::TooLarge | HoldError::NoRoom | HoldError::Evicted)) | Err(_) => {
                 return self.record_failure(entry, ConnectionError::TimedOut, sent_at).await;
             }
         };
@@ -542,7 +548,7 @@
         self.context.pass_leaving_on(&entry.life(), &mut parts.headers);
         parts.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let is_failure = parts.status.is_server_error();
-        let response = Response::from_parts(parts, ResponseBody::from_bytes(body));
+        let response = Response::from_parts(parts, ResponseBody::from_held(body));
         if is_failure {
             EndpointOutcome::Failed(response)
         } else {
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -68,6 +68,7 @@
     1102 ThreadFailed Error "A thread could not be started.";
     1103 CallerGone Info "A caller disconnected; its stream was cancelled.";
     1104 ConnectionClosed Info "The host closed a caller's connection.";
+    1108 RoomShort Warning "The host had no room for a body, an answer or a connection; what makes no progress may have to go.";
     1201 ListsTaken Info "A newer revision of the operators' lists is in force.";
     1202 ListsRejected Error "A revision of the operators' lists cannot be read or is not newer; the previous one stays in force.";
     1203 StoreUnreachable Warning "The platform store does not answer.";
