--- a/crates/cassiafield-core/src/lib.rs
+++ b/crates/cassiafield-core/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`connections`] | which connections to endpoints a host keeps |
 //! | [`pace`] | how fast streams' events come, and what an endpoint's end costs them |
 //! | [`prefix`] | which endpoints hold the beginnings of prompts, and when that decides a path |
+//! | [`resources`] | memory and connections that a host holds for others |
 //! | [`ids`] | names, stream ids, revisions and points in time |
 
 pub mod admission;
@@ -37,5 +38,6 @@
 pub mod process;
 pub mod recovery;
 pub mod request;
+pub mod resources;
 pub mod returns;
 pub mod version;
--- a/crates/cassiafield-gateway/src/lib.rs
+++ b/crates/cassiafield-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`request`] | handling of one request: plain calls, streams, refusals |
 //! | [`connection`] | connections to callers, endpoints and the store |
 //! | [`prefix`] | what endpoints are believed to hold of prompts |
+//! | [`resources`] | the account of what a host holds for callers |
 //! | [`process`] | one host: state, background tasks, metrics |
 //! | [`recovery`] | doubts about streams' paths, and orders that replace a part of them |
 
@@ -33,3 +34,4 @@
 pub mod process;
 pub mod recovery;
 pub mod request;
+pub mod resources;
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -13,17 +13,18 @@
             stream_call::StreamCall,
             CallerRequest, ResponseBody,
         },
+        resources::{HeldBytes, HoldError},
     },
     cassiafield::process::{LogEvent, RequestDecision},
     cassiafield_core::{
         ids::{Moment, OrganisationId},
         process::CloseReason,
         request::{CarryNote, RefusalCause, RequestVerdict},
+        resources::HoldingKind,
         version::{RouteRule, RouteTable},
     },
     http::{header, request::Parts, Request, Response},
-    http_body_util::{BodyExt as _, LengthLimitError, Limited},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     std::{cell::Cell, future::Future, pin::Pin, rc::Rc, time::Duration},
 };
 
@@ -50,6 +51,9 @@
     const MAX_RETRY_DELAY_PERCENT: u32 = 30;
     /// Retry delay advised to hosts that hand over a request which this one cannot carry.
     const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
+    /// Minimum retry delay of a request without room, after which bodies that have stalled have made room; jitter
+    /// raises it up to twofold.
+    const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
     /// Creates the service on a host's state.
     #[must_use]
@@ -159,13 +163,19 @@
             received_at: admitted.request.received_at,
         });
         let limit = admitted.table.limits().max_body_bytes;
-        match Limited::new(body, limit).collect().await {
-            Ok(collected) => admitted.request.body = collected.to_bytes(),
-            Err(error) => {
-                let is_too_large = error.downcast_ref::<LengthLimitError>().is_some();
-                let cause =
-                    if is_too_large { RefusalCause::TooLarge } else { RefusalCause::BadRequest };
-                return self.refuse(parts, cause);
+        if !body.is_end_stream() {
+            let organisation = admitted.request.organisation.as_ref();
+            let charge = self.state.resources.open(HoldingKind::RequestBody, organisation);
+            match HeldBytes::collect(body, limit, charge).await {
+                Ok(held) => admitted.request.body = held,
+                Err(error) => {
+                    let cause = match error {
+                        HoldError::TooLarge => RefusalCause::TooLarge,
+                        HoldError::NoRoom | HoldError::Evicted => RefusalCause::NoRoom,
+                        HoldError::Broken(_) => RefusalCause::BadRequest,
+                    };
+                    return self.refuse(parts, cause);
+                }
             }
         }
         connection.record_body_end();
@@ -224,7 +234,7 @@
             target,
             headers,
             credentials,
-            body: bytes::Bytes::new(),
+            body: HeldBytes::default(),
             timeout: timeout.map(Duration::from_millis),
             organisation,
         };
@@ -322,6 +332,7 @@
         let id = parts.headers.get(&names.request_id).and_then(|value| value.to_str().ok());
         self.state.metrics.count_refusal(cause);
         let retry_after = match cause {
+            RefusalCause::NoRoom => Some(Self::NO_ROOM_RETRY_AFTER.mul_f64(1.0 + fastrand::f64())),
             RefusalCause::NotReady | RefusalCause::StoreUnavailable | RefusalCause::NoEndpoint => {
                 Some(self.recovery_delay(parts))
             }
@@ -347,6 +358,7 @@
     ) -> Pin<Box<dyn Future<Output = Response<ResponseBody>>>> {
         Box::pin(async move {
             let mut response = self.handle(request, &connection).await;
+            response.body().charge_to(&connection);
             self.set_connection_close(&mut response);
             response
         })
