--- a/crates/cassiafield-core/src/recovery/recovery_schedule.rs
+++ b/crates/cassiafield-core/src/recovery/recovery_schedule.rs
@@ -10,7 +10,7 @@
 ///
 /// let ms = Duration::from_millis;
 /// let schedule = RecoverySchedule { gap_objective: ms(200), typical_gap: ms(40), restart: ms(60) };
-/// assert_eq!(schedule.probe_after(), ms(80));
+/// assert_eq!(schedule.probe_after(), ms(70));
 /// assert_eq!(schedule.act_by(), ms(120));
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,7 +32,7 @@
     const RESERVE_PERCENT: u32 = 10;
     /// Gap at which an event is late, in percent of the typical gap; prompts that are read in between delay
     /// events by less.
-    const LATE_PERCENT: u32 = 200;
+    const LATE_PERCENT: u32 = 175;
     /// Gap at which an event may count as late if little time is left, in percent of the typical gap.
     const MIN_LATE_PERCENT: u32 = 125;
     /// Shortest wait before a probe; jitter between hosts and endpoints is shorter.
--- a/crates/cassiafield-gateway/src/recovery/recovery_desk.rs
+++ b/crates/cassiafield-gateway/src/recovery/recovery_desk.rs
@@ -29,9 +29,6 @@
 }
 
 impl RecoveryDesk {
-    /// Number of silent streams below which their silence is no sign of a common cause.
-    const MIN_SHARED_SILENCE: usize = 3;
-
     /// Adds a stream, whose progress counts until the track is dropped.
     #[must_use]
     pub fn track_stream(&self) -> Rc<StreamTrack> {
@@ -53,17 +50,6 @@
         live.any(|stream| stream.has_progressed(hash, since))
     }
 
-    /// Returns `true` if most streams of this host have had no event since before `since`: what many of them
-    /// share has failed.
-    fn is_silence_shared(&self, since: Moment) -> bool {
-        let streams = self.streams.borrow();
-        let live = streams.iter().filter_map(Weak::upgrade);
-        let (silent, all) = live.fold((0, 0), |(silent, all), stream| {
-            (silent + usize::from(stream.is_silent_since(since)), all + 1)
-        });
-        silent >= Self::MIN_SHARED_SILENCE && silent * 2 >= all
-    }
-
     /// Waits until endpoints of a path without an event since `since` are suspects or known to be
     /// unresponsive, at least for `wait`; never returns if all of them answer.
     ///
@@ -84,12 +70,8 @@
             if !unresponsive.is_empty() {
                 return PathDoubt { endpoints: unresponsive, is_verdict: true };
             }
-            let now = state.now();
-            let left = wait.saturating_sub(now.since(since));
-            if state.recovery.is_silence_shared(now.earlier_by(verdict_wait))
-                || left.is_zero()
-                || timeout(left, state.next_unresponsive_endpoint()).await.is_err()
-            {
+            let left = wait.saturating_sub(state.now().since(since));
+            if left.is_zero() || timeout(left, state.next_unresponsive_endpoint()).await.is_err() {
                 break;
             }
         }
--- a/crates/cassiafield-gateway/src/recovery/stream_track.rs
+++ b/crates/cassiafield-gateway/src/recovery/stream_track.rs
@@ -35,12 +35,6 @@
         self.progressed_at.get() >= since && self.endpoints.borrow().contains(&endpoint)
     }
 
-    /// Returns `true` if the stream has had no event since before `since`, over a path of this host.
-    #[must_use]
-    pub fn is_silent_since(&self, since: Moment) -> bool {
-        self.progressed_at.get() < since && !self.endpoints.borrow().is_empty()
-    }
-
     /// Returns the hash by which tracks know an endpoint.
     #[must_use]
     pub fn hash_of(endpoint: &EndpointId) -> u64 {
