--- a/crates/cassiafield-core/src/admission/host_admission.rs
+++ b/crates/cassiafield-core/src/admission/host_admission.rs
@@ -254,9 +254,12 @@
         if self.source(now) == AdmissionSource::OwnView {
             return false;
         }
-        let is_announced =
-            self.short.get(service).is_some_and(|at| now.since(*at) < Self::SHORT_TIME);
-        is_announced || self.entries.values().any(|entry| &entry.request.service == service)
+        self.is_announced(service, now)
+            || self.entries.values().any(|entry| &entry.request.service == service)
+    }
+
+    fn is_announced(&self, service: &ServiceId, now: Moment) -> bool {
+        self.short.get(service).is_some_and(|at| now.since(*at) < Self::SHORT_TIME)
     }
 
     /// Returns `true` if requests of any service wait in the zone, as far as is known.
@@ -430,6 +433,10 @@
             AdmissionSource::Share if self.is_first(ticket) && self.covers(&entry.request) => {
                 WaitVerdict::UseShare
             }
+            // Nobody says any more that others wait for the service.
+            AdmissionSource::Share if !self.is_announced(&entry.request.service, now) => {
+                WaitVerdict::TryOwnView
+            }
             AdmissionSource::Share => WaitVerdict::Wait { until: recheck_at },
             AdmissionSource::Grantor => {
                 let since = self.unanswered_since.unwrap_or(now);
--- a/crates/cassiafield-core/tests/load_patterns/main.rs
+++ b/crates/cassiafield-core/tests/load_patterns/main.rs
@@ -10,5 +10,6 @@
 mod burst_beyond_capacity;
 mod dead_endpoints_at_many_hosts;
 mod one_large_organisation;
+mod returns_after_outage;
 mod room_of_many_hosts;
 mod zone_without_endpoints;
--- a/crates/cassiafield-gateway/src/request/host_service.rs
+++ b/crates/cassiafield-gateway/src/request/host_service.rs
@@ -264,7 +264,7 @@
         };
         let service = service.clone();
         let priority = table.priority(&rule, &service.service, request.organisation.as_ref());
-        if let Some(priority) = priority {
+        if let Some(priority) = priority.filter(|_| service.engine.is_some()) {
             let name = self.state.codec.header_names().request_priority.clone();
             request.headers.insert(name, header::HeaderValue::from(u32::from(priority)));
         }
--- a/crates/cassiafield-gateway/src/request/stream_admission.rs
+++ b/crates/cassiafield-gateway/src/request/stream_admission.rs
@@ -8,7 +8,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         admission::{AdmissionTicket, WaitVerdict, WaitingRequest},
-        process::PlannedPath,
+        process::{PathError, PlannedPath},
         request::RefusalCause,
     },
     std::time::Duration,
@@ -25,25 +25,28 @@
     }
 
     /// Plans a path for a new request, which waits for up to `max_wait` behind those that wait already.
+    ///
+    /// Returns `None` if the request lacks something else than memory: it looks for a path by itself then.
     pub(super) async fn plan_in_order(
         &self,
         wait: QueueWait,
         max_wait: Duration,
-    ) -> Result<PlannedPath, AttemptError> {
+    ) -> Option<Result<PlannedPath, AttemptError>> {
         let (state, service) = (&self.context.state, &self.context.service.service);
         let overloaded = || Err(AttemptError::NoPath(RefusalCause::Overloaded));
         let is_short = state.admission.must_wait(service, state.now());
         if !is_short || max_wait.is_zero() {
             let planned = self.plan(wait);
             let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
-            let pauses_on =
-                self.pause_end().is_some_and(|until| until.since(state.now()) > max_wait);
-            if !is_full || max_wait.is_zero() || pauses_on || state.is_out_of_reach(service) {
-                return planned;
+            if !is_full || max_wait.is_zero() || state.is_out_of_reach(service) {
+                return Some(planned);
+            }
+            if !self.lacks_memory() {
+                return None;
             }
         }
         let Some(place) = state.admission.enter(self.waiting_request(), max_wait, state) else {
-            return overloaded();
+            return Some(overloaded());
         };
         let mut failed_grants = 0;
         let planned = loop {
@@ -58,6 +61,9 @@
             let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
             failed_grants += u32::from(is_full && verdict == WaitVerdict::UseGrant);
             let is_lost = state.is_out_of_reach(service);
+            if is_full && !self.lacks_memory() {
+                return None;
+            }
             if !is_full || is_lost || failed_grants >= Self::MAX_FAILED_GRANTS {
                 break planned;
             }
@@ -73,7 +79,13 @@
             self.output_tokens,
             self.organisation_excess()
         ));
-        planned
+        Some(planned)
+    }
+
+    /// Returns `true` if the last planning found too little memory; other reasons, such as a pause that an
+    /// endpoint has asked this host for, are not the grantor's to see.
+    fn lacks_memory(&self) -> bool {
+        matches!(self.bottleneck.get(), Some(PathError::NoMemory { .. }))
     }
 
     fn waiting_request(&self) -> WaitingRequest {
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -63,7 +63,9 @@
         let started_at = self.context.state.now();
         let max_wait = wait.duration().min(self.context.remaining_time());
         if matches!(wait, QueueWait::First(_)) && self.may_queue() {
-            return self.plan_in_order(wait, max_wait).await;
+            if let Some(planned) = self.plan_in_order(wait, max_wait).await {
+                return planned;
+            }
         }
         let mut has_waited = false;
         loop {
