--- a/crates/cassiafield-core/src/admission/admission_grantor.rs
+++ b/crates/cassiafield-core/src/admission/admission_grantor.rs
@@ -240,17 +240,19 @@
         let mut outcomes: BTreeMap<HostId, Vec<_>> = BTreeMap::new();
         let waiting = self.order.len();
         let mut record = |key: RequestKey, outcome| {
+            let outcome: AdmissionOutcome = outcome;
             decisions.push(AdmissionDecision {
                 host: key.0.clone(),
                 ticket: key.1,
-                outcome,
+                outcome: outcome.clone(),
                 waiting,
             });
             outcomes.entry(key.0).or_default().push((key.1, outcome));
         };
         // A lost grant is repeated with the same room.
         for (number, held) in &self.holds {
-            let outcome = AdmissionOutcome::Granted { number: *number };
+            let endpoints = room.endpoints(&held.hold);
+            let outcome = AdmissionOutcome::Granted { number: *number, endpoints };
             if self.hosts.get(&held.key.0).is_some_and(|known| known.awaits_reply) {
                 record(held.key.clone(), outcome);
             }
@@ -322,8 +324,9 @@
             self.grants += 1;
             self.next_number += 1;
             let number = GrantNumber(self.next_number);
+            let endpoints = room.endpoints(&hold);
             self.holds.insert(number, HeldGrant { key: key.clone(), hold, granted_at: now });
-            return Some((key, AdmissionOutcome::Granted { number }));
+            return Some((key, AdmissionOutcome::Granted { number, endpoints }));
         }
         None
     }
--- a/crates/cassiafield-core/src/admission/admission_report.rs
+++ b/crates/cassiafield-core/src/admission/admission_report.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         admission::{AdmissionTicket, WaitingRequest},
-        ids::{HostId, ServiceId},
+        ids::{EndpointId, HostId, ServiceId},
     },
     std::fmt,
 };
@@ -33,13 +33,15 @@
 }
 
 /// What becomes of a waiting request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub enum AdmissionOutcome {
     /// It may use room now.
     Granted {
         /// The grant.
         number: GrantNumber,
+        /// The endpoints whose room is granted, in the order of the path; the host's own view of them is older.
+        endpoints: Vec<EndpointId>,
     },
     /// It waits.
     Waiting {
@@ -56,7 +58,7 @@
 impl AdmissionOutcome {
     /// Returns the name used in metrics and the log.
     #[must_use]
-    pub const fn name(self) -> &'static str {
+    pub const fn name(&self) -> &'static str {
         match self {
             AdmissionOutcome::Granted { .. } => "granted",
             AdmissionOutcome::Waiting { .. } => "waiting",
@@ -68,7 +70,9 @@
 impl fmt::Display for AdmissionOutcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            AdmissionOutcome::Granted { number } => write!(f, "granted by {number}"),
+            AdmissionOutcome::Granted { number, endpoints } => {
+                write!(f, "granted by {number} at {} endpoints", endpoints.len())
+            }
             AdmissionOutcome::Waiting { place } => write!(f, "waits behind {place}"),
             AdmissionOutcome::Refused { return_in_ms } => {
                 write!(f, "refused, returns in {return_in_ms} ms")
--- a/crates/cassiafield-core/src/admission/host_admission.rs
+++ b/crates/cassiafield-core/src/admission/host_admission.rs
@@ -4,7 +4,7 @@
             AdmissionNews, AdmissionOutcome, AdmissionReply, AdmissionReport, AdmissionTicket,
             GrantNumber, GrantorReach, RequestPriority, WaitingRequest,
         },
-        ids::{HostId, Moment, ServiceId},
+        ids::{EndpointId, HostId, Moment, ServiceId},
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -67,6 +67,8 @@
     arrived_at: Moment,
     expires_at: Moment,
     state: EntryState,
+    /// Endpoints whose room is granted.
+    endpoints: Vec<EndpointId>,
     /// Requests of the zone before it, by the grantor's last reply.
     place: Option<u32>,
 }
@@ -277,6 +279,12 @@
         }
     }
 
+    /// Returns the endpoints whose room is granted to a waiting request.
+    #[must_use]
+    pub fn granted_endpoints(&self, ticket: AdmissionTicket) -> Vec<EndpointId> {
+        self.entries.get(&ticket).map(|entry| entry.endpoints.clone()).unwrap_or_default()
+    }
+
     /// Adds a request that waits for up to `max_wait`; `None` if too many wait. Its ticket is set here.
     pub fn enter(
         &mut self,
@@ -294,6 +302,7 @@
             arrived_at: now,
             expires_at: now + max_wait,
             state: EntryState::Waiting,
+            endpoints: Vec::new(),
             place: None,
         };
         self.entries.insert(self.last_ticket, entry);
@@ -380,23 +389,25 @@
         let mut woken = Vec::new();
         for (ticket, outcome) in &reply.outcomes {
             let entry = self.entries.get_mut(ticket);
-            match (*outcome, entry) {
-                (AdmissionOutcome::Waiting { place }, Some(entry)) => entry.place = Some(place),
-                (AdmissionOutcome::Granted { number }, Some(entry)) => match entry.state {
-                    EntryState::Granted(known, _) if known != number => self.settle(number, now),
+            match (outcome, entry) {
+                (AdmissionOutcome::Waiting { place }, Some(entry)) => entry.place = Some(*place),
+                (AdmissionOutcome::Granted { number, endpoints }, Some(entry)) => match entry.state
+                {
+                    EntryState::Granted(known, _) if known != *number => self.settle(*number, now),
                     EntryState::Granted(..) => {}
                     // A grant that was given back may arrive again.
-                    _ if self.settled.iter().any(|(_, settled)| *settled == number) => {}
+                    _ if self.settled.iter().any(|(_, settled)| settled == number) => {}
                     _ => {
-                        entry.state = EntryState::Granted(number, sent_at);
+                        entry.state = EntryState::Granted(*number, sent_at);
+                        entry.endpoints.clone_from(endpoints);
                         woken.push(*ticket);
                     }
                 },
-                (AdmissionOutcome::Granted { number }, None) => self.settle(number, now),
+                (AdmissionOutcome::Granted { number, .. }, None) => self.settle(*number, now),
                 (AdmissionOutcome::Refused { return_in_ms }, Some(entry))
                     if entry.state == EntryState::Waiting =>
                 {
-                    let return_in = Duration::from_millis(u64::from(return_in_ms));
+                    let return_in = Duration::from_millis(u64::from(*return_in_ms));
                     entry.state = EntryState::Refused(return_in);
                     woken.push(*ticket);
                 }
--- a/crates/cassiafield-gateway/src/admission/admission_exchange.rs
+++ b/crates/cassiafield-gateway/src/admission/admission_exchange.rs
@@ -108,7 +108,7 @@
         let (replies, decisions) =
             desk.grantor.borrow_mut().decide(&mut ZoneRoom { state }, reach, now);
         for decision in decisions {
-            state.metrics.admission.count_decision(decision.outcome);
+            state.metrics.admission.count_decision(&decision.outcome);
             LogEvent::AdmissionDecided.log(format_args!(
                 "request {} of {}: {}; {} wait, {} of {} hosts follow",
                 decision.ticket,
--- a/crates/cassiafield-gateway/src/admission/admission_metrics.rs
+++ b/crates/cassiafield-gateway/src/admission/admission_metrics.rs
@@ -52,7 +52,7 @@
         self.waiting.with_label_values(&[source.name()]).inc();
     }
 
-    pub(super) fn count_decision(&self, outcome: AdmissionOutcome) {
+    pub(super) fn count_decision(&self, outcome: &AdmissionOutcome) {
         self.decisions.with_label_values(&[outcome.name()]).inc();
     }
 
--- a/crates/cassiafield-gateway/src/admission/waiting_place.rs
+++ b/crates/cassiafield-gateway/src/admission/waiting_place.rs
@@ -2,7 +2,7 @@
     crate::process::GatewayState,
     cassiafield_core::{
         admission::{AdmissionSource, AdmissionTicket, WaitVerdict},
-        ids::Moment,
+        ids::{EndpointId, Moment},
     },
     std::{fmt, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::timeout},
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns the endpoints whose room is granted to the request.
+    pub(crate) fn granted_endpoints(&self) -> Vec<EndpointId> {
+        self.state.admission.host.borrow().granted_endpoints(self.ticket)
+    }
+
     async fn pause(&self, until: Moment, now: Moment) {
         // The verdict is asked for again in either case.
         drop(timeout(until.since(now), self.waker.notified()).await);
--- a/crates/cassiafield-gateway/src/admission/zone_room.rs
+++ b/crates/cassiafield-gateway/src/admission/zone_room.rs
@@ -2,7 +2,7 @@
     crate::process::GatewayState,
     cassiafield_core::{
         admission::{AdmissionRoom, WaitingRequest},
-        ids::{ModelId, OrganisationId},
+        ids::{EndpointId, ModelId, OrganisationId},
         process::{LoadReservation, PathPlanner, PathRequest},
     },
 };
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub(super) struct HeldMemory {
     reservation: LoadReservation,
+    endpoints: Vec<EndpointId>,
     organisation: Option<OrganisationId>,
     tokens: u32,
 }
@@ -52,7 +53,13 @@
         if let Some(organisation) = organisation {
             state.organisations.borrow_mut().reserve(organisation, tokens);
         }
-        Some(HeldMemory { reservation, organisation: organisation.cloned(), tokens })
+        let stages = path.route.stages().iter();
+        let endpoints = stages.map(|stage| stage.endpoint.clone()).collect();
+        Some(HeldMemory { reservation, endpoints, organisation: organisation.cloned(), tokens })
+    }
+
+    fn endpoints(&self, hold: &HeldMemory) -> Vec<EndpointId> {
+        hold.endpoints.clone()
     }
 
     fn release(&mut self, hold: HeldMemory) {
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -375,14 +375,16 @@
     fn host_message_with(&self, readings: Readings) -> PeerMessage {
         let state = &self.state;
         let (now, is_zone_leader) = (state.now(), state.is_zone_leader());
+        let used = state.load.borrow().own_usage().clone();
+        let links = state.load.borrow_mut().links.own_usage(now);
         PeerMessage::Host {
             host: state.settings.host.clone(),
-            used: state.load.borrow().own_usage().clone(),
+            used,
             readings,
             failures: self.failure_reports(None),
             requests: state.retries.request_counts(now),
             grants: state.retries.grant_records(now),
-            links: state.load.borrow_mut().links.own_usage(now),
+            links,
             organisations: state.organisations.borrow().own_usage().clone(),
             is_stopping: state.is_stopping(),
             configuration_revision: state.configuration_revision(),
--- a/crates/cassiafield-gateway/src/request/stream_admission.rs
+++ b/crates/cassiafield-gateway/src/request/stream_admission.rs
@@ -15,8 +15,8 @@
 };
 
 impl StreamCall {
-    /// Number of grants whose room this host does not see until a request is refused: the host's view or the
-    /// request differs from what the grantor knows.
+    /// Number of grants that this host can't use until a request is refused: the endpoints differ from what
+    /// the grantor knows.
     const MAX_FAILED_GRANTS: u32 = 3;
 
     /// Returns `true` if the request waits in the order of all: nothing of it has been sent or failed yet.
@@ -57,7 +57,10 @@
                 drop(self.plan(wait));
                 break overloaded();
             }
-            let planned = self.plan(wait);
+            let planned = match verdict {
+                WaitVerdict::UseGrant => self.plan_granted(&place.granted_endpoints()),
+                _ => self.plan(wait),
+            };
             let is_full = matches!(planned, Err(AttemptError::NoPath(RefusalCause::Overloaded)));
             failed_grants += u32::from(is_full && verdict == WaitVerdict::UseGrant);
             let is_lost = state.is_out_of_reach(service);
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -50,6 +50,8 @@
     ///
     /// Callers disconnect after eight times the objective.
     const MAX_EVENT_GAP_FACTOR: f64 = 3.0;
+    /// Fraction of the request memory that a granted request may fill by this host's own, older view: any.
+    const GRANTED_MEMORY_FRACTION: f64 = 1e6;
     /// Maximum number of first endpoints that are announced; a request is not sent more often.
     const MAX_ANNOUNCED: usize = Self::MAX_SENDS as usize;
     /// Maximum number of endpoints that are asked for a turn.
@@ -227,6 +229,31 @@
     }
 
     fn plan_with_free_memory(&self, wait: QueueWait) -> Result<PlannedPath, AttemptError> {
+        self.plan_within(self.memory_fractions(wait), &[])
+    }
+
+    /// Plans a path over endpoints whose memory is granted, whatever this host knows of their use.
+    pub(super) fn plan_granted(
+        &self,
+        endpoints: &[EndpointId],
+    ) -> Result<PlannedPath, AttemptError> {
+        let service = &self.context.service.service;
+        let others: Vec<EndpointId> = {
+            let directory = self.context.state.directory.borrow();
+            let entries = directory.entries().filter(|entry| &entry.service == service);
+            let others = entries.filter(|entry| !endpoints.contains(&entry.endpoint));
+            others.map(|entry| entry.endpoint.clone()).collect()
+        };
+        self.plan_within((Self::GRANTED_MEMORY_FRACTION, Self::GRANTED_MEMORY_FRACTION), &others)
+    }
+
+    /// Plans a path that fills endpoints of the own zone and of others up to some fractions, and leaves
+    /// `others` out.
+    fn plan_within(
+        &self,
+        (memory_fraction, foreign_memory_fraction): (f64, f64),
+        others: &[EndpointId],
+    ) -> Result<PlannedPath, AttemptError> {
         let Some(engine) = &self.context.service.engine else {
             return Err(AttemptError::NoPath(RefusalCause::NoEndpoint));
         };
@@ -239,20 +266,20 @@
             now: self.context.state.now(),
         };
         let has_max_firsts = self.is_limited_to_sent_to || self.free_firsts() == 0;
-        let (memory_fraction, foreign_memory_fraction) = self.memory_fractions(wait);
+        let excluded: Vec<EndpointId> = self.excluded.iter().chain(others).cloned().collect();
         let request = PathRequest {
             model: &self.model,
             service: &self.context.service.service,
             zone: &self.context.state.settings.zone,
             prompt_tokens: self.prompt_tokens,
             output_tokens: self.output_tokens,
-            excluded: &self.excluded,
+            excluded: &excluded,
             allowed_firsts: has_max_firsts.then_some(&self.sent_to[..]),
             memory_fraction,
             foreign_memory_fraction,
         };
         let excluded_and_suspect: Vec<EndpointId> =
-            self.excluded.iter().chain(&self.suspects).cloned().collect();
+            excluded.iter().chain(&self.suspects).cloned().collect();
         let first_choice = PathRequest { excluded: &excluded_and_suspect, ..request.clone() };
         let planned = match planner.plan(&first_choice) {
             Err(_) if !self.suspects.is_empty() => planner.plan(&request),
