--- a/crates/cassiafield-core/src/admission/admission_grantor.rs
+++ b/crates/cassiafield-core/src/admission/admission_grantor.rs
@@ -198,6 +198,7 @@
     }
 
     /// Returns the services that requests wait for.
+    #[must_use]
     pub fn short_services(&self) -> BTreeSet<ServiceId> {
         self.order.iter().map(|(_, entry)| entry.request.service.clone()).collect()
     }
