feat: the pace of parts is told against what all streams are slower by

Change: the factor of the fastest stream counts as the baseline, which rises by a tenth a second at most.

--- a/crates/cassiafield-core/src/pace/pace_model.rs
+++ b/crates/cassiafield-core/src/pace/pace_model.rs
@@ -23,6 +23,8 @@
     parts: BTreeMap<PathPart, PartPace>,
     streams: BTreeMap<PacedStream, StreamPace>,
     next_stream: u64,
+    /// Factor by which all streams are slower than planned, and when it was known last.
+    baseline: Option<(f64, Moment)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +40,7 @@
 #[derive(Clone, Debug)]
 struct StreamPace {
     parts: Vec<PlannedPart>,
+    planned_ms: f64,
     objective_ms: f64,
     gap_ms: f64,
     deviation_ms: f64,
@@ -56,6 +59,10 @@
     const FACTOR_RANGE: (f64, f64) = (1.0, 50.0);
     /// Smallest factor that counts as slower than planned; below it, batches and prompts explain it.
     const MIN_CORRECTION: f64 = 1.5;
+    /// Largest factor by which all streams may be slower than planned before it counts against parts.
+    const MAX_BASELINE: f64 = 3.0;
+    /// Fraction by which that factor may rise in a second.
+    const BASELINE_RISE_PER_SECOND: f64 = 0.1;
     /// Number of streams that an estimate must rest on: one alone cannot tell its parts apart.
     const MIN_STREAMS: u32 = 2;
     /// Time without a new measurement before an estimate fades; events come several times in it.
@@ -76,8 +83,15 @@
         let stream = PacedStream(self.next_stream);
         self.next_stream += 1;
         let objective_ms = objective.as_secs_f64() * 1e3;
-        let gap_ms = parts.iter().map(|part| part.gap_ms).sum();
-        let pace = StreamPace { parts, objective_ms, gap_ms, deviation_ms: 0.0, measured_at: None };
+        let planned_ms = parts.iter().map(|part| part.gap_ms).sum();
+        let pace = StreamPace {
+            parts,
+            planned_ms,
+            objective_ms,
+            gap_ms: planned_ms,
+            deviation_ms: 0.0,
+            measured_at: None,
+        };
         self.streams.insert(stream, pace);
         stream
     }
@@ -100,13 +114,14 @@
         let measured_ms = pace.gap_ms;
         let parts: Vec<(PathPart, f64)> =
             pace.parts.iter().map(|planned| (planned.part.clone(), planned.gap_ms)).collect();
+        let baseline = self.update_baseline(now);
         let explained: f64 =
             parts.iter().map(|(part, planned)| planned * self.estimate(part, now)).sum();
         let squares: f64 = parts.iter().map(|(_, planned)| planned * planned).sum();
         if squares <= 0.0 {
             return;
         }
-        let unexplained_ms = measured_ms - explained;
+        let unexplained_ms = measured_ms / baseline - explained;
         let weight =
             if unexplained_ms < 0.0 { Self::CLEARING_WEIGHT } else { Self::CORRECTION_WEIGHT };
         let correction = unexplained_ms * weight / squares;
@@ -168,6 +183,25 @@
         found
     }
 
+    /// Returns by what factor all streams are slower than planned: the factor of the fastest one.
+    ///
+    /// Profiles leave out what every path has, such as prompts that are read between tokens; that says
+    /// nothing of one part against another. It rises slowly: many parts may turn slow at once.
+    fn update_baseline(&mut self, now: Moment) -> f64 {
+        let recent = self.streams.values().filter(|pace| {
+            pace.planned_ms > 0.0
+                && pace.measured_at.is_some_and(|at| now.since(at) < Self::GAP_RETENTION)
+        });
+        let lowest = recent.map(|pace| pace.gap_ms / pace.planned_ms).fold(f64::INFINITY, f64::min);
+        let lowest = lowest.clamp(1.0, Self::MAX_BASELINE);
+        let highest = self.baseline.map_or(lowest, |(known, at)| {
+            known * (1.0 + Self::BASELINE_RISE_PER_SECOND * now.since(at).as_secs_f64())
+        });
+        let baseline = lowest.min(highest);
+        self.baseline = Some((baseline, now));
+        baseline
+    }
+
     fn is_stale(known: &PartPace, now: Moment) -> bool {
         now.since(known.updated_at) >= Self::RETENTION
     }
