--- a/crates/cassiafield-gateway/src/admission/mod.rs
+++ b/crates/cassiafield-gateway/src/admission/mod.rs
@@ -9,5 +9,5 @@
 pub use self::{admission_desk::AdmissionDesk, admission_metrics::AdmissionMetrics};
 pub(crate) use self::{
     admission_exchange::{AdmissionExchange, GrantorReply},
-    waiting_place::WaitingPlace,
+    waiting_place::{WaitSummary, WaitingPlace},
 };
--- a/crates/cassiafield-gateway/src/admission/waiting_place.rs
+++ b/crates/cassiafield-gateway/src/admission/waiting_place.rs
@@ -63,12 +63,19 @@
     }
 
     /// Leaves the place, with or without room.
-    pub(crate) fn close(self, is_admitted: bool) -> WaitSummary {
+    ///
+    /// `return_in` is when the caller of a refused request should return, if the grantor has said so.
+    pub(crate) fn close(self, is_admitted: bool, return_in: Option<Duration>) -> WaitSummary {
         let now = self.state.now();
         let host = self.state.admission.host.borrow();
         let (time, place) = host.place(self.ticket, now);
-        let summary =
-            WaitSummary { time, place, source: host.source(now), silence: host.silence(now) };
+        let summary = WaitSummary {
+            time,
+            place,
+            source: host.source(now),
+            silence: host.silence(now),
+            return_in,
+        };
         drop(host);
         self.state.metrics.admission.record_wait(is_admitted, time);
         summary
@@ -88,6 +95,8 @@
     place: Option<u32>,
     source: AdmissionSource,
     silence: Duration,
+    /// When the caller should return, if the grantor has said so.
+    pub(crate) return_in: Option<Duration>,
 }
 
 impl fmt::Display for WaitSummary {
--- a/crates/cassiafield-gateway/src/request/stream_admission.rs
+++ b/crates/cassiafield-gateway/src/request/stream_admission.rs
@@ -48,11 +48,11 @@
         let Some(place) = state.admission.enter(self.waiting_request(), max_wait, state) else {
             return Some(overloaded());
         };
-        let mut failed_grants = 0;
+        let (mut failed_grants, mut return_in) = (0, None);
         let planned = loop {
             let verdict = place.next().await;
-            if let WaitVerdict::Refuse { return_in } = verdict {
-                self.return_in.set(return_in);
+            if let WaitVerdict::Refuse { return_in: told } = verdict {
+                return_in = told;
                 // What the log says of the endpoints.
                 drop(self.plan(wait));
                 break overloaded();
@@ -72,16 +72,19 @@
             }
             place.wait_again(verdict).await;
         };
-        let summary = place.close(planned.is_ok());
-        let decision = self.context.decision(LogEvent::AdmissionWaited);
-        let outcome = if planned.is_ok() { "admitted" } else { "refused" };
-        decision.log(format_args!(
-            "{outcome}: {summary}, rank {}, tokens {}+{}, {:.1} times the equal share in use",
-            self.context.priority,
-            self.prompt_tokens,
-            self.output_tokens,
-            self.organisation_excess()
-        ));
+        let summary = place.close(planned.is_ok(), return_in);
+        if planned.is_ok() {
+            self.context.decision(LogEvent::AdmissionWaited).log(format_args!(
+                "{summary}, rank {}, tokens {}+{}, {:.1} times the equal share in use",
+                self.context.priority,
+                self.prompt_tokens,
+                self.output_tokens,
+                self.organisation_excess()
+            ));
+        } else {
+            // The line of the refusal says it.
+            self.last_wait.set(Some(summary));
+        }
         Some(planned)
     }
 
--- a/crates/cassiafield-gateway/src/request/stream_call.rs
+++ b/crates/cassiafield-gateway/src/request/stream_call.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        admission::WaitSummary,
         connection::{ConnectionError, ConnectionNeed, PooledConnection},
         process::{EndpointExchange, ReservedLoad, SendTurn, SenderKind},
         request::{
@@ -59,8 +60,8 @@
     pub(super) replaced: RefCell<Option<ReservedLoad>>,
     /// Why the last failed planning found no path.
     pub(super) bottleneck: Cell<Option<PathError>>,
-    /// When the caller should return, if the grantor has said so.
-    pub(super) return_in: Cell<Option<Duration>>,
+    /// How the request waited for room in vain, if it did.
+    pub(super) last_wait: Cell<Option<WaitSummary>>,
     pub(super) model: ModelId,
     /// Number of endpoints that ended under this request before its answer was under way.
     pub(super) ends: u32,
@@ -142,7 +143,7 @@
             unanswered,
             replaced: RefCell::default(),
             bottleneck: Cell::new(None),
-            return_in: Cell::new(None),
+            last_wait: Cell::new(None),
             model,
             ends,
             has_begun: Cell::new(false),
--- a/crates/cassiafield-gateway/src/request/stream_refusal.rs
+++ b/crates/cassiafield-gateway/src/request/stream_refusal.rs
@@ -38,13 +38,14 @@
             (None, Some(error)) => format!("{error}{}", self.describe_bottleneck(error)),
             (None, None) => self.refusal_reason().to_owned(),
         };
+        let waited = self.last_wait.get().map_or_else(String::new, |wait| format!(", {wait}"));
         self.context
             .decision(LogEvent::RequestRefused)
             .cause(cause)
             .verdict(verdict)
             .sends(self.sends)
             .log(format_args!(
-                "{bottleneck}; route {}, tokens {}+{}, {:.1} times the equal share in use, return after {} ms",
+                "{bottleneck}; route {}, tokens {}+{}, {:.1} times the equal share in use{waited}, return after {} ms",
                 self.context.rule.name,
                 self.prompt_tokens,
                 self.output_tokens,
@@ -74,7 +75,7 @@
         }
         let state = &self.context.state;
         let max_delay = self.context.remaining_time() * Self::MAX_RETRY_DELAY_PERCENT / 100;
-        match self.return_in.get() {
+        match self.last_wait.get().and_then(|wait| wait.return_in) {
             Some(return_in) => return_in.min(max_delay),
             None => state.admission.next_return(max_delay, state.now()),
         }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -102,7 +102,7 @@
     1409 StreamReturned Info "A stalled path of a stream made progress before another one, and the stream stays on it.";
     1410 RequestCarried Info "A request was handed to a host that reaches the endpoints.";
     1411 CarryFailed Info "A host did not carry a request of another one.";
-    1420 AdmissionWaited Info "A request waited for room, or was refused since it would have waited too long.";
+    1420 AdmissionWaited Info "A request got room after it had waited.";
     1421 GrantorSilent Warning "The host that grants room does not answer; this host gives away what its own streams leave.";
     1422 GrantorBack Info "The host that grants room answers again.";
     1423 AdmissionDecided Info "This host, as the grantor of its zone, decided on a waiting request.";
