--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -107,7 +107,7 @@
     1413 StageReplaced Info "The order to replace stages of a stream's path was accepted.";
     1414 StageOrderFailed Info "The order to replace stages of a stream's path was refused or has no answer.";
     1415 StageKept Info "No replacement was ordered for the suspect stages of a stream's path.";
-    1420 AdmissionWaited Info "A request waited for room, or was refused since it would have waited too long.";
+    1420 AdmissionWaited Info "A request got room after it had waited.";
     1421 GrantorSilent Warning "The host that grants room does not answer; this host gives away what its own streams leave.";
     1422 GrantorBack Info "The host that grants room answers again.";
     1423 AdmissionDecided Info "This host, as the grantor of its zone, decided on a waiting request.";
