--- a/crates/cassiafield-core/src/version/route_table.rs
+++ b/crates/cassiafield-core/src/version/route_table.rs
@@ -163,8 +163,8 @@
         });
         let mut all = ranks.values().chain(draft.priorities.values());
         let first = all.next().copied();
-        let priorities =
-            if all.all(|rank| Some(*rank) == first) { BTreeMap::new() } else { draft.priorities };
+        let is_uniform = ranked.is_empty() && all.all(|rank| Some(*rank) == first);
+        let priorities = if is_uniform { BTreeMap::new() } else { draft.priorities };
         let (version, limits) = (draft.version, draft.limits);
         Ok(Self { version, hosts, services, limits, keys, priorities, ranked })
     }
--- a/crates/cassiafield-gateway/src/process/in_flight_request.rs
+++ b/crates/cassiafield-gateway/src/process/in_flight_request.rs
@@ -94,7 +94,12 @@
     }
 
     /// Moves the reservation to another route of the same stream.
+    ///
+    /// The pace of the stream says nothing of the parts of its former route any more.
     pub fn move_to(&mut self, route: &StageRoute) {
+        if let Some(paced) = self.paced.take() {
+            self.state.load.borrow_mut().pace.close(paced);
+        }
         if let Some(reservation) = self.reservation.take() {
             let mut load = self.state.load.borrow_mut();
             load.release(reservation);
--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod log_writer;
 mod metric_builder;
 mod monitoring_server;
+mod pause_tracking;
 mod peer_extension;
 mod peer_link;
 mod process_signals;
