--- a/crates/cassiafield-gateway/src/request/dry_run.rs
+++ b/crates/cassiafield-gateway/src/request/dry_run.rs
@@ -12,6 +12,7 @@
     },
     cassiafield_core::{
         ids::{CrashSubject, EndpointId, ModelId, Moment},
+        pace::OnTimePlan,
         prefix::PrefixDecision,
         process::{
             BlockedSubject, EndpointStanding, EngineProfile, PathError, PathPlanner, PathRequest,
@@ -254,7 +255,10 @@
             });
         }
         report.endpoints.truncate(Self::MAX_ENDPOINTS);
-        let planned = planner.plan(&request).and_then(|path| {
+        let connected = self.state.connected_firsts(self.service, self.now);
+        let objective = self.rule.event_gap_objective;
+        let plan = OnTimePlan::new(&planner, &request, &connected, objective);
+        let planned = plan.planned.and_then(|path| {
             if StreamCall::is_path_too_slow(self.rule, engine, &path) {
                 return Err(PathError::TooSlow);
             }
@@ -515,6 +519,8 @@
         ("token-transfer", cost.token_transfer_ms),
         ("prompt-transfer", cost.prompt_transfer_ms),
         ("crossing", cost.crossing_ms),
+        ("opening", cost.opening_ms),
+        ("exposure", cost.exposure_ms),
     ])
 }
 
--- a/crates/cassiafield-gateway/src/request/stream_path.rs
+++ b/crates/cassiafield-gateway/src/request/stream_path.rs
@@ -8,6 +8,7 @@
     cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, Moment},
+        pace::OnTimePlan,
         process::{
             EngineProfile, OrganisationLoad, PathError, PathPlanner, PathRequest, PlannedPath,
         },
@@ -305,37 +306,23 @@
         Ok(self.context.prefer_held(&planner, &first_choice, path, is_allowed))
     }
 
-    /// Plans a path on which neither the stream nor one of those that it joins has late events; if there is
-    /// none, the least late one.
+    /// Plans a path with regard to the pace of the streams that it joins.
     fn plan_on_time(
         &self,
         planner: &PathPlanner<'_>,
         request: &PathRequest<'_>,
         connected: &BTreeSet<EndpointId>,
     ) -> Result<PlannedPath, PathError> {
-        let state = &self.context.state;
-        let Some(objective) = self.context.rule.event_gap_objective else {
-            return planner.plan_preferring(request, connected);
-        };
-        let limited = planner.load.pace.endpoints_at_limit(planner.now);
-        if limited.is_empty() {
-            return planner.plan_preferring(request, connected);
+        let objective = self.context.rule.event_gap_objective;
+        let OnTimePlan { planned, limited, is_left } =
+            OnTimePlan::new(planner, request, connected, objective);
+        if limited > 0 {
+            self.context.state.metrics.count_path_at_limit(is_left);
+            let outcome = if is_left { "left" } else { "used, since no other path is on time" };
+            LogEvent::PathAtLimit
+                .log(format_args!("{limited} endpoints at the limit of streams there; {outcome}"));
         }
-        let excluded: Vec<EndpointId> = request.excluded.iter().chain(&limited).cloned().collect();
-        let is_on_time = |path: &PlannedPath| {
-            path.token_ms * f64::from(planner.engine.tokens_per_event.max(1))
-                <= objective.as_secs_f64() * 1e3
-        };
-        let others = PathRequest { excluded: &excluded, ..request.clone() };
-        let others = planner.plan_preferring(&others, connected);
-        let left = others.ok().filter(is_on_time);
-        state.metrics.count_path_at_limit(left.is_some());
-        LogEvent::PathAtLimit.log(format_args!(
-            "{} endpoints at the limit of streams there; {}",
-            limited.len(),
-            if left.is_some() { "left" } else { "used, since no other path is on time" },
-        ));
-        left.map_or_else(|| planner.plan_preferring(request, connected), Ok)
+        planned
     }
 
     /// Returns the fractions of the request memory that the stream may fill in the own zone and in
