--- a/crates/cassiafield-gateway/src/process/mod.rs
+++ b/crates/cassiafield-gateway/src/process/mod.rs
@@ -32,7 +32,6 @@
 mod store_sync;
 mod verdict_keeper;
 
-pub(crate) use self::metric_builder::MetricBuilder;
 pub use self::{
     boot_clock::BootClock,
     endpoint_exchange::EndpointExchange,
@@ -53,6 +52,7 @@
     store_sync::StoreSync,
 };
 pub(crate) use self::{
+    metric_builder::MetricBuilder,
     peer_extension::{encode_extended, PeerExtension},
     peer_link::PeerMessage,
 };
