--- a/crates/cassiafield-core/src/recovery/recovery_schedule.rs
+++ b/crates/cassiafield-core/src/recovery/recovery_schedule.rs
@@ -33,6 +33,9 @@
     /// Gap at which an event is late, in percent of the typical gap; prompts that are read in between delay
     /// events by less.
     const LATE_PERCENT: u32 = 175;
+    /// Part of the objective within which no event counts as late, in percent; the rest is enough to find the
+    /// endpoint that failed and to replace it.
+    const ON_TIME_PERCENT: u32 = 35;
     /// Gap at which an event may count as late if little time is left, in percent of the typical gap.
     const MIN_LATE_PERCENT: u32 = 125;
     /// Shortest wait before a probe; jitter between hosts and endpoints is shorter.
@@ -63,7 +66,8 @@
     /// Returns the time without an event after which the path's endpoints are probed.
     #[must_use]
     pub fn probe_after(&self) -> Duration {
-        let late = self.typical_gap * Self::LATE_PERCENT / 100;
+        let on_time = self.gap_objective * Self::ON_TIME_PERCENT / 100;
+        let late = on_time.max(self.typical_gap * Self::LATE_PERCENT / 100);
         let floor = self.typical_gap * Self::MIN_LATE_PERCENT / 100;
         let by_objective = self.act_by().saturating_sub(Self::SUSPECT_AFTER);
         late.min(by_objective).max(floor).max(Self::MIN_PROBE_DELAY)
