--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,420 @@
+//! The cases. Each returns whether the rule was broken, or why it could not run.
+
+use {
+    crate::{
+        fleet::{
+            configuration, free_port, sleep_ms, sleep_to, wait_until, Fleet, Host, Process, Request,
+            Route, Server, SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM,
+        },
+        http::{Answer, Wire},
+        server::whole_answer,
+    },
+    std::{
+        collections::BTreeMap,
+        net::TcpStream,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+pub type Verdict = Result<bool, String>;
+
+const KEY: &str = "key-of-the-ranch";
+const SECOND_KEY: &str = "second-key-of-the-ranch";
+const BODY: &str = "{\"calf\":\"SE-0815\",\"to\":\"Mora\"}";
+
+/// The routes of all cases: an unsafe one and a safe one.
+const ROUTES: [Route<'static>; 2] = [
+    Route { name: "permit-file", prefix: "/permit/", kind: "unsafe", attempts: 1, is_public: false },
+    Route { name: "tag-check", prefix: "/tag/", kind: "safe", attempts: 2, is_public: false },
+];
+
+fn check(is_true: bool, reason: &str) -> Result<(), String> {
+    if is_true {
+        Ok(())
+    } else {
+        Err(reason.to_owned())
+    }
+}
+
+const fn filing(path: &str, deadline_ms: u64) -> Request<'_> {
+    Request { method: "POST", path, key: Some(KEY), deadline_ms, body: BODY }
+}
+
+const fn lookup(path: &str, deadline_ms: u64) -> Request<'_> {
+    Request { method: "GET", path, key: Some(KEY), deadline_ms, body: "" }
+}
+
+fn start_one_server(fleet: &Fleet) -> Server {
+    fleet.start_server("i-desk-1", &format!("127.0.0.1:{}", free_port("127.0.0.1")))
+}
+
+/// Starts a host and waits until it serves.
+fn start_ready_host(fleet: &Fleet, host: &Host) -> Result<Process, String> {
+    let process = fleet.start_host(host);
+    check(fleet.wait_ready(host, Duration::from_secs(15)), "the host is not ready")?;
+    let is_served = wait_until(Duration::from_secs(5), || {
+        fleet.request(host, &filing("/permit/now", 1_000)).1.status == 200
+    });
+    check(is_served, "the host serves nothing in calm")?;
+    Ok(process)
+}
+
+/// A machine is suspended while a server ends in the middle of its answer and comes back.
+pub fn frozen_half_answer(fleet: &Fleet) -> Verdict {
+    let server = start_one_server(fleet);
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_settings(fleet, 8);
+    let process = start_ready_host(fleet, &host)?;
+    // Longer than `contact_ms` without disruption.
+    sleep_ms(3_200);
+    let answers: Vec<(String, Answer)> = thread::scope(|scope| {
+        let requests = [
+            filing("/permit/half", 9_000),
+            filing("/permit/half", 9_000),
+            lookup("/tag/half", 9_000),
+            lookup("/tag/half", 9_000),
+        ];
+        let (host, clients): (&Host, Vec<_>) = (
+            &host,
+            requests
+                .into_iter()
+                .map(|request| {
+                    let host = &host;
+                    scope.spawn(move || fleet.request(host, &request))
+                })
+                .collect(),
+        );
+        let are_begun =
+            wait_until(Duration::from_secs(3), || fleet.lines.starting("first-half").len() == 4);
+        if are_begun && fleet.has_trouble {
+            sleep_ms(200);
+            fleet.record.add(&format!("platform: {} is suspended", host.name));
+            process.signal(SIGSTOP);
+            sleep_ms(300);
+            fleet.record.add("server i-desk-1 is killed");
+            fleet.silence(&server.id);
+            let (id, address) = (server.id.clone(), server.address.clone());
+            let mut server = server;
+            server.process.kill();
+            sleep_ms(1_500);
+            let _again = fleet.start_server(&id, &address);
+            fleet.record.add("server i-desk-1 is back under its id and at its address");
+            sleep_ms(1_200);
+            fleet.record.add(&format!("platform: {} wakes after 3.0 s", host.name));
+            process.signal(SIGCONT);
+            clients.into_iter().filter_map(|client| client.join().ok()).collect()
+        } else {
+            clients.into_iter().filter_map(|client| client.join().ok()).collect()
+        }
+    });
+    check(answers.len() == 4, "not every client has ended")?;
+    let mut is_broken = false;
+    for (attempt, answer) in &answers {
+        let is_success = (200..300).contains(&answer.status) && answer.is_complete;
+        let is_whole = answer.message.body == whole_answer(attempt).into_bytes();
+        if is_success && !is_whole {
+            is_broken = true;
+            fleet.record.add(&format!(
+                "MIXED: {attempt} got a complete {} with {} of {} bytes of the server's answer",
+                answer.status,
+                answer.message.body.len(),
+                whole_answer(attempt).len(),
+            ));
+        }
+    }
+    let are_whole = answers.iter().all(|(_, answer)| answer.status == 200);
+    check(fleet.has_trouble || are_whole, "not all are served without the disruption")?;
+    Ok(is_broken)
+}
+
+/// The settings file names a shorter time to stop, SIGHUP says so, and the process is stopped.
+pub fn shorter_grace(fleet: &Fleet) -> Verdict {
+    let _server = start_one_server(fleet);
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_settings(fleet, 8);
+    let mut process = start_ready_host(fleet, &host)?;
+    sleep_ms(1_000);
+    let grace_s = if fleet.has_trouble { 4 } else { 8 };
+    if fleet.has_trouble {
+        host.write_settings(fleet, grace_s);
+        fleet.record.add("platform: the settings file has changed, grace_s is 4; SIGHUP");
+        process.signal(SIGHUP);
+    }
+    // Longer than `contact_ms` after the change.
+    sleep_ms(4_000);
+    fleet.record.add(&format!("platform: SIGTERM; SIGKILL follows after grace_s, {grace_s} s"));
+    let stopped_at = Instant::now();
+    process.signal(SIGTERM);
+    let results: Vec<(String, bool, Answer)> = thread::scope(|scope| {
+        // Other clients keep the host at work, as on any machine in use.
+        for _ in 0..2 {
+            let host = &host;
+            scope.spawn(move || {
+                sleep_to(stopped_at, 300);
+                fleet.request(host, &filing("/permit/work3200", 6_000));
+            });
+        }
+        let clients: Vec<_> = (0..4_u64)
+            .map(|number| {
+                let host = &host;
+                scope.spawn(move || file_over_open_channel(fleet, host, stopped_at, number))
+            })
+            .collect();
+        let end = Duration::from_secs(u64::from(grace_s));
+        while stopped_at.elapsed() < end && !process.has_ended() {
+            sleep_ms(10);
+        }
+        if process.has_ended() {
+            let at = stopped_at.elapsed().as_millis();
+            fleet.record.add(&format!("host: ended by itself {at} ms after SIGTERM"));
+        } else {
+            fleet.record.add("platform: SIGKILL, grace_s has passed");
+            process.signal(SIGKILL);
+        }
+        clients.into_iter().filter_map(|client| client.join().ok()).collect()
+    });
+    check(results.len() == 4, "not every client has ended")?;
+    let mut is_broken = false;
+    for (attempt, _, answer) in &results {
+        let runs = fleet.lines.starting(&format!("run {attempt} "));
+        if !runs.is_empty() && !(answer.status > 0 && answer.is_complete) {
+            is_broken = true;
+            fleet.record.add(&format!(
+                "LOST: {attempt} was read, passed on to a server, and its channel ended without an answer"
+            ));
+        }
+    }
+    Ok(is_broken)
+}
+
+/// Opens a channel 1 s after the SIGTERM, while the platform still sends channels there, and files a permit over it
+/// 3.1 s after the SIGTERM.
+fn file_over_open_channel(
+    fleet: &Fleet,
+    host: &Host,
+    stopped_at: Instant,
+    number: u64,
+) -> (String, bool, Answer) {
+    let attempt = format!("{:08x}f11e000{number}", std::process::id());
+    let mut answer = Answer::default();
+    sleep_to(stopped_at, 1_000);
+    let Ok(stream) = TcpStream::connect(&host.front) else { return (attempt, false, answer) };
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok();
+    let mut wire = Wire::new(stream);
+    sleep_to(stopped_at, 3_100 + 40 * number);
+    let head = format!(
+        "POST /permit/work1200 HTTP/1.1\r\nHost: {}\r\nX-Cassiafield-Attempt-Id: {attempt}\r\nX-Cassiafield-Deadline-Ms: 2500\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{BODY}",
+        crate::fleet::DOOR,
+        BODY.len()
+    );
+    let sent_ms = stopped_at.elapsed().as_millis();
+    fleet.record.add(&format!("client: POST /permit/work1200 attempt {attempt}, {sent_ms} ms after SIGTERM, deadline 2500 ms"));
+    let is_sent = wire.write(head.as_bytes()).is_ok();
+    if let Ok(Some(mut message)) = wire.read_head() {
+        answer.status = message.status();
+        answer.is_complete = wire.read_body(&mut message, true);
+        answer.message = message;
+    }
+    let ended_ms = stopped_at.elapsed().as_millis();
+    fleet.record.add(&format!(
+        "client: channel of {attempt}: status {}, complete: {}, {ended_ms} ms after SIGTERM",
+        answer.status, answer.is_complete
+    ));
+    (attempt, is_sent, answer)
+}
+
+/// The store comes back from an older copy, in which a key is still held that was taken away.
+pub fn revoked_in_drill(fleet: &Fleet) -> Verdict {
+    let _server = start_one_server(fleet);
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY, SECOND_KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_settings(fleet, 8);
+    let _process = start_ready_host(fleet, &host)?;
+    sleep_ms(2_000);
+    let second = Request { key: Some(SECOND_KEY), ..lookup("/tag/now", 1_000) };
+    check(fleet.request(&host, &second).1.status == 200, "the second key is not served in calm")?;
+    let copy = fleet.store.copy();
+    sleep_ms(1_500);
+    // The next read of the configuration follows 0.8 s after this one.
+    check(fleet.store.wait_for_config_read(Duration::from_secs(4)), "no read of the configuration")?;
+    let next = configuration(2, &ROUTES, &[KEY]);
+    fleet.store.put("op/config", &next);
+    let acknowledged_at = Instant::now();
+    fleet.record.add("operator: version 2 takes the second key away; the store has acknowledged it");
+    if fleet.has_trouble {
+        sleep_to(acknowledged_at, 200);
+        fleet.record.add("platform: the store is away");
+        fleet.store.leave();
+        sleep_to(acknowledged_at, 4_000);
+        fleet.store.come_back(Some(copy));
+        fleet.record.add("platform: the store is back from a copy of 1.5 s before version 2; Store-Era has risen");
+        fleet.beat_now();
+    }
+    let mut is_broken = false;
+    for millis in [5_150, 5_300, 5_450] {
+        sleep_to(acknowledged_at, millis);
+        let sent_ms = acknowledged_at.elapsed().as_millis();
+        let (attempt, answer) = fleet.request(&host, &second);
+        if !fleet.lines.starting(&format!("run {attempt} ")).is_empty() {
+            is_broken = true;
+            fleet.record.add(&format!(
+                "CONFIG: {attempt} was sent {sent_ms} ms after the acknowledgement and has run, status {}",
+                answer.status
+            ));
+        }
+    }
+    sleep_to(acknowledged_at, 5_600);
+    if fleet.has_trouble {
+        fleet.store.put("op/config", &next);
+        fleet.record.add("operator: version 2 is written again, 1.6 s after the store's return");
+    }
+    let is_refused = wait_until(Duration::from_secs(4), || {
+        sleep_ms(200);
+        fleet.request(&host, &second).1.status == 401
+    });
+    fleet.record.add(&format!("the second key is refused in the end: {is_refused}"));
+    let sound = fleet.request(&host, &lookup("/tag/now", 1_000)).1;
+    check(sound.status == 200, "the first key is not served at the end")?;
+    Ok(is_broken)
+}
+
+/// A configuration adds a public route below one with keys.
+pub fn key_on_public_route(fleet: &Fleet) -> Verdict {
+    let _server = start_one_server(fleet);
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_settings(fleet, 8);
+    let _process = start_ready_host(fleet, &host)?;
+    for _ in 0..5 {
+        fleet.request(&host, &lookup("/tag/status/now", 1_000));
+    }
+    let mut routes = ROUTES.to_vec();
+    if fleet.has_trouble {
+        routes.push(Route {
+            name: "tag-status",
+            prefix: "/tag/status/",
+            kind: "safe",
+            attempts: 2,
+            is_public: true,
+        });
+    }
+    fleet.store.put("op/config", &configuration(2, &routes, &[KEY]));
+    fleet.record.add(if fleet.has_trouble {
+        "operator: version 2 adds the public route /tag/status/"
+    } else {
+        "operator: version 2, with the same routes"
+    });
+    for _ in 0..12 {
+        sleep_ms(300);
+        fleet.request(&host, &lookup("/tag/status/now", 1_000));
+    }
+    let leaks: Vec<_> = fleet
+        .lines
+        .starting("run ")
+        .into_iter()
+        .filter(|line| line.text.contains(KEY) || line.text.contains("tenant=- "))
+        .collect();
+    for line in &leaks {
+        fleet.record.add(&format!("UNASKED: server {} got the client's key: {}", line.server, line.text));
+    }
+    Ok(!leaks.is_empty())
+}
+
+/// The verdict on a request that crashes servers is lost with the store's history, and the machine restarts.
+pub fn verdict_lost_in_drill(fleet: &Fleet) -> Verdict {
+    const VERDICTS: &str = "cassiafield/blocked-parts";
+    const COUNT: usize = 6;
+    let mut servers: Vec<Server> = (1..=COUNT)
+        .map(|number| {
+            let address = format!("127.0.0.1:{}", free_port("127.0.0.1"));
+            fleet.start_server(&format!("i-desk-{number}"), &address)
+        })
+        .collect();
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_settings(fleet, 8);
+    let mut process = start_ready_host(fleet, &host)?;
+    sleep_ms(3_200);
+    let copy = fleet.store.copy();
+    let copied_at = Instant::now();
+    let mut back_at = BTreeMap::new();
+    let deadly = lookup("/tag/crash", 1_000);
+    // The request comes again until it is refused, and the verdict is kept in the store.
+    let mut refusals = 0;
+    let mut third_crash_at = None;
+    while copied_at.elapsed() < Duration::from_secs(12) && refusals < 5 {
+        let (_, answer) = fleet.request(&host, &deadly);
+        restart_ended(fleet, &mut servers, &mut back_at);
+        let crashes = fleet.lines.all().iter().filter(|line| line.text.contains("/tag/crash")).count();
+        if crashes >= 3 && third_crash_at.is_none() {
+            third_crash_at = Some(Instant::now());
+        }
+        refusals = if answer.status == 503 { refusals + 1 } else { 0 };
+        sleep_ms(250);
+    }
+    check(refusals >= 5, "the request that crashes servers is not refused")?;
+    let is_kept =
+        wait_until(Duration::from_secs(3), || fleet.store.size_of(VERDICTS) > 40);
+    check(is_kept, "the verdict is not kept in the store")?;
+    let third_crash_at = third_crash_at.ok_or("fewer than three crashes")?;
+    fleet.record.add("the request that crashes servers is refused, and the store holds the verdict");
+    if fleet.has_trouble {
+        fleet.record.add("platform: the store is away");
+        fleet.store.leave();
+        sleep_ms(1_000);
+        fleet.store.come_back(Some(copy));
+        let age = copied_at.elapsed().as_secs_f64();
+        fleet.record.add(&format!("platform: the store is back from a copy {age:.1} s old; Store-Era has risen"));
+        fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
+        fleet.beat_now();
+    }
+    for _ in 0..24 {
+        sleep_ms(250);
+        restart_ended(fleet, &mut servers, &mut back_at);
+    }
+    fleet.record.add(&format!("the store holds the verdict: {}", fleet.store.holds(VERDICTS)));
+    fleet.record.add("platform: SIGKILL of the host, which starts again");
+    process.kill();
+    sleep_ms(1_000);
+    let _again = start_ready_host(fleet, &host)?;
+    sleep_ms(3_300);
+    let before = fleet.lines.all().iter().filter(|line| line.text.contains("/tag/crash")).count();
+    let began_at = Instant::now();
+    while began_at.elapsed() < Duration::from_secs(10) {
+        fleet.request(&host, &deadly);
+        restart_ended(fleet, &mut servers, &mut back_at);
+        sleep_ms(250);
+    }
+    let after = fleet.lines.all().iter().filter(|line| line.text.contains("/tag/crash")).count();
+    fleet.record.add(&format!(
+        "{} retries have reached servers, from {:.1} s after the third crash on",
+        after - before,
+        (began_at - third_crash_at).as_secs_f64()
+    ));
+    Ok(after - before > 3)
+}
+
+/// Starts servers again 1.5 s after they have ended.
+fn restart_ended(
+    fleet: &Fleet,
+    servers: &mut [Server],
+    back_at: &mut BTreeMap<String, Instant>,
+) {
+    for server in servers {
+        if !server.process.has_ended() {
+            continue;
+        }
+        let due = back_at.entry(server.id.clone()).or_insert_with(|| {
+            fleet.silence(&server.id);
+            fleet.record.add(&format!("server {} has ended", server.id));
+            Instant::now() + Duration::from_millis(1_500)
+        });
+        if Instant::now() >= *due {
+            back_at.remove(&server.id);
+            *server = fleet.start_server(&server.id.clone(), &server.address.clone());
+        }
+    }
+}
