--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,7 +11,12 @@
     },
     std::{
         collections::BTreeMap,
+        io::Write as _,
         net::TcpStream,
+        sync::{
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+            Mutex,
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -418,3 +423,86 @@
         }
     }
 }
+
+/// A crowd of clients sends bodies very slowly, and ordinary clients try beside it.
+pub fn slow_crowd(fleet: &Fleet) -> Verdict {
+    const MAX_FDS: u32 = 600;
+    const CROWD: usize = 260;
+    const CLIENTS: usize = 8;
+    const CONTACT: Duration = Duration::from_millis(3_000);
+    let _server = start_one_server(fleet);
+    fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY, SECOND_KEY]));
+    let host = Host::new("front-1", 11);
+    host.write_limited_settings(fleet, 8, MAX_FDS);
+    let mut process = start_ready_host(fleet, &host)?;
+    sleep_ms(3_200);
+    let is_over = AtomicBool::new(false);
+    let taken = Mutex::new(vec![Instant::now()]);
+    let tries = AtomicUsize::new(0);
+    let mut unready = 0;
+    let began_at = Instant::now();
+    thread::scope(|scope| {
+        if fleet.has_trouble {
+            fleet.record.add(&format!("crowd: {CROWD} clients send a byte of a body of 4,000 bytes every 0.5 s"));
+            let (host, is_over) = (&host, &is_over);
+            scope.spawn(move || crawl(host, CROWD, is_over));
+            sleep_ms(1_000);
+        }
+        for _ in 0..CLIENTS {
+            let (host, is_over, taken, tries) = (&host, &is_over, &taken, &tries);
+            scope.spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    let (_, answer) = fleet.request(host, &filing("/permit/now", 1_000));
+                    tries.fetch_add(1, Ordering::Relaxed);
+                    if answer.status > 0 {
+                        taken.lock().unwrap().push(Instant::now());
+                    }
+                    sleep_ms(400);
+                }
+            });
+        }
+        for _ in 0..20 {
+            sleep_ms(500);
+            let is_ready = crate::fleet::is_ready(&host.ready);
+            unready += usize::from(!is_ready);
+            fleet.record.add(&format!("platform: GET /readyz: ready {is_ready}"));
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+    check(!process.has_ended(), "the host has ended")?;
+    let mut taken = taken.into_inner().unwrap();
+    taken.push(Instant::now());
+    taken.sort();
+    let longest = taken.windows(2).map(|two| two[1] - two[0]).max().unwrap_or_default();
+    fleet.record.add(&format!(
+        "{CLIENTS} clients tried {} channels in {:.1} s, {} were taken; longest time without: {} ms; not ready: {unready} of 20",
+        tries.load(Ordering::Relaxed),
+        began_at.elapsed().as_secs_f64(),
+        taken.len() - 2,
+        longest.as_millis()
+    ));
+    let is_broken = longest > CONTACT + Duration::from_millis(500) && unready == 0;
+    if is_broken {
+        fleet.record.add("RECOVER: the host said that it is ready, and took no new channel for longer than contact_ms");
+    }
+    Ok(is_broken)
+}
+
+/// Holds `count` channels, each with a request whose body comes a byte at a time.
+fn crawl(host: &Host, count: usize, is_over: &AtomicBool) {
+    let head = format!(
+        "POST /permit/now HTTP/1.1\r\nHost: {}\r\nX-Cassiafield-Attempt-Id: c0\r\nX-Cassiafield-Deadline-Ms: 60000\r\nAuthorization: Bearer {SECOND_KEY}\r\nContent-Length: 4000\r\n\r\n",
+        crate::fleet::DOOR
+    );
+    let mut channels: Vec<TcpStream> = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        while channels.len() < count {
+            let Ok(mut stream) = TcpStream::connect(&host.front) else { break };
+            if stream.write_all(head.as_bytes()).is_ok() {
+                channels.push(stream);
+            }
+        }
+        sleep_ms(500);
+        channels.retain_mut(|stream| stream.write_all(b"x").is_ok());
+    }
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -31,6 +31,7 @@
         "shorter-grace" => cases::shorter_grace,
         "revoked-in-drill" => cases::revoked_in_drill,
         "key-on-public-route" => cases::key_on_public_route,
+        "slow-crowd" => cases::slow_crowd,
         "verdict-lost-in-drill" => cases::verdict_lost_in_drill,
         _ => return 2,
     };
