Review case 7: hosts whose leases lapsed each grant a server's whole limit

The store is down for 4.5 s and the leases of the hosts run out. After its return each host reads a stale, empty list of hosts, stops sending to the others, leads its zone alone and grants the whole Server-Limit: four times the rate for 3 s and more (LIMIT). PeerLink::refresh_hosts takes the list for the fleet, though messages of others arrive.

--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -84,10 +84,10 @@
     }
 }
 
-/// A line that a server printed.
+/// A line that a server printed, with the time at which it was read.
 #[derive(Clone, Debug)]
 pub struct ServerLine {
-    pub server: String,
+    pub at: Instant,
     pub text: String,
 }
 
@@ -205,7 +205,8 @@
         thread::spawn(move || {
             for text in BufReader::new(output).lines().map_while(Result::ok) {
                 record.add(&format!("server {name}: {text}"));
-                lines.0.lock().unwrap().push(ServerLine { server: name.clone(), text });
+                let at = Instant::now();
+                lines.0.lock().unwrap().push(ServerLine { at, text });
             }
         });
         let born = unix_millis();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -30,7 +30,7 @@
         "frozen-half-answer" => cases::frozen_half_answer,
         "shorter-grace" => cases::shorter_grace,
         "revoked-in-drill" => cases::revoked_in_drill,
-        "key-on-public-route" => cases::key_on_public_route,
+        "limit-after-lapse" => cases::limit_after_lapse,
         "slow-crowd" => cases::slow_crowd,
         "verdict-lost-in-drill" => cases::verdict_lost_in_drill,
         _ => return 2,
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -1,7 +1,8 @@
 //! A server of a plain service, as a process of its own: `standin server IP:PORT ID`.
 //!
 //! The last part of a path says what a request does: `half` is answered in two parts and without a length,
-//! `crash` ends the server, `workN` takes N milliseconds; everything else is answered at once.
+//! `crash` ends the server, `limited` is
+//! answered at once with the rate that a server in need takes, `workN` takes N milliseconds; everything else is answered at once.
 
 use {
     crate::http::{Message, Wire},
@@ -11,6 +12,9 @@
 /// Time between the two parts of an answer without a length.
 pub const HALF_TIME: Duration = Duration::from_millis(1_000);
 
+/// Requests a second that a server in need takes from all hosts together.
+pub const NAMED_LIMIT: f64 = 20.0;
+
 /// Returns the whole answer to the request with an attempt id.
 pub fn whole_answer(attempt: &str) -> String {
     format!("{{\"permit\":\"{attempt}\",\"lines\":[\"{}\"],\"end\":true}}", "x".repeat(760))
@@ -76,6 +80,10 @@
             println!("second-half {attempt}");
             false
         }
+        "limited" => {
+            let head = format!("{head}Server-Limit: {NAMED_LIMIT}\r\n");
+            respond(wire, 200, &head, &body)
+        }
         work => {
             let millis = work.strip_prefix("work").and_then(|text| text.parse().ok()).unwrap_or(5);
             thread::sleep(Duration::from_millis(millis));
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -6,7 +6,7 @@
         json::{from_base64, to_base64, Json},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         net::{Shutdown, TcpListener, TcpStream},
         sync::{Arc, Mutex},
         thread,
@@ -39,6 +39,9 @@
     is_away: bool,
     /// Number of reads of the configuration.
     config_reads: u64,
+    /// What stale reads return: earlier states with their times.
+    earlier: VecDeque<(Instant, Copy)>,
+    stale_by: Duration,
     open: Vec<TcpStream>,
 }
 
@@ -103,6 +106,32 @@
         self.inner.lock().unwrap().held.clone()
     }
 
+    /// Answers stale reads from a state of so long ago, from now on.
+    pub fn serve_stale(&self, stale_by: Duration) {
+        self.inner.lock().unwrap().stale_by = stale_by;
+        let store = self.clone();
+        thread::spawn(move || loop {
+            let mut inner = store.inner.lock().unwrap();
+            inner.held.expire();
+            let (now, held) = (Instant::now(), inner.held.clone());
+            inner.earlier.push_back((now, held));
+            while inner.earlier.front().is_some_and(|(at, _)| *at + 2 * stale_by < now) {
+                inner.earlier.pop_front();
+            }
+            drop(inner);
+            thread::sleep(Duration::from_millis(20));
+        });
+    }
+
+    /// Lets all leases run out, as they may while the store is down.
+    pub fn end_leases(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        let leases: Vec<u64> = inner.held.leases.keys().copied().collect();
+        for lease in leases {
+            inner.held.end_lease(lease);
+        }
+    }
+
     /// Goes away: its channels break and calls get no answer.
     pub fn leave(&self) {
         let mut inner = self.inner.lock().unwrap();
@@ -198,9 +227,13 @@
             },
             ("GET", "/kv-range") => {
                 let (prefix, after) = (message.query("prefix"), message.query("after"));
-                let keys = self.held.items.keys().filter(|key| key.starts_with(&prefix));
+                let is_stale = message.query("serializable") == "1";
+                let limit = Instant::now() - self.stale_by;
+                let earlier = self.earlier.iter().rev().find(|(at, _)| is_stale && *at <= limit);
+                let held = earlier.map_or(&self.held, |(_, held)| held);
+                let keys = held.items.keys().filter(|key| key.starts_with(&prefix));
                 let keys = keys.filter(|key| after.is_empty() || key.as_str() > after.as_str());
-                let items: Vec<String> = keys.filter_map(|key| self.held.item(key)).collect();
+                let items: Vec<String> = keys.filter_map(|key| held.item(key)).collect();
                 let items = items.join(",");
                 (200, format!("{{\"items\":[{items}],\"truncated\":false,\"as_of\":{as_of}}}"))
             }
