Review case 6: one server of three is killed

The stand-in also gives each slow sender of case 9 an attempt id of its own, and case 10 records the age of its copy.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -67,7 +67,13 @@
 
 /// A machine is suspended while a server ends in the middle of its answer and comes back.
 pub fn frozen_half_answer(fleet: &Fleet) -> Verdict {
-    let server = start_one_server(fleet);
+    const REQUESTS: usize = 6;
+    let mut servers: Vec<Server> = (1..=3)
+        .map(|number| {
+            let address = format!("127.0.0.1:{}", free_port("127.0.0.1"));
+            fleet.start_server(&format!("i-desk-{number}"), &address)
+        })
+        .collect();
     fleet.store.put("op/config", &configuration(1, &ROUTES, &[KEY]));
     let host = Host::new("front-1", 11);
     host.write_settings(fleet, 8);
@@ -75,46 +81,42 @@
     // Longer than `contact_ms` without disruption.
     sleep_ms(3_200);
     let answers: Vec<(String, Answer)> = thread::scope(|scope| {
-        let requests = [
-            filing("/permit/half", 9_000),
-            filing("/permit/half", 9_000),
-            lookup("/tag/half", 9_000),
-            lookup("/tag/half", 9_000),
-        ];
-        let (host, clients): (&Host, Vec<_>) = (
-            &host,
-            requests
-                .into_iter()
-                .map(|request| {
-                    let host = &host;
-                    scope.spawn(move || fleet.request(host, &request))
-                })
-                .collect(),
-        );
-        let are_begun =
-            wait_until(Duration::from_secs(3), || fleet.lines.starting("first-half").len() == 4);
+        let clients: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let host = &host;
+                let request = if number % 2 == 0 {
+                    filing("/permit/half", 9_000)
+                } else {
+                    lookup("/tag/half", 9_000)
+                };
+                scope.spawn(move || fleet.request(host, &request))
+            })
+            .collect();
+        let are_begun = wait_until(Duration::from_secs(3), || {
+            fleet.lines.starting("first-half").len() == REQUESTS
+        });
         if are_begun && fleet.has_trouble {
             sleep_ms(200);
             fleet.record.add(&format!("platform: {} is suspended", host.name));
             process.signal(SIGSTOP);
             sleep_ms(300);
-            fleet.record.add("server i-desk-1 is killed");
-            fleet.silence(&server.id);
-            let (id, address) = (server.id.clone(), server.address.clone());
-            let mut server = server;
-            server.process.kill();
-            sleep_ms(1_500);
-            let _again = fleet.start_server(&id, &address);
-            fleet.record.add("server i-desk-1 is back under its id and at its address");
+            // The server that has begun the first answer is the one that ends.
+            let first = fleet.lines.starting("first-half")[0].server.clone();
+            if let Some(server) = servers.iter_mut().find(|server| server.id == first) {
+                fleet.record.add(&format!("server {first} is killed"));
+                fleet.silence(&first);
+                server.process.kill();
+                sleep_ms(1_500);
+                *server = fleet.start_server(&first, &server.address.clone());
+                fleet.record.add(&format!("server {first} is back under its id and at its address"));
+            }
             sleep_ms(1_200);
             fleet.record.add(&format!("platform: {} wakes after 3.0 s", host.name));
             process.signal(SIGCONT);
-            clients.into_iter().filter_map(|client| client.join().ok()).collect()
-        } else {
-            clients.into_iter().filter_map(|client| client.join().ok()).collect()
         }
+        clients.into_iter().filter_map(|client| client.join().ok()).collect()
     });
-    check(answers.len() == 4, "not every client has ended")?;
+    check(answers.len() == REQUESTS, "not every client has ended")?;
     let mut is_broken = false;
     for (attempt, answer) in &answers {
         let is_success = (200..300).contains(&answer.status) && answer.is_complete;
@@ -242,6 +244,7 @@
     let second = Request { key: Some(SECOND_KEY), ..lookup("/tag/now", 1_000) };
     check(fleet.request(&host, &second).1.status == 200, "the second key is not served in calm")?;
     let copy = fleet.store.copy();
+    let copied_at = Instant::now();
     sleep_ms(1_500);
     // The next read of the configuration follows 0.8 s after this one.
     check(fleet.store.wait_for_config_read(Duration::from_secs(4)), "no read of the configuration")?;
@@ -255,7 +258,8 @@
         fleet.store.leave();
         sleep_to(acknowledged_at, 4_000);
         fleet.store.come_back(Some(copy));
-        fleet.record.add("platform: the store is back from a copy of 1.5 s before version 2; Store-Era has risen");
+        let age = copied_at.elapsed().as_secs_f64();
+        fleet.record.add(&format!("platform: the store is back from a copy {age:.1} s old; Store-Era has risen"));
         fleet.beat_now();
     }
     let mut is_broken = false;
@@ -449,14 +453,17 @@
 /// Holds `count` channels, each with a request whose body comes a byte at a time.
 fn crawl(host: &Host, count: usize, is_over: &AtomicBool) {
     let head = format!(
-        "POST /permit/now HTTP/1.1\r\nHost: {}\r\nX-Cassiafield-Attempt-Id: c0\r\nX-Cassiafield-Deadline-Ms: 60000\r\nAuthorization: Bearer {SECOND_KEY}\r\nContent-Length: 4000\r\n\r\n",
+        "POST /permit/now HTTP/1.1\r\nHost: {}\r\nX-Cassiafield-Attempt-Id: ATTEMPT\r\nX-Cassiafield-Deadline-Ms: 60000\r\nAuthorization: Bearer {SECOND_KEY}\r\nContent-Length: 4000\r\n\r\n",
         crate::fleet::DOOR
     );
     let mut channels: Vec<TcpStream> = Vec::new();
+    let mut next_attempt = 0;
     while !is_over.load(Ordering::Relaxed) {
         while channels.len() < count {
             let Ok(mut stream) = TcpStream::connect(&host.front) else { break };
-            if stream.write_all(head.as_bytes()).is_ok() {
+            next_attempt += 1;
+            let attempt = format!("{:08x}c0{next_attempt:06x}", std::process::id());
+            if stream.write_all(head.replace("ATTEMPT", &attempt).as_bytes()).is_ok() {
                 channels.push(stream);
             }
         }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -88,6 +88,7 @@
 #[derive(Clone, Debug)]
 pub struct ServerLine {
     pub at: Instant,
+    pub server: String,
     pub text: String,
 }
 
@@ -206,7 +207,7 @@
             for text in BufReader::new(output).lines().map_while(Result::ok) {
                 record.add(&format!("server {name}: {text}"));
                 let at = Instant::now();
-                lines.0.lock().unwrap().push(ServerLine { at, text });
+                lines.0.lock().unwrap().push(ServerLine { at, server: name.clone(), text });
             }
         });
         let born = unix_millis();
