--- a/crates/cassiafield-gateway/src/process/gateway_metrics.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_metrics.rs
@@ -37,6 +37,10 @@
     pub lines_dropped: f64,
     /// Parts of prompts that are kept from endpoints.
     pub blocked_parts: f64,
+    /// Hosts of the fleet that this host knows, itself included.
+    pub fleet_hosts: f64,
+    /// Hosts of the fleet whose messages arrive, itself included.
+    pub reachable_hosts: f64,
 }
 
 /// Counters, histograms and gauges of one host.
@@ -44,7 +48,7 @@
     registry: Registry,
     organisations: RefCell<HashSet<OrganisationId>>,
     /// In the order of the fields of [`GaugeValues`].
-    gauges: [Gauge; 7],
+    gauges: [Gauge; 9],
     responses: IntCounterVec,
     head_times: HistogramVec,
     completion_times: HistogramVec,
@@ -124,6 +128,14 @@
                     "cassiafield_blocked_parts",
                     "Parts of prompts that are kept from endpoints",
                 ),
+                builder.gauge(
+                    "cassiafield_fleet_hosts",
+                    "Hosts of the fleet that this host knows, itself included",
+                ),
+                builder.gauge(
+                    "cassiafield_reachable_hosts",
+                    "Hosts of the fleet whose messages arrive, this host included",
+                ),
             ],
             responses: builder.counters(
                 "cassiafield_answers_total",
@@ -498,6 +510,8 @@
             values.lines_over_budget,
             values.lines_dropped,
             values.blocked_parts,
+            values.fleet_hosts,
+            values.reachable_hosts,
         ];
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(value);
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -24,7 +24,7 @@
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
             CarrierDirectory, CrashLedger, DataAge, EndpointDirectory, EndpointReach, EngineLoad,
-            FailureReport, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
+            FailureReport, FleetReach, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
             VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{RouteStage, StageRoute},
@@ -87,6 +87,8 @@
     /// Requests in flight that other hosts have handed over.
     pub(super) carried: Cell<u32>,
     pub(super) live_hosts: Cell<usize>,
+    /// What the last log line on the fleet said.
+    pub(super) logged_reach: Cell<Option<FleetReach>>,
     pub(super) exchange: StateExchange,
     pub(super) endpoint_list: RefCell<ListedEntries>,
     configuration_order: Cell<VersionOrder>,
@@ -176,6 +178,7 @@
             in_flight: Cell::new(0),
             carried: Cell::new(0),
             live_hosts: Cell::new(1),
+            logged_reach: Cell::new(None),
             exchange: StateExchange::default(),
             endpoint_list: RefCell::default(),
             configuration_order: Cell::default(),
@@ -601,6 +604,7 @@
     pub fn gauge_values(&self) -> GaugeValues {
         self.metrics.record_held(self.resources.used());
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
+        let reach = self.fleet_reach();
         GaugeValues {
             configuration_age: seconds(self.configuration_age()),
             endpoints_age: seconds(self.endpoints_age()),
@@ -609,6 +613,8 @@
             lines_over_budget: LogRateLimiter::suppressed_total() as f64,
             lines_dropped: dropped_line_count() as f64,
             blocked_parts: self.crashes.borrow().blocked(self.now()).len() as f64,
+            fleet_hosts: reach.fleet_size() as f64,
+            reachable_hosts: reach.reachable as f64,
         }
     }
 
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -331,6 +331,7 @@
             };
             self.state.retries.set_leader(is_zone_leader, now);
             self.state.refresh_turns(is_zone_leader);
+            self.state.log_fleet_reach();
             let message = self.host_message_with(readings.clone());
             let news = Some(self.state.admission.refresh(&self.state));
             let extension = PeerExtension { news, ..self.extension() };
--- a/crates/cassiafield-gateway/src/process/send_turn.rs
+++ b/crates/cassiafield-gateway/src/process/send_turn.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::process::GatewayState,
+    cassiafield::process::LogEvent,
     cassiafield_core::{
         ids::{EndpointId, ServiceId, ZoneId},
         process::{EndpointLife, FleetReach, LimitReport, TurnReply, TurnRequest},
@@ -237,7 +238,22 @@
         self.members.borrow().live(self.now()).count() + 1
     }
 
-    fn fleet_reach(&self) -> FleetReach {
+    /// Logs how much of the fleet this host knows and reaches, if that has changed.
+    pub(super) fn log_fleet_reach(&self) {
+        let reach = self.fleet_reach();
+        if self.logged_reach.replace(Some(reach)) == Some(reach) {
+            return;
+        }
+        let rank = if reach.is_majority() { "a majority" } else { "no majority" };
+        LogEvent::FleetReachChanged.log(format_args!(
+            "{} hosts known, messages of {} arrive, this host included: {rank}",
+            reach.fleet_size(),
+            reach.reachable
+        ));
+    }
+
+    /// Returns how much of the fleet this host knows and reaches.
+    pub(super) fn fleet_reach(&self) -> FleetReach {
         let reachable = self.live_members() + self.exchange.live_foreign_hosts(self.now());
         FleetReach { reachable, hosts: self.live_hosts.get() }
     }
--- a/crates/cassiafield/src/process/log_event.rs
+++ b/crates/cassiafield/src/process/log_event.rs
@@ -126,6 +126,7 @@
     1604 OrdinalMissing Warning "No ordinal is free; the host can spend only loans from peers.";
     1701 PeerRefused Warning "A message from a peer could not be read or failed authentication.";
     1702 PeerFailed Info "A peer does not answer.";
+    1703 FleetReachChanged Info "The number of hosts that this host knows, or whose messages arrive, has changed.";
     1801 CheckpointFailed Warning "The usage record could not be written; the write will be retried.";
     1901 LinesLeftOut Warning "Lines of an event were suppressed, since its rate limit was exceeded.";
 }
