--- a/crates/cassiafield-core/src/process/fleet_reach.rs
+++ b/crates/cassiafield-core/src/process/fleet_reach.rs
@@ -9,17 +9,19 @@
 /// use cassiafield_core::{process::FleetReach, request::RequestRate};
 ///
 /// let limit: RequestRate = "9".parse().unwrap();
-/// let reach = FleetReach { reachable: 6, hosts: 9 };
+/// let reach = FleetReach { reachable: 6, hosts: 9, is_known: true };
 /// assert_eq!(reach.granted_rate(limit), "6".parse().unwrap());
 /// assert_eq!(reach.own_rate(limit), "1".parse().unwrap());
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FleetReach {
-    /// Number of hosts whose messages arrive, directly or at the leader of their zone; this one
-    /// included.
+    /// Number of hosts whose messages arrive, directly or at the leader of their zone, and that get
+    /// messages of this one; itself included.
     pub reachable: usize,
-    /// Number of hosts of the fleet, as the platform's store lists them.
+    /// Number of hosts of the fleet that the host knows.
     pub hosts: usize,
+    /// Whether these are all; a host that does not know it hands out nothing.
+    pub is_known: bool,
 }
 
 impl FleetReach {
@@ -39,10 +41,10 @@
     /// Returns `true` if the host reaches more than half of the fleet; no two parts of it do.
     #[must_use]
     pub fn is_majority(&self) -> bool {
-        self.reachable * 2 > self.fleet_size()
+        self.is_known && self.reachable * 2 > self.fleet_size()
     }
 
-    /// Returns the number of hosts, with those that the store does not list yet.
+    /// Returns the number of hosts, with those whose messages arrive before the host knows them.
     #[must_use]
     pub fn fleet_size(&self) -> usize {
         self.hosts.max(self.reachable).max(1)
--- a/crates/cassiafield-core/src/process/mod.rs
+++ b/crates/cassiafield-core/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod failure_report;
 mod fair_queue;
 mod fleet_intervals;
+mod fleet_membership;
 mod fleet_reach;
 mod floor_transition;
 mod inter_token_latency;
@@ -79,6 +80,7 @@
     failure_report::{FailureCause, FailureReport},
     fair_queue::FairQueue,
     fleet_intervals::FleetIntervals,
+    fleet_membership::FleetMembership,
     fleet_reach::FleetReach,
     floor_transition::FloorTransition,
     inter_token_latency::InterTokenLatency,
--- a/crates/cassiafield-core/src/process/retry_pool.rs
+++ b/crates/cassiafield-core/src/process/retry_pool.rs
@@ -13,8 +13,8 @@
     pub requests: u32,
     /// Number of hosts of the zone.
     pub hosts: usize,
-    /// Number of hosts of the fleet.
-    pub fleet_hosts: usize,
+    /// Number of hosts of the fleet, if it is known; without it, none of the slack is used.
+    pub fleet_hosts: Option<usize>,
 }
 
 /// What a leader has granted within the window, for its successor.
@@ -44,7 +44,7 @@
 ///
 /// let limits = RetryLimits { ratio: 0.2, slack: 90.0, window: Duration::from_secs(10) };
 /// let mut pool = RetryPool::new(limits, Moment::ORIGIN);
-/// let traffic = ZoneTraffic { requests: 100, hosts: 3, fleet_hosts: 9 };
+/// let traffic = ZoneTraffic { requests: 100, hosts: 3, fleet_hosts: Some(9) };
 /// let granted = pool.grant(1_000, traffic, Moment::from_millis(20_000));
 /// assert!((20..=30).contains(&granted));
 /// assert_eq!(pool.grant(1, traffic, Moment::from_millis(20_001)), 0);
@@ -103,12 +103,11 @@
         let known = self.known_time(now);
         let known_fraction = known.as_secs_f64() / window.as_secs_f64().max(1e-9);
         let earned = self.limits.ratio * f64::from(traffic.requests) * known_fraction.min(1.0);
-        let fleet_hosts = traffic.fleet_hosts.max(traffic.hosts).max(1);
-        let slack = if known >= window {
+        let fleet_hosts = traffic.fleet_hosts.filter(|_| known >= window);
+        let slack = fleet_hosts.map_or(0.0, |fleet_hosts| {
+            let fleet_hosts = fleet_hosts.max(traffic.hosts).max(1);
             self.limits.slack * traffic.hosts as f64 / fleet_hosts as f64
-        } else {
-            0.0
-        };
+        });
         let bound = (earned + slack) * RetryQuota::SAFETY_FACTOR * RetryQuota::POOLED_FRACTION;
         // The difference is finite and not negative.
         let granted = wanted.min((bound - f64::from(self.granted())).max(0.0) as u32);
--- a/crates/cassiafield-core/src/process/retry_quota.rs
+++ b/crates/cassiafield-core/src/process/retry_quota.rs
@@ -59,13 +59,14 @@
 
     /// Acquires the right to send one retry; returns `true` if the quota allows it.
     ///
-    /// The slack is divided equally over `hosts`.
-    pub fn try_acquire(&mut self, hosts: usize, now: Moment) -> bool {
+    /// The slack is divided equally over `hosts`; without their number, none of it is used.
+    pub fn try_acquire(&mut self, hosts: Option<usize>, now: Moment) -> bool {
         self.remove_expired(now);
         let earned = self.limits.ratio * self.requests.len() as f64;
         let is_slack_available =
             self.started_at.is_none_or(|started_at| now.since(started_at) >= self.limits.window);
-        let slack = if is_slack_available { self.limits.slack / hosts.max(1) as f64 } else { 0.0 };
+        let hosts = hosts.filter(|_| is_slack_available);
+        let slack = hosts.map_or(0.0, |hosts| self.limits.slack / hosts.max(1) as f64);
         let own_fraction = 1.0 - Self::POOLED_FRACTION;
         let bound = (earned + slack) * Self::SAFETY_FACTOR * own_fraction;
         let is_granted = (self.retries.len() as f64) + 1.0 <= bound;
--- a/crates/cassiafield-core/src/process/turn_broker.rs
+++ b/crates/cassiafield-core/src/process/turn_broker.rs
@@ -76,6 +76,9 @@
         let TurnRequest { life, limit, max_wait } = request;
         self.forget_former_lead(now);
         self.led_at.get_or_insert(now);
+        if !reach.is_known {
+            return TurnReply::Refused { free_in: Self::QUERY_INTERVAL };
+        }
         let rate = reach.granted_rate(limit);
         if !reach.is_majority() {
             self.schedules.remove(life);
@@ -110,7 +113,8 @@
     ) -> TurnReply {
         let TurnRequest { life, limit, max_wait } = request;
         let silence = granter.and_then(|granter| self.silences.get(&granter));
-        if silence.is_some_and(|found| now.since(found.began_at) < Self::SILENCE_TIME) {
+        let is_silent = silence.is_some_and(|found| now.since(found.began_at) < Self::SILENCE_TIME);
+        if is_silent || !reach.is_known {
             return TurnReply::Refused { free_in: Self::QUERY_INTERVAL };
         }
         let share = self.shares.entry(life.clone()).or_default();
--- a/crates/cassiafield-core/src/process/zone_leaders.rs
+++ b/crates/cassiafield-core/src/process/zone_leaders.rs
@@ -36,11 +36,10 @@
         leader.filter(|leader| leader.is_live(now)).map(|leader| leader.address)
     }
 
-    /// Returns the number of hosts in the other zones whose leaders' messages arrive.
-    #[must_use]
-    pub fn live_hosts(&self, now: Moment) -> usize {
-        let live = self.known.values().filter(|leader| leader.is_live(now));
-        live.map(|leader| leader.hosts).sum()
+    /// Returns the other zones whose leaders' messages arrive, with the number of hosts there.
+    pub fn live_hosts(&self, now: Moment) -> impl Iterator<Item = (&ZoneId, usize)> {
+        let live = self.known.iter().filter(move |(_, leader)| leader.is_live(now));
+        live.map(|(zone, leader)| (zone, leader.hosts))
     }
 
     /// Returns the leader that reads the store, or `None` if it is the leader of `own_zone`.
--- a/crates/cassiafield-core/tests/retry_quota.rs
+++ b/crates/cassiafield-core/tests/retry_quota.rs
@@ -31,14 +31,14 @@
     /// Acquires a retry from the host's own quota, or else from the pool of its zone.
     fn try_acquire(&mut self, host: usize, now: Moment) -> bool {
         let hosts = self.quotas.len();
-        if self.quotas[host].try_acquire(hosts, now) {
+        if self.quotas[host].try_acquire(Some(hosts), now) {
             return true;
         }
         let zone = host / ZONE_HOSTS;
         let members = zone * ZONE_HOSTS..((zone + 1) * ZONE_HOSTS).min(hosts);
         let zone_hosts = members.len();
         let requests = members.map(|host| self.quotas[host].recent_requests(now)).sum();
-        let traffic = ZoneTraffic { requests, hosts: zone_hosts, fleet_hosts: hosts };
+        let traffic = ZoneTraffic { requests, hosts: zone_hosts, fleet_hosts: Some(hosts) };
         self.pools[zone].grant(1, traffic, now) > 0
     }
 
@@ -116,8 +116,8 @@
 fn a_host_without_requests_has_its_share_of_the_slack() {
     let mut quota = RetryQuota::new(LIMITS, None);
     let settled = Moment::ORIGIN + LIMITS.window;
-    let taken = (0..1_000).filter(|_| quota.try_acquire(10, settled)).count();
-    assert!(!quota.try_acquire(10, settled));
+    let taken = (0..1_000).filter(|_| quota.try_acquire(Some(10), settled)).count();
+    assert!(!quota.try_acquire(Some(10), settled));
     assert!((1..=20).contains(&taken), "{taken}");
 }
 
@@ -149,7 +149,7 @@
 #[test]
 fn a_new_leader_without_a_record_grants_the_slack_after_a_window() {
     let mut pool = RetryPool::new(LIMITS, Moment::from_millis(50_000));
-    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: 9 };
+    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: Some(9) };
     assert_eq!(pool.grant(1, traffic, Moment::from_millis(59_000)), 0);
     assert_eq!(pool.grant(1, traffic, Moment::from_millis(60_000)), 1);
 }
@@ -157,7 +157,7 @@
 /// A leader is suspended, another host leads the zone meanwhile, and the first one wakes up.
 #[test]
 fn a_leader_that_wakes_up_counts_what_its_substitute_granted() {
-    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: 9 };
+    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: Some(9) };
     let now = Moment::from_millis(50_000);
     let mut suspended = RetryPool::new(LIMITS, Moment::ORIGIN);
     suspended.grant(10, traffic, now);
@@ -172,7 +172,7 @@
 
 #[test]
 fn a_new_leader_with_a_record_continues_the_former_leaders_count() {
-    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: 9 };
+    let traffic = ZoneTraffic { requests: 0, hosts: 3, fleet_hosts: Some(9) };
     let now = Moment::from_millis(50_000);
     let mut former = RetryPool::new(LIMITS, Moment::ORIGIN);
     let granted = former.grant(20, traffic, now);
--- a/crates/cassiafield-gateway/src/process/configuration_sync.rs
+++ b/crates/cassiafield-gateway/src/process/configuration_sync.rs
@@ -73,7 +73,7 @@
             let is_done = self.synchronise(role, address).await;
             if !is_done {
                 let peer = self.state.random_peer();
-                if let Some(peer) = peer.and_then(|peer| self.state.exchange.peer_address(&peer)) {
+                if let Some(peer) = peer.and_then(|peer| self.state.peer_address(&peer)) {
                     self.query(peer).await;
                 }
             }
@@ -86,7 +86,7 @@
         let exchange = &self.state.exchange;
         let leader = self.state.zone_leader();
         if leader != self.state.settings.host {
-            return (ReaderRole::Member, exchange.peer_address(&leader));
+            return (ReaderRole::Member, self.state.peer_address(&leader));
         }
         let reader = exchange.fleet_reader(&self.state);
         match reader.filter(|_| self.state.settings.sync_intervals().allows_fleet_reader()) {
@@ -132,7 +132,7 @@
                 () = self.state.revision_heard.notified() => {
                     self.schedule.record_notice();
                     let intervals = self.state.settings.sync_intervals();
-                    let spread = intervals.notice_spread(self.state.live_hosts.get());
+                    let spread = intervals.notice_spread(self.state.fleet_hosts());
                     // Further notices do not postpone the read.
                     if self.state.awaits_revision() && self.notice_read_at.is_none() {
                         let delay = spread.mul_f64(fastrand::f64());
--- a/crates/cassiafield-gateway/src/process/connection_tracking.rs
+++ b/crates/cassiafield-gateway/src/process/connection_tracking.rs
@@ -42,7 +42,7 @@
     }
 
     fn connection_cap(&self, rule: &ServiceRule) -> ConnectionCap {
-        ConnectionCap { max_connections: rule.max_connections, hosts: self.live_hosts.get() }
+        ConnectionCap { max_connections: rule.max_connections, hosts: self.fleet_hosts() }
     }
 
     /// Returns how many idle connections this host may keep to an endpoint of a service, and how long.
--- a/crates/cassiafield-gateway/src/process/gateway_state.rs
+++ b/crates/cassiafield-gateway/src/process/gateway_state.rs
@@ -24,8 +24,8 @@
         ids::{EndpointId, HostId, Moment, OrganisationId, ServiceId},
         process::{
             CarrierDirectory, CrashLedger, DataAge, EndpointDirectory, EndpointReach, EngineLoad,
-            FailureReport, FleetReach, ListedEntries, OrganisationLoad, RevisionNotice, TurnBroker,
-            VersionOrder, VersionVerdict, ZoneMembers,
+            FailureReport, FleetMembership, FleetReach, ListedEntries, OrganisationLoad,
+            RevisionNotice, TurnBroker, VersionOrder, VersionVerdict, ZoneMembers,
         },
         request::{RouteStage, StageRoute},
         version::{CallerLimits, RouteTable},
@@ -86,7 +86,8 @@
     pub(super) in_flight: Cell<u32>,
     /// Requests in flight that other hosts have handed over.
     pub(super) carried: Cell<u32>,
-    pub(super) live_hosts: Cell<usize>,
+    /// The hosts of the fleet.
+    pub(super) membership: RefCell<FleetMembership>,
     /// What the last log line on the fleet said.
     pub(super) logged_reach: Cell<Option<FleetReach>>,
     pub(super) exchange: StateExchange,
@@ -148,6 +149,11 @@
     #[must_use]
     pub fn new(settings: GatewaySettings, codec: Rc<dyn PlatformCodec>) -> Self {
         let retries = RetryBroker::new(&settings, BootClock.now());
+        let membership = FleetMembership::new(
+            settings.host.clone(),
+            settings.zone.clone(),
+            settings.is_first_start,
+        );
         let resources = Rc::new(ResourceKeeper::new(settings.resources));
         let metrics = GatewayMetrics::new();
         metrics.register(Box::new(resources.refusals()));
@@ -177,7 +183,7 @@
             admission: AdmissionDesk::default(),
             in_flight: Cell::new(0),
             carried: Cell::new(0),
-            live_hosts: Cell::new(1),
+            membership: RefCell::new(membership),
             logged_reach: Cell::new(None),
             exchange: StateExchange::default(),
             endpoint_list: RefCell::default(),
@@ -449,7 +455,7 @@
     ///
     /// Returns `true` if the retry is granted.
     pub async fn acquire_retry(&self, service: &ServiceId) -> bool {
-        let is_granted = self.retries.acquire_own(service, self.live_hosts.get(), self.now())
+        let is_granted = self.retries.acquire_own(service, self.known_hosts(), self.now())
             || self.acquire_pooled_retry(service).await;
         self.metrics.count_retry_request(is_granted);
         is_granted
@@ -460,12 +466,15 @@
         if leader == self.settings.host {
             return self.grant_retry(service);
         }
-        self.exchange.query_retry(&leader, service).await
+        match self.peer_address(&leader) {
+            Some(address) => self.exchange.query_retry(address, service).await,
+            None => false,
+        }
     }
 
     /// Takes one retry from the zone's pool, from which only the zone's leader grants.
     pub(super) fn grant_retry(&self, service: &ServiceId) -> bool {
-        self.retries.grant(service, self.live_hosts.get(), self.now())
+        self.retries.grant(service, self.known_hosts(), self.now())
     }
 
     /// Records that an endpoint did not run a request and said so.
@@ -572,14 +581,25 @@
         self.zone_leader() == self.settings.host
     }
 
-    /// Returns the number of listed hosts of the availability zone, this one included.
+    /// Returns the number of known hosts of the availability zone, this one included.
     pub(crate) fn zone_hosts(&self) -> usize {
-        self.exchange.peer_count() + 1
+        self.membership.borrow().zone_hosts()
+    }
+
+    /// Returns the number of known hosts of the fleet, this one included.
+    pub(super) fn fleet_hosts(&self) -> usize {
+        self.membership.borrow().fleet_hosts()
+    }
+
+    /// Returns the number of hosts of the fleet, this one included, if all are known.
+    fn known_hosts(&self) -> Option<usize> {
+        let membership = self.membership.borrow();
+        membership.is_known().then(|| membership.fleet_hosts())
     }
 
-    /// Returns the address of a listed host of the availability zone.
+    /// Returns the address of a known host of the availability zone.
     pub(crate) fn peer_address(&self, host: &HostId) -> Option<SocketAddr> {
-        self.exchange.peer_address(host)
+        self.membership.borrow().peer_address(host)
     }
 
     /// Returns the fractions of the request memory that a new stream of an organisation may fill in the own
--- a/crates/cassiafield-gateway/src/process/peer_extension.rs
+++ b/crates/cassiafield-gateway/src/process/peer_extension.rs
@@ -36,6 +36,9 @@
     /// Beginnings of prompts that the sender has seen endpoints read.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) held_prefixes: Option<PrefixDigest>,
+    /// Number of hosts of the fleet, the sender included, if the sender knows them all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) fleet_hosts: Option<u32>,
 }
 
 impl PeerExtension {
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -20,7 +20,6 @@
         },
     },
     std::{
-        cell::RefCell,
         collections::BTreeMap,
         net::{SocketAddr, SocketAddrV4},
         rc::Rc,
@@ -146,7 +145,6 @@
 /// Exchanges reserved load, endpoint readings and store data with other hosts.
 pub struct PeerLink {
     state: Rc<GatewayState>,
-    other_zone_hosts: RefCell<Vec<SocketAddr>>,
 }
 
 impl PeerLink {
@@ -168,7 +166,7 @@
     /// Creates the link of a host.
     #[must_use]
     pub fn new(state: Rc<GatewayState>) -> Self {
-        Self { state, other_zone_hosts: RefCell::default() }
+        Self { state }
     }
 
     /// Keeps the host's entry in the store alive and refreshes the list of hosts; never returns.
@@ -184,7 +182,7 @@
         let mut refreshed_at: Option<Moment> = None;
         loop {
             lease = self.renew_host_entry(&mut client, lease).await;
-            let intervals = FleetIntervals { hosts: self.state.live_hosts.get() };
+            let intervals = FleetIntervals { hosts: self.state.fleet_hosts() };
             let now = self.state.now();
             if refreshed_at.is_none_or(|at| now.since(at) >= intervals.read_interval()) {
                 self.refresh_hosts(&mut client).await;
@@ -194,12 +192,17 @@
         }
     }
 
+    fn record_disturbance(&self) {
+        self.state.membership.borrow_mut().record_disturbance(self.state.now());
+    }
+
     async fn renew_host_entry(&self, client: &mut StoreClient, lease: Option<u64>) -> Option<u64> {
         if let Some(lease) = lease {
             match client.call(&StoreCall::Renew { lease }).await {
-                Ok(StoreResponse::NoLease) => {}
+                Ok(StoreResponse::NoLease) => self.record_disturbance(),
                 Ok(_) => return Some(lease),
                 Err(error) => {
+                    self.record_disturbance();
                     LogEvent::PeerFailed.log(format_args!("host entry not renewed: {error}"));
                     return Some(lease);
                 }
@@ -244,45 +247,43 @@
         let items = match client.list(Self::HOST_KEY_PREFIX, true).await {
             Ok(items) => items,
             Err(error) => {
+                self.record_disturbance();
                 LogEvent::HostListFailed.log(error);
                 return;
             }
         };
-        let (mut peers, mut other_zone_hosts) = (BTreeMap::new(), Vec::new());
-        let mut hosts = 0;
-        let mut carriers = BTreeMap::new();
+        let mut list = BTreeMap::new();
         for item in items {
             match rmp_serde::from_slice::<HostEntry>(&item.value) {
                 Ok(entry) => {
-                    hosts += 1;
-                    let settings = &self.state.settings;
-                    let address = SocketAddr::V4(entry.peer_address);
-                    if entry.host != settings.host {
-                        let listed = ListedHost {
-                            zone: entry.zone.clone(),
-                            peer_address: entry.peer_address,
-                            carry_address: entry.carry_address,
-                            carry_token: entry.carry_token,
-                        };
-                        carriers.insert(entry.host.clone(), listed);
-                    }
-                    if entry.zone != settings.zone {
-                        other_zone_hosts.push(address);
-                    } else if entry.host != settings.host {
-                        peers.insert(entry.host, address);
-                    }
+                    let listed = ListedHost {
+                        zone: entry.zone,
+                        peer_address: entry.peer_address,
+                        carry_address: entry.carry_address,
+                        carry_token: entry.carry_token,
+                    };
+                    list.insert(entry.host, listed);
                 }
                 Err(error) => LogEvent::PeerRefused.log(format_args!("{}: {error}", item.key)),
             }
         }
-        self.state.live_hosts.set(hosts.max(1));
+        let listed_hosts = list.len();
+        let mut membership = self.state.membership.borrow_mut();
+        let is_alone = membership.zone_hosts() == 1;
+        let ended = membership.record_list(list, self.state.now());
+        let known = membership.listed_hosts();
+        let carriers = known.map(|(host, listed)| (host.clone(), listed.clone())).collect();
         self.state.carriers.borrow_mut().set_hosts(carriers);
+        for host in ended {
+            LogEvent::FleetReachChanged.log(format_args!(
+                "host {host} has ended: it is silent and not among {listed_hosts} listed hosts"
+            ));
+        }
+        drop(membership);
         // The leader tells a host that has just started what it must know before it sends.
-        if self.state.exchange.peer_addresses().is_empty() {
+        if is_alone {
             self.state.urgent_message.notify_one();
         }
-        self.state.exchange.set_peers(peers);
-        *self.other_zone_hosts.borrow_mut() = other_zone_hosts;
     }
 
     /// Sends and receives messages; never returns unless the socket cannot be opened.
@@ -335,7 +336,7 @@
             let message = self.host_message_with(readings.clone());
             let news = Some(self.state.admission.refresh(&self.state));
             let extension = PeerExtension { news, ..self.extension() };
-            let peers = self.state.exchange.peer_addresses();
+            let peers = self.state.membership.borrow().zone_addresses();
             self.state.prefixes.refresh(&self.state);
             let held_prefixes = self.state.prefixes.due_digest(peers.len() + 1, now);
             let extension = PeerExtension { held_prefixes, ..extension };
@@ -357,8 +358,8 @@
                     hosts: self.state.live_members(),
                     unfit_carriers: self.unfit_carriers(),
                 };
-                let other_zone_hosts = self.other_zone_hosts.borrow().clone();
-                send_extended(socket, &self.extension(), &message, &other_zone_hosts).await;
+                let foreign = self.state.membership.borrow().foreign_addresses();
+                send_extended(socket, &self.extension(), &message, &foreign).await;
             }
         }
     }
@@ -368,7 +369,9 @@
         let max_age = self.state.settings.sync_intervals().max_peer_data_age();
         let age = self.state.configuration_age().filter(|age| *age <= max_age);
         let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
-        PeerExtension { configuration_age_ms: age_ms, ..PeerExtension::default() }
+        let hosts = self.state.membership.borrow().hosts_to_tell();
+        let fleet_hosts = hosts.and_then(|hosts| u32::try_from(hosts).ok());
+        PeerExtension { configuration_age_ms: age_ms, fleet_hosts, ..PeerExtension::default() }
     }
 
     /// Returns a message on this host's load, without readings of endpoints.
@@ -409,6 +412,9 @@
     ) -> bool {
         let (state, now) = (&self.state, self.state.now());
         let is_own_zone = matches!(message, PeerMessage::Host { .. });
+        if let Some(hosts) = extension.fleet_hosts.and_then(|hosts| usize::try_from(hosts).ok()) {
+            state.membership.borrow_mut().record_told_hosts(hosts);
+        }
         if extension.configuration_age_ms.is_some() {
             state.record_fresh_peer(from, is_own_zone);
         }
@@ -501,12 +507,19 @@
                                     let now = self.state.now();
                                     self.state.prefixes.merge(digest, &directory, now);
                                 }
-                                let is_new = self.state.exchange.add_peer(host, from);
+                                let now = self.state.now();
+                                let is_new = self
+                                    .state
+                                    .membership
+                                    .borrow_mut()
+                                    .record_message(host, from, now);
                                 self.greet_peer(is_new);
                             }
                             PeerMessage::Zone { zone, hosts, .. } => {
                                 let now = self.state.now();
                                 let zone = zone.clone();
+                                let mut membership = self.state.membership.borrow_mut();
+                                membership.record_zone_message(&zone, *hosts, now);
                                 self.state.exchange.record_zone_leader(zone, from, *hosts, now);
                             }
                             _ => {}
--- a/crates/cassiafield-gateway/src/process/retry_broker.rs
+++ b/crates/cassiafield-gateway/src/process/retry_broker.rs
@@ -59,7 +59,12 @@
     }
 
     /// Takes one retry from the host's own quota; returns `true` if it is granted.
-    pub(super) fn acquire_own(&self, service: &ServiceId, fleet_hosts: usize, now: Moment) -> bool {
+    pub(super) fn acquire_own(
+        &self,
+        service: &ServiceId,
+        fleet_hosts: Option<usize>,
+        now: Moment,
+    ) -> bool {
         self.with_quota(service, |quota| quota.try_acquire(fleet_hosts, now))
     }
 
@@ -74,7 +79,12 @@
     }
 
     /// Takes one retry from the zone's pool; returns `false` on hosts that do not lead the zone.
-    pub(super) fn grant(&self, service: &ServiceId, fleet_hosts: usize, now: Moment) -> bool {
+    pub(super) fn grant(
+        &self,
+        service: &ServiceId,
+        fleet_hosts: Option<usize>,
+        now: Moment,
+    ) -> bool {
         let Some(leading_since) = self.leading_since.get() else { return false };
         let own_requests = self.with_quota(service, |quota| quota.recent_requests(now));
         let traffic = self.zone_traffic(service, own_requests, fleet_hosts, now);
@@ -137,7 +147,7 @@
         &self,
         service: &ServiceId,
         own_requests: u32,
-        fleet_hosts: usize,
+        fleet_hosts: Option<usize>,
         now: Moment,
     ) -> ZoneTraffic {
         let mut peers = self.peer_requests.borrow_mut();
--- a/crates/cassiafield-gateway/src/process/send_turn.rs
+++ b/crates/cassiafield-gateway/src/process/send_turn.rs
@@ -155,7 +155,7 @@
             return TurnGranter::ThisHost;
         }
         let address = if zone == own_zone {
-            self.exchange.peer_address(&self.zone_leader())
+            self.peer_address(&self.zone_leader())
         } else {
             self.exchange.zone_leader_address(zone, self.now())
         };
@@ -254,7 +254,12 @@
 
     /// Returns how much of the fleet this host knows and reaches.
     pub(super) fn fleet_reach(&self) -> FleetReach {
-        let reachable = self.live_members() + self.exchange.live_foreign_hosts(self.now());
-        FleetReach { reachable, hosts: self.live_hosts.get() }
+        let membership = self.membership.borrow();
+        let foreign = self.exchange.live_foreign_hosts(&membership, self.now());
+        FleetReach {
+            reachable: self.live_members() + foreign,
+            hosts: membership.fleet_hosts(),
+            is_known: membership.is_known(),
+        }
     }
 }
--- a/crates/cassiafield-gateway/src/process/state_exchange.rs
+++ b/crates/cassiafield-gateway/src/process/state_exchange.rs
@@ -7,12 +7,15 @@
     },
     cassiafield::process::LogEvent,
     cassiafield_core::{
-        ids::{HostId, Moment, ServiceId, ZoneId},
-        process::{EndpointLife, ListChanges, ListDigest, SyncIntervals, TurnReply, ZoneLeaders},
+        ids::{Moment, ServiceId, ZoneId},
+        process::{
+            EndpointLife, FleetMembership, ListChanges, ListDigest, SyncIntervals, TurnReply,
+            ZoneLeaders,
+        },
     },
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::HashMap,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -46,11 +49,10 @@
     pub(super) version: u64,
 }
 
-/// Pending queries and the addresses of peers.
+/// Pending queries, and the leaders of the other availability zones.
 #[derive(Debug, Default)]
 pub(crate) struct StateExchange {
     socket: RefCell<Option<Rc<UdpSocket>>>,
-    peers: RefCell<BTreeMap<HostId, SocketAddr>>,
     zone_leaders: RefCell<ZoneLeaders>,
     pending: RefCell<HashMap<u64, oneshot::Sender<(StateReply, PeerExtension)>>>,
     pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
@@ -98,31 +100,6 @@
         self.next_nonce.set(fastrand::u64(..));
     }
 
-    pub(super) fn set_peers(&self, peers: BTreeMap<HostId, SocketAddr>) {
-        *self.peers.borrow_mut() = peers;
-    }
-
-    /// Adds a peer whose message arrived before its entry was read from the store; returns `true` if
-    /// it was not known.
-    pub(super) fn add_peer(&self, host: &HostId, address: SocketAddr) -> bool {
-        let mut peers = self.peers.borrow_mut();
-        let is_new = !peers.contains_key(host);
-        peers.entry(host.clone()).or_insert(address);
-        is_new
-    }
-
-    pub(super) fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.peers.borrow().values().copied().collect()
-    }
-
-    pub(super) fn peer_count(&self) -> usize {
-        self.peers.borrow().len()
-    }
-
-    pub(super) fn peer_address(&self, peer: &HostId) -> Option<SocketAddr> {
-        self.peers.borrow().get(peer).copied()
-    }
-
     /// Records a message from the leader of another availability zone, which hears `hosts` hosts
     /// there.
     pub(super) fn record_zone_leader(
@@ -140,9 +117,11 @@
         self.zone_leaders.borrow().leader(zone, now)
     }
 
-    /// Returns the number of hosts in the other zones whose leaders' messages arrive.
-    pub(super) fn live_foreign_hosts(&self, now: Moment) -> usize {
-        self.zone_leaders.borrow().live_hosts(now)
+    /// Returns the number of hosts in the other zones whose leaders' messages arrive, and that can ask
+    /// this host.
+    pub(super) fn live_foreign_hosts(&self, membership: &FleetMembership, now: Moment) -> usize {
+        let leaders = self.zone_leaders.borrow();
+        leaders.live_hosts(now).map(|(zone, hosts)| membership.mutual_hosts(zone, hosts)).sum()
     }
 
     /// Returns the host that reads the store for the leaders of all zones; `None` if it is this one.
@@ -181,17 +160,15 @@
     }
 
     /// Asks a peer to grant a retry from the zone's pool; returns `false` if it does not reply.
-    pub(super) async fn query_retry(&self, peer: &HostId, service: &ServiceId) -> bool {
-        let socket = self.socket.borrow().clone();
-        let address = self.peers.borrow().get(peer).copied();
-        let (Some(socket), Some(address)) = (socket, address) else { return false };
+    pub(super) async fn query_retry(&self, peer: SocketAddr, service: &ServiceId) -> bool {
+        let Some(socket) = self.socket.borrow().clone() else { return false };
         let nonce = self.next_nonce.get().wrapping_add(1);
         self.next_nonce.set(nonce);
         let message = PeerMessage::RetryQuery { nonce, service: service.clone() };
         let Ok(bytes) = rmp_serde::to_vec(&message) else { return false };
         let (sender, receiver) = oneshot::channel();
         self.pending_retries.borrow_mut().insert(nonce, sender);
-        let is_granted = match socket.send_to(&bytes, address).await {
+        let is_granted = match socket.send_to(&bytes, peer).await {
             Ok(_) => matches!(timeout(Self::RETRY_QUERY_TIMEOUT, receiver).await, Ok(Ok(true))),
             Err(_) => false,
         };
