--- a/crates/cassiafield-core/tests/limit_model.rs
+++ b/crates/cassiafield-core/tests/limit_model.rs
@@ -89,7 +89,7 @@
 
     fn has_store(self, now: u64) -> bool {
         let is_away = |began: &u64| (*began..began + Self::OUTAGE_MS).contains(&now);
-        !self.loses_leases() || !Self::LAPSES_MS.iter().any(|began| is_away(began))
+        !self.loses_leases() || !Self::LAPSES_MS.iter().any(is_away)
     }
 }
 
--- a/crates/cassiafield-gateway/src/connection/http_connection.rs
+++ b/crates/cassiafield-gateway/src/connection/http_connection.rs
@@ -1,14 +1,14 @@
 use {
     bytes::Bytes,
     cassiafield_core::request::RequestVerdict,
-    http::{Request, Response},
+    http::{Request, Response, StatusCode},
     http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http1::{Builder, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{fmt, io, net::SocketAddrV4, time::Duration},
+    std::{fmt, io, net::SocketAddrV4, ops::RangeInclusive, time::Duration},
     tokio::{net::TcpSocket, task::AbortHandle, time::timeout},
 };
 
@@ -21,6 +21,8 @@
     Unsent,
     /// The connection broke, or the response is not valid HTTP.
     Broken(hyper::Error),
+    /// The response has a status that no final response in HTTP has.
+    InvalidStatus(StatusCode),
     /// No response arrived within the time limit.
     TimedOut,
 }
@@ -31,7 +33,9 @@
     pub const fn verdict(&self) -> RequestVerdict {
         match self {
             ConnectionError::Connect(_) | ConnectionError::Unsent => RequestVerdict::NotRun,
-            ConnectionError::Broken(_) | ConnectionError::TimedOut => RequestVerdict::MayHaveRun,
+            ConnectionError::Broken(_)
+            | ConnectionError::InvalidStatus(_)
+            | ConnectionError::TimedOut => RequestVerdict::MayHaveRun,
         }
     }
 }
@@ -44,6 +48,7 @@
             ConnectionError::Connect(_) => "connect",
             ConnectionError::Unsent => "unsent",
             ConnectionError::Broken(_) => "broken",
+            ConnectionError::InvalidStatus(_) => "invalid-status",
             ConnectionError::TimedOut => "no-answer",
         }
     }
@@ -55,6 +60,9 @@
             ConnectionError::Connect(error) => write!(f, "cannot connect: {error}"),
             ConnectionError::Unsent => f.write_str("connection closed before the request was sent"),
             ConnectionError::Broken(error) => write!(f, "connection broken: {error}"),
+            ConnectionError::InvalidStatus(status) => {
+                write!(f, "invalid status {}", status.as_u16())
+            }
             ConnectionError::TimedOut => f.write_str("no answer in time"),
         }
     }
@@ -74,6 +82,8 @@
 impl HttpConnection {
     /// Maximum size of a response head, in bytes.
     const MAX_HEAD_BYTES: usize = 64 * 1_024;
+    /// Statuses of final responses (RFC 9110, section 15); no request asks for a switch of protocols.
+    const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
     /// Time after which unacknowledged data closes the connection (`TCP_USER_TIMEOUT`).
     const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -130,7 +140,14 @@
                 }
             })
         };
-        timeout(response_timeout, response).await.map_err(|_| ConnectionError::TimedOut)?
+        let response =
+            timeout(response_timeout, response).await.map_err(|_| ConnectionError::TimedOut)??;
+        let status = response.status();
+        if Self::FINAL_STATUSES.contains(&status.as_u16()) {
+            Ok(response)
+        } else {
+            Err(ConnectionError::InvalidStatus(status))
+        }
     }
 
     /// Returns `true` if the connection can take another request now.
