--- a/crates/cassiafield-gateway/src/resources/held_bytes.rs
+++ b/crates/cassiafield-gateway/src/resources/held_bytes.rs
@@ -1,5 +1,5 @@
 use {
-    crate::resources::MemoryCharge,
+    crate::resources::{segment_buffer::SegmentBuffer, MemoryCharge},
     bytes::{Buf as _, Bytes},
     http_body_util::BodyExt as _,
     hyper::body::Body,
@@ -29,10 +29,10 @@
 }
 
 impl HeldBytes {
-    /// Part of its size by which a buffer grows: what a body in small chunks costs beyond its bytes.
-    const GROWTH_DIVISOR: usize = 16;
-    /// Least growth of a buffer, in bytes.
-    const MIN_GROWTH: usize = 1_024;
+    /// Size from which the buffers of a body's connection grow with it, in bytes.
+    const LARGE_SIZE: usize = 64 * 1_024;
+    /// The grown buffers of a connection, in bytes: one is filled while the other one is read.
+    const CONNECTION_BYTES: usize = 2 * 64 * 1_024;
     /// Progress is recorded in steps of this size, in bytes.
     const PROGRESS_STEP: usize = 4 * 1_024;
 
@@ -53,7 +53,7 @@
         if stated == Some(0) {
             return Ok(Self::default());
         }
-        let mut collected = Vec::new();
+        let mut collected = SegmentBuffer::default();
         if let Some(stated) = stated {
             let length = usize::try_from(stated).unwrap_or(usize::MAX);
             if length > max_bytes {
@@ -62,11 +62,11 @@
             if !charge.grow(length) {
                 return Err(HoldError::NoRoom);
             }
-            collected.reserve_exact(length);
+            collected = SegmentBuffer::with_capacity(length);
         }
         {
             let mut evicted = pin!(charge.wait_evicted());
-            let mut progress = 0;
+            let (mut progress, mut is_large) = (0, false);
             loop {
                 let frame = tokio::select! {
                     biased;
@@ -79,21 +79,17 @@
                 if length > max_bytes {
                     return Err(HoldError::TooLarge);
                 }
-                if length > collected.capacity() {
-                    let growth = (length / Self::GROWTH_DIVISOR).max(Self::MIN_GROWTH);
-                    let capacity = (length + growth).min(max_bytes);
-                    if !charge.grow(capacity - collected.capacity()) {
+                if length > Self::LARGE_SIZE && !std::mem::replace(&mut is_large, true) {
+                    if !charge.grow(Self::CONNECTION_BYTES) {
                         return Err(HoldError::NoRoom);
                     }
-                    collected.reserve_exact(capacity - collected.len());
                 }
-                progress += data.remaining();
-                while data.has_remaining() {
-                    let chunk = data.chunk();
-                    collected.extend_from_slice(chunk);
-                    let count = chunk.len();
-                    data.advance(count);
+                if collected.next_segment(data.remaining()).is_some_and(|size| !charge.grow(size)) {
+                    return Err(HoldError::NoRoom);
                 }
+                progress += data.remaining();
+                let count = data.remaining();
+                collected.push(&data.copy_to_bytes(count));
                 if progress >= Self::PROGRESS_STEP {
                     charge.record_progress(std::mem::take(&mut progress));
                 }
@@ -101,7 +97,7 @@
         }
         // The host works on it now.
         charge.set_waiting(false);
-        Ok(Self { bytes: Bytes::from(collected), charge: Some(Rc::new(charge)) })
+        Ok(Self { bytes: collected.into_bytes(), charge: Some(Rc::new(charge)) })
     }
 
     /// Returns the bytes, which must not outlive this value.
--- a/crates/cassiafield-gateway/src/resources/mod.rs
+++ b/crates/cassiafield-gateway/src/resources/mod.rs
@@ -5,6 +5,7 @@
 mod held_bytes;
 mod memory_charge;
 mod resource_keeper;
+mod segment_buffer;
 mod write_gate;
 
 pub use self::{
