--- a/crates/cassiafield-core/src/process/fleet_membership.rs
+++ b/crates/cassiafield-core/src/process/fleet_membership.rs
@@ -46,9 +46,11 @@
     listed_since: Option<Moment>,
     /// Whether the whole system starts for the first time.
     is_first_start: bool,
-    /// Whether all hosts that run must have been listed since this host started.
+    /// Whether all hosts that run count as listed.
     is_complete: bool,
-    /// Largest number of hosts that a peer has told before the own list was complete.
+    /// Whether they have had the time for that since this host started.
+    is_settled: bool,
+    /// Largest number of hosts that a peer has told before that time was over.
     told_hosts: usize,
 }
 
@@ -97,6 +99,7 @@
             listed_since: None,
             is_first_start,
             is_complete: false,
+            is_settled: false,
             told_hosts: 0,
         }
     }
@@ -151,10 +154,11 @@
             return;
         }
         let listed_since = *self.listed_since.get_or_insert(now);
-        if self.is_first_start || now.since(listed_since) >= Self::REENTRY_TIME {
-            self.is_complete = true;
+        if now.since(listed_since) >= Self::REENTRY_TIME {
+            self.is_settled = true;
             self.told_hosts = 0;
         }
+        self.is_complete |= self.is_first_start || self.is_settled;
     }
 
     /// Records that a call to the store failed, or that the store has lost this host's entry.
@@ -200,10 +204,10 @@
 
     /// Records the number of hosts that a peer knows.
     ///
-    /// It counts only until the own list is complete: numbers that hosts take over from each other
-    /// would never fall.
+    /// It counts only for a time after this host has started: numbers that hosts take over from each
+    /// other would never fall.
     pub fn record_told_hosts(&mut self, hosts: usize) {
-        if !self.is_complete {
+        if !self.is_settled {
             self.told_hosts = self.told_hosts.max(hosts);
         }
     }
--- a/crates/cassiafield-core/tests/fleet_membership.rs
+++ b/crates/cassiafield-core/tests/fleet_membership.rs
@@ -211,6 +211,8 @@
     assert_eq!(membership.fleet_hosts(), 3);
     membership.record_message(&host(4), SocketAddr::V4(address(4)), at(100));
     assert_eq!(membership.fleet_hosts(), 4);
+    membership.record_told_hosts(HOSTS);
+    assert_eq!(membership.fleet_hosts(), HOSTS);
 }
 
 /// Guards against a host that is counted twice, or gets no messages, after it has started at another
--- a/crates/cassiafield-gateway/src/process/send_turn.rs
+++ b/crates/cassiafield-gateway/src/process/send_turn.rs
@@ -182,7 +182,8 @@
         None
     }
 
-    /// Answers a query for a turn; `None` if this host does not lead the endpoint's zone.
+    /// Answers a query for a turn; `None` if this host does not lead the endpoint's zone, or does not
+    /// know the fleet yet: the querying host has its own share then.
     pub(super) fn grant_turn(&self, query: TurnQuery) -> Option<TurnReply> {
         let TurnQuery { life, limit, rate, max_wait_ms } = query;
         let now = self.now();
@@ -193,7 +194,7 @@
         // An endpoint that is not listed here yet has the limit that the querying host knows.
         let known = entry.is_some().then(|| directory.request_rate(&life.endpoint, now));
         drop(directory);
-        if !is_own_zone || !self.is_zone_leader() {
+        if !is_own_zone || !self.is_zone_leader() || !self.membership.borrow().is_known() {
             return None;
         }
         let Some(rate) = known.unwrap_or(Some(rate)) else {
