--- a/crates/cassiafield-core/src/process/fleet_membership.rs
+++ b/crates/cassiafield-core/src/process/fleet_membership.rs
@@ -46,12 +46,12 @@
     listed_since: Option<Moment>,
     /// Whether the whole system starts for the first time.
     is_first_start: bool,
-    /// Whether all hosts that run count as listed.
+    /// Whether the lists so far are taken to name all hosts that run.
     is_complete: bool,
-    /// Whether they have had the time for that since this host started.
+    /// Whether hosts without an entry have had the time to write it since this host started.
     is_settled: bool,
-    /// Largest number of hosts that a peer has told before that time was over.
-    told_hosts: usize,
+    /// Largest number of hosts that a peer has reported before that time was over.
+    reported_hosts: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -61,7 +61,7 @@
     listed: Option<ListedHost>,
     /// Sender of its last message.
     sender: Option<SocketAddr>,
-    /// When it last showed that it runs, or became known.
+    /// When a message last showed that it runs, or when it became known.
     heard_at: Moment,
     /// Since when the list lacks it.
     unlisted_since: Option<Moment>,
@@ -100,7 +100,7 @@
             is_first_start,
             is_complete: false,
             is_settled: false,
-            told_hosts: 0,
+            reported_hosts: 0,
         }
     }
 
@@ -156,7 +156,7 @@
         let listed_since = *self.listed_since.get_or_insert(now);
         if now.since(listed_since) >= Self::REENTRY_TIME {
             self.is_settled = true;
-            self.told_hosts = 0;
+            self.reported_hosts = 0;
         }
         self.is_complete |= self.is_first_start || self.is_settled;
     }
@@ -202,13 +202,13 @@
         }
     }
 
-    /// Records the number of hosts that a peer knows.
+    /// Records the number of hosts that a peer reports.
     ///
-    /// It counts only for a time after this host has started: numbers that hosts take over from each
-    /// other would never fall.
-    pub fn record_told_hosts(&mut self, hosts: usize) {
+    /// It counts only for a time after this host has started: numbers that hosts adopt from each other
+    /// would never fall.
+    pub fn record_reported_hosts(&mut self, hosts: usize) {
         if !self.is_settled {
-            self.told_hosts = self.told_hosts.max(hosts);
+            self.reported_hosts = self.reported_hosts.max(hosts);
         }
     }
 
@@ -217,19 +217,20 @@
     /// A host that has just started does not know that: the store may have lost the other entries.
     #[must_use]
     pub const fn is_known(&self) -> bool {
-        self.is_complete || self.told_hosts > 0
+        self.is_complete || self.reported_hosts > 0
     }
 
-    /// Returns the number of hosts for peers that have just started, if this host knows it by itself.
+    /// Returns the number of hosts to report to peers that have just started, if this host knows it by
+    /// itself.
     #[must_use]
-    pub fn hosts_to_tell(&self) -> Option<usize> {
+    pub fn hosts_to_report(&self) -> Option<usize> {
         self.is_complete.then(|| self.peers.len() + 1)
     }
 
     /// Returns the number of hosts of the fleet, this one included.
     #[must_use]
     pub fn fleet_hosts(&self) -> usize {
-        (self.peers.len() + 1).max(self.told_hosts)
+        (self.peers.len() + 1).max(self.reported_hosts)
     }
 
     /// Returns the number of hosts of the own availability zone, this one included.
--- a/crates/cassiafield-core/tests/fleet_membership.rs
+++ b/crates/cassiafield-core/tests/fleet_membership.rs
@@ -163,11 +163,11 @@
     {
         membership.record_list(list(listed), at(ms));
         assert!(!membership.is_known(), "{ms} ms");
-        assert_eq!(membership.hosts_to_tell(), None);
+        assert_eq!(membership.hosts_to_report(), None);
     }
     membership.record_list(list(0..HOSTS), at(10_000));
     assert!(membership.is_known());
-    assert_eq!(membership.hosts_to_tell(), Some(HOSTS));
+    assert_eq!(membership.hosts_to_report(), Some(HOSTS));
 }
 
 /// Guards against time that counts although the host's own entry was lost in it.
@@ -188,15 +188,15 @@
 #[test]
 fn a_host_that_starts_takes_the_number_of_its_peers_until_its_own_list_is_complete() {
     let mut membership = FleetMembership::new(host(0), zone(0), false);
-    membership.record_told_hosts(HOSTS);
-    membership.record_told_hosts(2);
+    membership.record_reported_hosts(HOSTS);
+    membership.record_reported_hosts(2);
     assert!(membership.is_known());
     assert_eq!(membership.fleet_hosts(), HOSTS);
-    assert_eq!(membership.hosts_to_tell(), None, "what peers have told is not told on");
+    assert_eq!(membership.hosts_to_report(), None, "what peers have reported is not passed on");
     membership.record_list(list([0, 1]), at(0));
     assert_eq!(membership.fleet_hosts(), HOSTS);
     membership.record_list(list([0, 1]), at(8_000));
-    membership.record_told_hosts(HOSTS);
+    membership.record_reported_hosts(HOSTS);
     assert_eq!(membership.fleet_hosts(), 2);
 }
 
@@ -211,7 +211,7 @@
     assert_eq!(membership.fleet_hosts(), 3);
     membership.record_message(&host(4), SocketAddr::V4(address(4)), at(100));
     assert_eq!(membership.fleet_hosts(), 4);
-    membership.record_told_hosts(HOSTS);
+    membership.record_reported_hosts(HOSTS);
     assert_eq!(membership.fleet_hosts(), HOSTS);
 }
 
--- a/crates/cassiafield-core/tests/limit_model.rs
+++ b/crates/cassiafield-core/tests/limit_model.rs
@@ -287,7 +287,8 @@
                 self.hosts[from].turns.record_lead(is_leader, at);
             }
             let sender = &self.hosts[from];
-            let (members, told) = (sender.live_members(at), sender.membership.hosts_to_tell());
+            let (members, reported) =
+                (sender.live_members(at), sender.membership.hosts_to_report());
             let mut receivers: BTreeSet<SocketAddr> =
                 sender.membership.zone_addresses().into_iter().collect();
             if is_leader && now.is_multiple_of(2 * MESSAGE_INTERVAL_MS) {
@@ -299,8 +300,8 @@
                     continue;
                 }
                 let receiver = &mut self.hosts[to];
-                if let Some(hosts) = told {
-                    receiver.membership.record_told_hosts(hosts);
+                if let Some(hosts) = reported {
+                    receiver.membership.record_reported_hosts(hosts);
                 }
                 if receiver.zone == zone {
                     receiver.membership.record_message(&id, address, at);
--- a/crates/cassiafield-gateway/src/process/peer_link.rs
+++ b/crates/cassiafield-gateway/src/process/peer_link.rs
@@ -369,7 +369,7 @@
         let max_age = self.state.settings.sync_intervals().max_peer_data_age();
         let age = self.state.configuration_age().filter(|age| *age <= max_age);
         let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
-        let hosts = self.state.membership.borrow().hosts_to_tell();
+        let hosts = self.state.membership.borrow().hosts_to_report();
         let fleet_hosts = hosts.and_then(|hosts| u32::try_from(hosts).ok());
         PeerExtension { configuration_age_ms: age_ms, fleet_hosts, ..PeerExtension::default() }
     }
@@ -413,7 +413,7 @@
         let (state, now) = (&self.state, self.state.now());
         let is_own_zone = matches!(message, PeerMessage::Host { .. });
         if let Some(hosts) = extension.fleet_hosts.and_then(|hosts| usize::try_from(hosts).ok()) {
-            state.membership.borrow_mut().record_told_hosts(hosts);
+            state.membership.borrow_mut().record_reported_hosts(hosts);
         }
         if extension.configuration_age_ms.is_some() {
             state.record_fresh_peer(from, is_own_zone);
--- a/crates/cassiafield-gateway/src/resources/held_bytes.rs
+++ b/crates/cassiafield-gateway/src/resources/held_bytes.rs
@@ -79,12 +79,14 @@
                 if length > max_bytes {
                     return Err(HoldError::TooLarge);
                 }
-                if length > Self::LARGE_SIZE && !std::mem::replace(&mut is_large, true) {
-                    if !charge.grow(Self::CONNECTION_BYTES) {
-                        return Err(HoldError::NoRoom);
-                    }
-                }
-                if collected.next_segment(data.remaining()).is_some_and(|size| !charge.grow(size)) {
+                let buffers = if length > Self::LARGE_SIZE && !is_large {
+                    is_large = true;
+                    Self::CONNECTION_BYTES
+                } else {
+                    0
+                };
+                let added = buffers + collected.next_segment(data.remaining()).unwrap_or(0);
+                if added > 0 && !charge.grow(added) {
                     return Err(HoldError::NoRoom);
                 }
                 progress += data.remaining();
