Review case 11: an answer without an id reaches another request's caller

A faulty server sends additional bytes after a complete response; they read as an answer but bear no X-Cassiafield-Attempt-Id. Where they come before the next answer on a kept channel, the caller of the next request gets them as its success.

Code: belongs_to_other_request in crates/cassiafield-gateway/src/request/call_context.rs takes an answer without any id for the request's own.

--- /dev/null
+++ b/review/standin-3/src/cases/mod.rs
@@ -0,0 +1,20 @@
+//! The cases; each returns whether the rule held.
+
+mod deadly;
+mod extra;
+mod flood;
+mod keys;
+mod zero;
+
+use {crate::play::Play, std::io};
+
+pub fn run(case: &str, play: &Play) -> io::Result<bool> {
+    match case {
+        "deadly" => deadly::run(play),
+        "extra" => extra::run(play),
+        "flood" => flood::run(play),
+        "keys" => keys::run(play),
+        "zero" => zero::run(play),
+        other => Err(io::Error::other(format!("no case {other}"))),
+    }
+}
