--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod deadly;
 mod extra;
 mod keys;
+mod upgrade;
 mod zero;
 
 use {crate::play::Play, std::io};
@@ -12,6 +13,7 @@
         "deadly" => deadly::run(play),
         "extra" => extra::run(play),
         "keys" => keys::run(play),
+        "upgrade" => upgrade::run(play),
         "zero" => zero::run(play),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
--- a/review/standin-3/src/play.rs
+++ b/review/standin-3/src/play.rs
@@ -83,7 +83,7 @@
 
     /// Starts an entry host with the command of the deploy file.
     pub fn start_host(&self, host: &HostPlan, bounds: &str) -> io::Result<Host> {
-        let HostPlan { name, zone, ip, front, ready, peers, store, is_first_start } = host;
+        let HostPlan { name, zone, ip, front, ready, peers, store, is_first_start, program } = host;
         let text = format!(
             "{{\"node\":\"{name}\",\"role\":\"entry\",\"machine_class\":\"front\",\
              \"serves\":[\"front\"],\"ip\":\"{ip}\",\"zone\":\"{zone}\",\"region\":\"r\",\
@@ -99,13 +99,13 @@
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, text)?;
         let log = File::create(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new("target/release/cassiafield-gateway")
+        let child = Command::new(program)
             .env("CASSIAFIELD_SETTINGS", &path)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.log(format!("host {name} started, callers at {front}"));
+        self.record.log(format!("host {name} started, callers at {front}: {program}"));
         Ok(Host { plan: host.clone(), child })
     }
 
@@ -144,9 +144,13 @@
     pub peers: u16,
     pub store: SocketAddrV4,
     pub is_first_start: bool,
+    pub program: &'static str,
 }
 
 impl HostPlan {
+    /// The program that the deploy file starts.
+    pub const PROGRAM: &'static str = "target/release/cassiafield-gateway";
+
     pub fn new(play: &Play, name: &str, machine: u8, store: SocketAddrV4) -> Self {
         Self {
             name: name.to_owned(),
@@ -157,6 +161,7 @@
             peers: play.address(machine).port().min(65_000),
             store,
             is_first_start: true,
+            program: Self::PROGRAM,
         }
     }
 }
@@ -167,6 +172,21 @@
     pub child: Child,
 }
 
+impl Host {
+    /// Stops the host as the platform does: SIGTERM, and the end of the process after `grace_s` at the latest.
+    pub fn stop(mut self) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_secs(8) {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         let _ = self.child.kill();
