--- a/review/standin-3/src/cases/keys.rs
+++ b/review/standin-3/src/cases/keys.rs
@@ -1,4 +1,4 @@
-//! A route becomes public while its callers still send their keys.
+//! A version adds a public route below one with keys; callers still send their keys.
 
 use {
     crate::{
@@ -16,18 +16,21 @@
 
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-fn configuration_of(version: u32, is_public: bool) -> String {
-    let more = format!(",\"public\":{is_public}");
-    let route = Route {
-        prefix: "/desk/",
+fn configuration_of(version: u32, has_public_route: bool) -> String {
+    let route = |prefix, more| Route {
+        prefix,
         kind: "safe",
         service: "desk",
         timeout_ms: 2_000,
         attempts: 2,
-        more: &more,
+        more,
     };
+    let mut routes = vec![route("/desk/", "")];
+    if has_public_route {
+        routes.push(route("/desk/open/", ",\"public\":true"));
+    }
     let tenants = format!(",\"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"]}}]");
-    configuration(version, &[route], &plain_service("desk"), &tenants)
+    configuration(version, &routes, &plain_service("desk"), &tenants)
 }
 
 pub fn run(play: &Play) -> io::Result<bool> {
@@ -56,7 +59,7 @@
             let call = Call {
                 method: "GET",
                 host: "a.example".to_owned(),
-                path: "/desk/x".to_owned(),
+                path: "/desk/open/x".to_owned(),
                 headers: vec![
                     ("X-Cassiafield-Attempt-Id".to_owned(), id.clone()),
                     ("X-Cassiafield-Deadline-Ms".to_owned(), "2000".to_owned()),
@@ -73,7 +76,7 @@
     send(20);
     if play.has_trouble {
         store.put("op/config", &configuration_of(9, true));
-        play.record.log("the operator writes version 9: the route is public");
+        play.record.log("the operator writes version 9, which adds the public route /desk/open/");
     }
     thread::sleep(Duration::from_secs(4));
     send(20);
