--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,4 +4,4 @@
 player=target/review-3/release/review-standin-3
 [ -x "$player" ] && [ -x target/release/cassiafield-gateway ] || exit 2
 # TROUBLE=0 in the environment plays it without the disruption.
-exec "$player" keys review/15/record.txt
+exec "$player" zero review/15/record.txt
--- a/review/standin-3/src/cases/deadly.rs
+++ b/review/standin-3/src/cases/deadly.rs
@@ -1,4 +1,4 @@
-//! A request crashes each server that begins to run it, some time after its first token.
+//! A request crashes each server that begins to run it, and comes again.
 
 use {
     crate::{
@@ -27,11 +27,18 @@
 const CONTACT: Duration = Duration::from_secs(3);
 const EVENT_GAP: Duration = Duration::from_millis(50);
 const EVENTS: u32 = 30;
-/// Events of the deadly request before its server crashes.
-const CRASH_AFTER: u32 = 14;
 /// Path and body of the request that crashes servers.
 const DEADLY: &str = "crash";
 
+/// In what the two cases differ.
+#[derive(Clone, Copy)]
+pub struct Form {
+    /// Events of the deadly request before its server crashes.
+    pub crash_after: u32,
+    /// Whether requests name the parts of their prompts: one, which belongs to the request itself.
+    pub has_parts: bool,
+}
+
 #[derive(Default)]
 struct Observed {
     /// When servers crashed.
@@ -141,13 +148,17 @@
     }
 }
 
-fn call(id: &str, body: &str) -> Call {
-    let headers = [
+fn call(id: &str, body: &str, has_parts: bool) -> Call {
+    let parts = format!("{}:100", &id[..8]);
+    let mut headers = vec![
         ("X-Cassiafield-Attempt-Id", id),
         ("X-Cassiafield-Deadline-Ms", "20000"),
         ("X-Cassiafield-Model", "m"),
         ("X-Cassiafield-Token-Counts", "100,90"),
     ];
+    if has_parts {
+        headers.push(("X-Cassiafield-Prompt-Prefix", &parts));
+    }
     let headers = headers.iter().map(|(name, value)| ((*name).to_owned(), (*value).to_owned()));
     Call {
         method: "POST",
@@ -158,7 +169,7 @@
     }
 }
 
-pub fn run(play: &Play) -> io::Result<bool> {
+pub fn run(play: &Play, form: Form) -> io::Result<bool> {
     let route = Route {
         prefix: "/llm/",
         kind: "streaming",
@@ -176,7 +187,7 @@
             address: play.address(10 + number),
             record: Arc::clone(&play.record),
             observed: Arc::clone(&observed),
-            crash_after: play.has_trouble.then_some(CRASH_AFTER),
+            crash_after: play.has_trouble.then_some(form.crash_after),
             is_down: AtomicBool::new(false),
             born: AtomicU64::new(1_765_100_000_000),
             streams: Mutex::default(),
@@ -190,7 +201,8 @@
     let send = |body: String| {
         let (record, id) = (Arc::clone(&play.record), play.request_id());
         thread::spawn(move || {
-            let (answer, time) = exchange(front, &call(&id, &body), Duration::from_secs(21));
+            let (answer, time) =
+                exchange(front, &call(&id, &body, form.has_parts), Duration::from_secs(21));
             let text = match answer {
                 Ok(answer) => {
                     let events = answer.text().matches("id: ").count();
--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -2,7 +2,6 @@
 
 mod deadly;
 mod extra;
-mod keys;
 mod upgrade;
 mod zero;
 
@@ -10,9 +9,9 @@
 
 pub fn run(case: &str, play: &Play) -> io::Result<bool> {
     match case {
-        "deadly" => deadly::run(play),
+        "deadly" => deadly::run(play, deadly::Form { crash_after: 14, has_parts: false }),
         "extra" => extra::run(play),
-        "keys" => keys::run(play),
+        "renewed" => deadly::run(play, deadly::Form { crash_after: 1, has_parts: true }),
         "upgrade" => upgrade::run(play),
         "zero" => zero::run(play),
         other => Err(io::Error::other(format!("no case {other}"))),
