--- a/review/standin-3/src/cases/deadly.rs
+++ b/review/standin-3/src/cases/deadly.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         http::{exchange, response, Call, Channel, Message},
-        play::{answer_headers, Play, Record},
+        play::{answer_headers, Play, Record, HEARTBEAT},
         store::Store,
         world::{configuration, model_service, start_one, start_store, Route, MODEL_ENTRY, REPORT},
     },
@@ -25,6 +25,8 @@
 const AWAY: Duration = Duration::from_millis(2_500);
 /// `contact_ms` of the installation.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Start of each server's first run, as its report names it.
+const FIRST_START: &str = "1765100000000";
 const EVENT_GAP: Duration = Duration::from_millis(50);
 const EVENTS: u32 = 30;
 /// Path and body of the request that crashes servers.
@@ -60,13 +62,13 @@
 }
 
 impl ModelServer {
-    fn announce(&self, store: &Store) {
+    fn announce(&self, store: &Store, seq: u64) {
         let born = self.born.load(Ordering::Relaxed);
         store.put(
             &format!("servers/{}", self.id),
             &format!(
                 "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
-                 \"slots\":192,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":0,\
+                 \"slots\":192,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{seq},\
                  \"born\":{born}{MODEL_ENTRY}}}",
                 self.address
             ),
@@ -79,7 +81,8 @@
             let Ok(listener) = TcpListener::bind(self.address) else { return };
             let _ = listener.set_nonblocking(true);
             self.is_down.store(false, Ordering::Relaxed);
-            self.announce(&store);
+            let (mut seq, mut announced_at) = (0, Instant::now());
+            self.announce(&store, seq);
             self.record.log(format!("server {} runs", self.id));
             while !self.is_down.load(Ordering::Relaxed) {
                 match listener.accept() {
@@ -93,6 +96,10 @@
                     }
                     Err(_) => thread::sleep(Duration::from_millis(2)),
                 }
+                if announced_at.elapsed() >= HEARTBEAT {
+                    (seq, announced_at) = (seq + 1, Instant::now());
+                    self.announce(&store, seq);
+                }
             }
             drop(listener);
             for stream in self.streams.lock().unwrap().drain(..) {
@@ -107,7 +114,9 @@
         while let Ok(request) = channel.read(true) {
             if request.target() == "/report" {
                 let headers = [("Content-Type", "application/json")];
-                if channel.write(&response(200, "OK", &headers, REPORT.as_bytes())).is_err() {
+                let born = self.born.load(Ordering::Relaxed).to_string();
+                let report = REPORT.replace(FIRST_START, &born);
+                if channel.write(&response(200, "OK", &headers, report.as_bytes())).is_err() {
                     return;
                 }
             } else if self.stream(&request, &mut channel).is_err() {
--- a/review/standin-3/src/play.rs
+++ b/review/standin-3/src/play.rs
@@ -206,14 +206,27 @@
     )
 }
 
-/// Registers a plain server in the store, and again at each beat.
+/// Time between two writes of a server's entry, `heartbeat_ms` of the settings.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Registers a server in the store, and writes its entry again at each heartbeat.
 pub fn register(store: &Arc<Store>, id: &str, service: &str, address: SocketAddrV4, more: &str) {
-    let entry = format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
-         \"version\":\"v1\",\"slots\":192,\"state\":\"ready\",\"cold_left_ms\":0,\
-         \"seq\":0,\"born\":1765100000000{more}}}"
-    );
-    store.put(&format!("servers/{id}"), &entry);
+    let (key, service, more) = (format!("servers/{id}"), service.to_owned(), more.to_owned());
+    let entry = move |seq: u64| {
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
+             \"version\":\"v1\",\"slots\":192,\"state\":\"ready\",\"cold_left_ms\":0,\
+             \"seq\":{seq},\"born\":1765100000000{more}}}"
+        )
+    };
+    store.put(&key, &entry(0));
+    let store = Arc::clone(store);
+    thread::spawn(move || {
+        for seq in 1.. {
+            thread::sleep(HEARTBEAT);
+            store.put(&key, &entry(seq));
+        }
+    });
 }
 
 /// Returns the headers that a sound server's answer bears.
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -24,6 +24,17 @@
     lease: u64,
 }
 
+impl Item {
+    /// Returns the item as JSON without the closing brace.
+    fn describe(&self, key: &str) -> String {
+        let Item { value, revision, created, lease } = self;
+        format!(
+            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\
+             \"created\":{created},\"lease\":{lease}"
+        )
+    }
+}
+
 #[derive(Default)]
 struct Content {
     revision: u64,
@@ -79,20 +90,13 @@
         };
         let mut content = self.content.lock().unwrap();
         content.expire();
-        let describe = |key: &str, item: &Item| {
-            let Item { value, revision, created, lease } = item;
-            format!(
-                "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\
-                 \"created\":{created},\"lease\":{lease}"
-            )
-        };
         let ok = |text: String| json_response(200, "OK", &text);
         match (call.method(), path) {
             ("GET", "/kv-key") => {
                 let key = parameter("key");
                 match content.items.get(&key) {
                     Some(item) => {
-                        ok(format!("{},\"as_of\":{}}}", describe(&key, item), content.revision))
+                        ok(format!("{},\"as_of\":{}}}", item.describe(&key), content.revision))
                     }
                     None => json_response(404, "Not Found", "{}"),
                 }
@@ -103,7 +107,7 @@
                     .items
                     .iter()
                     .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
-                    .map(|(key, item)| format!("{}}}", describe(key, item)))
+                    .map(|(key, item)| format!("{}}}", item.describe(key)))
                     .collect();
                 let is_truncated = found.len() > 500;
                 let found = found.into_iter().take(500).collect::<Vec<_>>().join(",");
@@ -148,7 +152,13 @@
             found == row.number("revision")
         });
         if !is_expected {
-            return json_response(412, "Precondition Failed", "{\"items\":[]}");
+            let current = body.list("expected").iter().filter_map(|row| {
+                let key = row.text("key");
+                content.items.get(&key).map(|item| format!("{}}}", item.describe(&key)))
+            });
+            let items = current.collect::<Vec<_>>().join(",");
+            let text = format!("{{\"items\":[{items}],\"as_of\":{}}}", content.revision);
+            return json_response(412, "Precondition Failed", &text);
         }
         let writes = body.list("writes");
         let has_leases = writes.iter().all(|row| {
